--- /dev/null
+++ b/crates/domain/src/lease/mod.rs
@@ -0,0 +1,5 @@
+//! Leases of daemons and ownership of workers.
+
+mod grant;
+
+pub use grant::Grant;
--- /dev/null
+++ b/crates/domain/src/lib.rs
@@ -0,0 +1,21 @@
+//! Aggregates and decisions of jasminetack.
+//!
+//! Nothing in this crate does I/O, starts threads, reads a clock or knows a message format. Each
+//! module is an aggregate that owns its state and rules; every function that decides takes the
+//! present time as `now_ms`, milliseconds of a monotonic clock of the caller's choice.
+//!
+//! ```
+//! use jasminetack_domain::adapter;
+//! use jasminetack_domain::name;
+//!
+//! let requested = adapter::AdapterRef::new(name::AdapterName::from("offer-da"), 3);
+//! assert_eq!(requested.to_string(), "offer-da@3");
+//! ```
+
+pub mod adapter;
+pub mod lease;
+pub mod name;
+pub mod place;
+pub mod request;
+pub mod route;
+pub mod table;
--- /dev/null
+++ b/crates/domain/src/request/mod.rs
@@ -0,0 +1,7 @@
+//! Requests of callers: class, progress and the outcome that may be claimed.
+
+mod class;
+mod outcome;
+
+pub use class::Class;
+pub use outcome::Outcome;
--- /dev/null
+++ b/crates/domain/src/route/decision.rs
@@ -0,0 +1,16 @@
+//! Result of a routing decision.
+
+use crate::name;
+
+/// Chosen worker and the reasons, for the log and for `explain`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// Worker that was chosen.
+    pub worker: name::WorkerName,
+    /// Predicted time to the first token at the chosen worker.
+    pub cost_ms: u64,
+    /// Other workers that were scored, with their predicted times.
+    pub considered: Vec<(name::WorkerName, u64)>,
+    /// Why the chosen worker won.
+    pub reason: &'static str,
+}
--- /dev/null
+++ b/crates/domain/src/route/policy.rs
@@ -0,0 +1,32 @@
+//! Routing policies.
+
+use indexmap::IndexMap;
+
+use super::{Decision, WorkerView};
+use crate::adapter;
+use crate::name;
+use crate::place;
+
+/// What a policy needs to know of a request.
+#[derive(Clone, Debug)]
+pub struct RouteRequest<'a> {
+    /// Adapter version that must answer.
+    pub adapter: &'a adapter::AdapterRef,
+    /// Base model of the adapter.
+    pub base_model: &'a name::BaseModelName,
+    /// Place of the daemon that routes.
+    pub from: &'a place::Place,
+    /// Workers that failed the request already.
+    pub excluded: &'a [name::WorkerName],
+}
+
+/// Chooses a worker; implemented by the product's policy and by the baselines.
+pub trait Policy {
+    /// Chooses a worker, or `None` when no worker can serve the request.
+    fn choose(
+        &self,
+        request: &RouteRequest<'_>,
+        workers: &IndexMap<name::WorkerName, WorkerView>,
+        now_ms: u64,
+    ) -> Option<Decision>;
+}
--- /dev/null
+++ b/crates/domain/src/table/mod.rs
@@ -0,0 +1,22 @@
+//! The operators' table: rows, versions and the rules for applying changes.
+
+mod adapter_row;
+mod key_hash;
+mod limits;
+mod resolve_error;
+mod row;
+mod row_key;
+mod service_row;
+#[allow(clippy::module_inception)]
+mod table;
+mod team_row;
+
+pub use adapter_row::AdapterRow;
+pub use key_hash::KeyHash;
+pub use limits::Limits;
+pub use resolve_error::ResolveError;
+pub use row::Row;
+pub use row_key::{RowKey, RowKind};
+pub use service_row::{CallPattern, ServiceRow};
+pub use table::{Applied, Table};
+pub use team_row::TeamRow;
--- /dev/null
+++ b/crates/domain/src/table/row.rs
@@ -0,0 +1,26 @@
+//! Rows of any kind.
+
+use super::{AdapterRow, Limits, ServiceRow, TeamRow};
+
+/// A row of the table.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Row {
+    /// Row of an adapter.
+    Adapter(AdapterRow),
+    /// Row of a team.
+    Team(TeamRow),
+    /// Row of an app service.
+    Service(ServiceRow),
+}
+
+impl Row {
+    /// Returns the limits that every row carries.
+    #[must_use]
+    pub fn limits(&self) -> &Limits {
+        match self {
+            Self::Adapter(row) => &row.limits,
+            Self::Team(row) => &row.limits,
+            Self::Service(row) => &row.limits,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,17 @@
+//! Messages of jasminetack and their encoding.
+//!
+//! Wire types mirror domain types and convert with `From` and `TryFrom`; nothing here decides.
+//!
+//! ```
+//! use jasminetack_wire::platform;
+//!
+//! let page: platform::RowsPage = serde_json::from_str(r#"{"rows":[],"head_version":7}"#).unwrap();
+//! assert_eq!(page.head_version, 7);
+//! ```
+
+pub mod codec;
+pub mod engine;
+pub mod failure;
+pub mod peer;
+pub mod platform;
+pub mod row;
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,213 @@
+//! Messages between daemons.
+
+use prost::{Message, Oneof};
+
+/// One message on a connection between daemons.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    /// Content of the message.
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    pub body: Option<Body>,
+}
+
+/// Content of a frame.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// First frame of every connection.
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    /// A request for the owner of a worker.
+    #[prost(message, tag = "2")]
+    Forward(Forward),
+    /// The request is queued; sent so that silence means a failure.
+    #[prost(message, tag = "3")]
+    Progress(Progress),
+    /// Status of the answer, sent after the engine's instance name was checked.
+    #[prost(message, tag = "4")]
+    Head(Head),
+    /// Part of the answer.
+    #[prost(message, tag = "5")]
+    Chunk(Chunk),
+    /// The answer is complete.
+    #[prost(message, tag = "6")]
+    End(End),
+    /// The request failed.
+    #[prost(message, tag = "7")]
+    Refused(Refused),
+    /// A control message.
+    #[prost(message, tag = "8")]
+    Heartbeat(Heartbeat),
+    /// Events that spread from daemon to daemon.
+    #[prost(message, tag = "9")]
+    Gossip(Gossip),
+}
+
+/// Identifies the sender and proves that it knows the shared secret.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    /// Host name of the sender.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Incarnation of the sender.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Shared secret.
+    #[prost(string, tag = "3")]
+    pub secret: String,
+}
+
+/// A model request on its way to the owner of a worker.
+#[derive(Clone, PartialEq, Message)]
+pub struct Forward {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub request_id: String,
+    /// Worker that was chosen.
+    #[prost(string, tag = "2")]
+    pub worker: String,
+    /// Adapter name.
+    #[prost(string, tag = "3")]
+    pub adapter: String,
+    /// Adapter version.
+    #[prost(uint32, tag = "4")]
+    pub version: u32,
+    /// Team of the caller.
+    #[prost(string, tag = "5")]
+    pub team: String,
+    /// Class: 0 urgent, 1 normal, 2 bulk.
+    #[prost(uint32, tag = "6")]
+    pub class: u32,
+    /// Time left until the deadline.
+    #[prost(uint64, tag = "7")]
+    pub remaining_ms: u64,
+    /// Path on the engine.
+    #[prost(string, tag = "8")]
+    pub path: String,
+    /// JSON body of the caller.
+    #[prost(bytes = "bytes", tag = "9")]
+    pub body: bytes::Bytes,
+    /// Weight of the team.
+    #[prost(uint32, tag = "10")]
+    pub weight: u32,
+    /// Share of the team.
+    #[prost(uint32, tag = "11")]
+    pub share: u32,
+}
+
+/// The request waits or runs.
+#[derive(Clone, PartialEq, Message)]
+pub struct Progress {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub request_id: String,
+    /// Requests that wait or run at the worker.
+    #[prost(uint32, tag = "2")]
+    pub outstanding: u32,
+}
+
+/// Status of an answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Head {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub request_id: String,
+    /// HTTP status.
+    #[prost(uint32, tag = "2")]
+    pub status: u32,
+    /// Content type.
+    #[prost(string, tag = "3")]
+    pub content_type: String,
+    /// Requests that wait or run at the worker.
+    #[prost(uint32, tag = "4")]
+    pub outstanding: u32,
+}
+
+/// Part of an answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Chunk {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub request_id: String,
+    /// Position in the answer, from 0 without gaps.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// The bytes.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub data: bytes::Bytes,
+}
+
+/// End of a complete answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct End {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub request_id: String,
+    /// Number of chunks sent.
+    #[prost(uint64, tag = "2")]
+    pub chunk_count: u64,
+}
+
+/// Failure of a request.
+#[derive(Clone, PartialEq, Message)]
+pub struct Refused {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub request_id: String,
+    /// Whether the sender guarantees that the request did not and will not run.
+    #[prost(bool, tag = "2")]
+    pub not_run: bool,
+    /// Short code.
+    #[prost(string, tag = "3")]
+    pub code: String,
+    /// Text for people.
+    #[prost(string, tag = "4")]
+    pub message: String,
+    /// HTTP status to report.
+    #[prost(uint32, tag = "5")]
+    pub status: u32,
+    /// When to try again; 0 for no advice.
+    #[prost(uint64, tag = "6")]
+    pub retry_after_ms: u64,
+}
+
+/// Sign of life for the sender's monitors.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heartbeat {
+    /// Host name of the sender.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Incarnation of the sender.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Rises with each heartbeat.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Table version in force at the sender.
+    #[prost(uint64, tag = "4")]
+    pub table_version: u64,
+    /// Time since the platform confirmed that version, directly or through peers.
+    #[prost(uint64, tag = "5")]
+    pub table_age_ms: u64,
+}
+
+/// Events that spread from daemon to daemon.
+#[derive(Clone, PartialEq, Message)]
+pub struct Gossip {
+    /// The events.
+    #[prost(message, repeated, tag = "1")]
+    pub events: Vec<Event>,
+}
+
+/// State of one subject; a higher version replaces a lower one.
+#[derive(Clone, PartialEq, Message)]
+pub struct Event {
+    /// What the event is about: `session/HOST`, `worker/WORKER` or `table`.
+    #[prost(string, tag = "1")]
+    pub subject: String,
+    /// Version of the state.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// The state, encoded by the subject's kind.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub state: bytes::Bytes,
+}
