--- /dev/null
+++ b/crates/entry/src/control/message.rs
@@ -0,0 +1,20 @@
+//! Messages to the control thread.
+
+use jasminetack_domain::name;
+use jasminetack_wire::peer;
+
+use crate::platform;
+
+/// A message to the control thread.
+#[derive(Clone, Debug)]
+pub enum Message {
+    /// Result of a call to the platform.
+    Platform(platform::Reply),
+    /// Control frame of another daemon that knows the shared secret.
+    Peer {
+        /// Host of the sender.
+        from: name::HostName,
+        /// Content of the frame.
+        body: peer::Body,
+    },
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,74 @@
+//! Start and end of the daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use arc_swap::ArcSwap;
+use jasminetack_domain::route;
+use jasminetack_program::log;
+use snafu::ResultExt;
+
+use crate::clock;
+use crate::control;
+use crate::platform;
+use crate::settings;
+use crate::snapshot;
+use crate::traffic;
+
+/// Why the daemon could not start.
+#[derive(Debug, snafu::Snafu)]
+pub enum StartError {
+    /// The logger could not be built.
+    #[snafu(display("cannot start logging: {source}"))]
+    Log {
+        /// Cause.
+        source: spdlog::Error,
+    },
+    /// A thread or the runtime could not be started.
+    #[snafu(display("cannot start {part}: {source}"))]
+    Thread {
+        /// What was being started.
+        part: &'static str,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The callers' port is not available.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Address of the port.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when a thread, the runtime or a port is not available.
+pub fn run(settings: settings::Settings) -> Result<(), StartError> {
+    log::start(spdlog::Level::Info).context(LogSnafu)?;
+    let settings = Arc::new(settings);
+    let clock = clock::Clock::start();
+    let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
+    let (control_sender, control_receiver) = crossbeam_channel::unbounded();
+    let platform = platform::Client::start(&settings, control_sender)
+        .context(ThreadSnafu { part: "the platform threads" })?;
+    let dispatcher = Arc::new(traffic::Dispatcher::new(traffic::EngineClient::new()));
+    let control =
+        control::Control::new(&settings, platform, Arc::clone(&dispatcher), Arc::clone(&snapshot));
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || control::run(control, &control_receiver))
+        .context(ThreadSnafu { part: "the control thread" })?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .thread_name("traffic")
+        .build()
+        .context(ThreadSnafu { part: "the traffic runtime" })?;
+    let address = settings.callers_address;
+    let server = traffic::Server::new(settings, snapshot, clock, dispatcher, route::Scored);
+    runtime.block_on(server.serve()).context(ListenSnafu { address })
+}
--- /dev/null
+++ b/crates/entry/src/platform/job.rs
@@ -0,0 +1,59 @@
+//! Calls to the platform and their results.
+
+use jasminetack_wire::platform;
+
+use super::CallError;
+
+/// Number that the control thread uses to match a result with its call.
+pub type Tag = u64;
+
+/// A call to make.
+#[derive(Clone, Debug)]
+pub enum Job {
+    /// Read rows under a prefix that changed after a version.
+    Rows {
+        /// Prefix of the keys.
+        prefix: &'static str,
+        /// Version after which changes are wanted.
+        after: u64,
+    },
+    /// Read the host list.
+    Hosts,
+    /// Read rows by key.
+    Read {
+        /// Returned with the result.
+        tag: Tag,
+        /// The keys.
+        request: platform::ReadRequest,
+    },
+    /// Commit a transaction.
+    Transact {
+        /// Returned with the result.
+        tag: Tag,
+        /// The transaction.
+        transaction: platform::Transaction,
+    },
+}
+
+/// Result of a call.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Changed rows.
+    Rows(Result<platform::RowsPage, CallError>),
+    /// The host list.
+    Hosts(Result<platform::HostList, CallError>),
+    /// Rows by key.
+    Read {
+        /// Tag of the call.
+        tag: Tag,
+        /// The rows.
+        result: Result<platform::RowsPage, CallError>,
+    },
+    /// Result of a transaction.
+    Transact {
+        /// Tag of the call.
+        tag: Tag,
+        /// What became of it.
+        result: Result<platform::TransactionReply, CallError>,
+    },
+}
