Give the stand-ins batching, fencing, faults and audits

Cause: the thin stand-ins accept every order, so no failure of an outside system can be tested. Change: engine with slots, continuous batching, prefix cache, fencing and lagging reports; app service that counts executions; platform with version index, weight store rates, lagging host list and fault switches; TCP relay. Wire types for /role, /cancel, /resume, /load and /cache_events.

--- a/crates/standins/src/bin/standin-engine.rs
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -1,81 +1,73 @@
-//! Program `standin-engine`: a model engine with a vLLM-style HTTP API.
+//! Program `standin-engine`: a model engine.
 
-use std::sync::Arc;
-use std::thread;
-use std::time::Duration;
+use std::io;
+use std::time::{SystemTime, UNIX_EPOCH};
 
-use indexmap::IndexSet;
+use jasminetack_standins::engine;
 use jasminetack_standins::http;
-use jasminetack_wire::engine;
-use parking_lot::Mutex;
-use serde_json::json;
 
-const DEFAULT_MAX_TOKENS: u32 = 16;
-const STEP: Duration = Duration::from_millis(10);
-
-fn complete(
-    loaded: &Mutex<IndexSet<String>>,
-    mut request: tiny_http::Request,
-) -> std::io::Result<()> {
-    let completion: engine::Completion = serde_json::from_reader(request.as_reader())?;
-    if !loaded.lock().contains(&completion.model) {
-        let message = format!("The model `{}` does not exist.", completion.model);
-        return http::respond_json(request, 404, &json!({ "error": { "message": message } }));
-    }
-    let tokens = completion.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
-    if completion.stream {
-        let mut stream = http::EventStream::start(request.into_writer())?;
-        for index in 0..tokens {
-            thread::sleep(STEP);
-            let event = json!({
-                "model": completion.model,
-                "choices": [{ "index": 0, "text": format!("t{index} ") }],
-            });
-            stream.send(&event.to_string())?;
-        }
-        stream.send("[DONE]")?;
-        return stream.finish();
-    }
-    thread::sleep(STEP * tokens);
-    let text: String = (0..tokens).map(|index| format!("t{index} ")).collect();
-    let answer = json!({ "model": completion.model, "choices": [{ "index": 0, "text": text }] });
-    http::respond_json(request, 200, &answer)
-}
-
-fn serve(loaded: &Mutex<IndexSet<String>>, mut request: tiny_http::Request) -> std::io::Result<()> {
-    match request.url() {
-        "/v1/completions" | "/v1/chat/completions" => complete(loaded, request),
-        "/v1/load_lora_adapter" => {
-            let order: engine::LoadAdapter = serde_json::from_reader(request.as_reader())?;
-            loaded.lock().insert(order.lora_name);
-            http::respond_json(request, 200, &json!({}))
-        }
-        "/v1/unload_lora_adapter" => {
-            let order: engine::UnloadAdapter = serde_json::from_reader(request.as_reader())?;
-            loaded.lock().shift_remove(&order.lora_name);
-            http::respond_json(request, 200, &json!({}))
-        }
-        _ => http::respond_json(request, 404, &json!({})),
-    }
-}
-
-fn main() {
+fn main() -> io::Result<()> {
     let flags = xflags::parse_or_exit! {
         /// Address to listen on.
         required --address address: String
+        /// Base model that the engine serves.
+        optional --base-model base_model: String
+        /// Bearer key that callers need; none by default.
+        optional --key key: String
+        /// Adapters that the engine can hold.
+        optional --slots slots: usize
+        /// Requests that run at one time.
+        optional --batch-places batch_places: usize
+        /// Most tokens that one step can process.
+        optional --step-token-limit step_token_limit: u32
+        /// Time of one step without prefill.
+        optional --step-us step_us: u64
+        /// Time that each prefilled token adds to a step.
+        optional --prefill-token-us prefill_token_us: u64
+        /// Blocks of 16 tokens that the prefix cache holds.
+        optional --cache-blocks cache_blocks: usize
+        /// Age of load reports.
+        optional --report-lag-ms report_lag_ms: u64
+        /// Age at which cache events become visible.
+        optional --event-lag-ms event_lag_ms: u64
+        /// Whether orders with an old fencing number are refused: refuses (default) or ignores.
+        optional --fencing fencing: String
+        /// Base URL of the weight store; without one a load takes --load-ms.
+        optional --weights-url weights_url: String
+        /// Bearer key for the weight store.
+        optional --weights-key weights_key: String
+        /// Time of a load without a weight store.
+        optional --load-ms load_ms: u64
+        /// Time for which a request runs on after its connection was lost.
+        optional --orphan-ms orphan_ms: u64
     };
-    let server = match tiny_http::Server::http(&flags.address) {
-        Ok(server) => server,
-        Err(error) => {
-            eprintln!("cannot listen on {}: {error}", flags.address);
-            std::process::exit(1);
+    let refuses_old_fencing = match flags.fencing.as_deref().unwrap_or("refuses") {
+        "refuses" => true,
+        "ignores" => false,
+        other => {
+            let message = format!("--fencing is {other:?}; give refuses or ignores");
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, message));
         }
     };
-    let loaded = Arc::new(Mutex::new(IndexSet::new()));
-    for request in server.incoming_requests() {
-        let loaded = Arc::clone(&loaded);
-        thread::spawn(move || {
-            let _ = serve(&loaded, request);
-        });
-    }
+    let default = engine::Config::default();
+    let started = SystemTime::now().duration_since(UNIX_EPOCH).map_err(io::Error::other)?;
+    let config = engine::Config {
+        base_model: flags.base_model.unwrap_or(default.base_model),
+        key: flags.key.unwrap_or(default.key),
+        slots: flags.slots.unwrap_or(default.slots),
+        batch_places: flags.batch_places.unwrap_or(default.batch_places),
+        step_token_limit: flags.step_token_limit.unwrap_or(default.step_token_limit),
+        step_us: flags.step_us.unwrap_or(default.step_us),
+        prefill_token_us: flags.prefill_token_us.unwrap_or(default.prefill_token_us),
+        cache_blocks: flags.cache_blocks.unwrap_or(default.cache_blocks),
+        report_lag_ms: flags.report_lag_ms.unwrap_or(default.report_lag_ms),
+        event_lag_ms: flags.event_lag_ms.unwrap_or(default.event_lag_ms),
+        refuses_old_fencing,
+        weights_url: flags.weights_url.unwrap_or(default.weights_url),
+        weights_key: flags.weights_key.unwrap_or(default.weights_key),
+        load_ms: flags.load_ms.unwrap_or(default.load_ms),
+        orphan_ms: flags.orphan_ms.unwrap_or(default.orphan_ms),
+        incarnation: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
+    };
+    http::announce(engine::start(http::listen(&flags.address)?, config)?)
 }
--- /dev/null
+++ b/crates/standins/src/engine/answer.rs
@@ -0,0 +1,129 @@
+//! Answers in the shapes of the OpenAI API.
+
+use std::io::{self, Write};
+
+use jasminetack_wire::engine as wire;
+use serde_json::{Value, json};
+
+use super::{End, Generation, Job};
+use crate::http;
+
+const DEFAULT_MAX_TOKENS: u32 = 16;
+
+/// Reads a request.
+#[must_use]
+pub fn job(completion: &wire::Completion, is_chat: bool, request_id: String) -> Job {
+    let prompt = match (completion.rest.get("prompt"), completion.rest.get("messages")) {
+        (Some(Value::String(prompt)), _) => prompt.clone(),
+        (Some(prompt), _) | (None, Some(prompt)) => prompt.to_string(),
+        (None, None) => String::new(),
+    };
+    Job {
+        request_id,
+        instance: completion.model.clone(),
+        prompt,
+        is_chat,
+        max_tokens: completion.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1),
+        priority: completion.priority.unwrap_or(0),
+    }
+}
+
+/// Streams an output from an offset; each token is one event.
+///
+/// # Errors
+///
+/// Fails when the caller is gone.
+pub fn stream<Output>(
+    generation: &Generation,
+    offset: usize,
+    model: &str,
+    output: Output,
+) -> io::Result<()>
+where
+    Output: Write,
+{
+    let mut events = http::EventStream::start(output)?;
+    let mut sent = u32::try_from(offset).unwrap_or(u32::MAX);
+    loop {
+        let (token_count, end) = generation.wait_beyond(sent);
+        for index in sent..token_count {
+            let is_last = index + 1 == generation.max_tokens;
+            events.send(&chunk(generation, model, index, is_last).to_string())?;
+        }
+        sent = sent.max(token_count);
+        match end {
+            None => {}
+            Some(End::Complete) => break,
+            Some(end) => {
+                // The stream ends without [DONE], because the answer is not complete.
+                events.send(&failure(end).to_string())?;
+                return events.finish();
+            }
+        }
+    }
+    let mut last = head(generation, model, "chunk");
+    last["choices"] = json!([]);
+    last["usage"] = usage(generation);
+    events.send(&last.to_string())?;
+    events.send("[DONE]")?;
+    events.finish()
+}
+
+/// Waits for the end of an output and returns status and body of the answer.
+#[must_use]
+pub fn whole(generation: &Generation, model: &str) -> (u16, Value) {
+    match generation.wait_beyond(u32::MAX) {
+        (_, Some(End::Complete)) => {}
+        (_, end) => return (500, failure(end.unwrap_or(End::Cancelled))),
+    }
+    let text: String = (0..generation.max_tokens).map(|index| generation.token(index)).collect();
+    let mut answer = head(generation, model, "");
+    answer["choices"] = if generation.is_chat {
+        let message = json!({ "role": "assistant", "content": text });
+        json!([{ "index": 0, "message": message, "finish_reason": "length" }])
+    } else {
+        json!([{ "index": 0, "text": text, "finish_reason": "length" }])
+    };
+    answer["usage"] = usage(generation);
+    (200, answer)
+}
+
+fn chunk(generation: &Generation, model: &str, index: u32, is_last: bool) -> Value {
+    let finish_reason = if is_last { json!("length") } else { Value::Null };
+    let text = generation.token(index);
+    let mut chunk = head(generation, model, "chunk");
+    chunk["choices"] = if generation.is_chat {
+        json!([{ "index": 0, "delta": { "content": text }, "finish_reason": finish_reason }])
+    } else {
+        json!([{ "index": 0, "text": text, "finish_reason": finish_reason }])
+    };
+    chunk
+}
+
+fn head(generation: &Generation, model: &str, part: &str) -> Value {
+    let object = match (generation.is_chat, part) {
+        (true, "chunk") => "chat.completion.chunk",
+        (true, _) => "chat.completion",
+        (false, _) => "text_completion",
+    };
+    json!({ "id": generation.request_id, "object": object, "model": model })
+}
+
+fn usage(generation: &Generation) -> Value {
+    let prompt_tokens = generation.prompt_tokens();
+    json!({
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": generation.max_tokens,
+        "total_tokens": prompt_tokens + generation.max_tokens,
+        "prompt_tokens_details": { "cached_tokens": generation.cached_tokens },
+    })
+}
+
+fn failure(end: End) -> Value {
+    let code = match end {
+        End::Complete => "complete",
+        End::Cancelled => "cancelled",
+        End::Unloaded => "unloaded",
+    };
+    json!({ "error": { "message": format!("the request was {code}"), "code": code } })
+}
--- /dev/null
+++ b/crates/standins/src/engine/prefix_cache.rs
@@ -0,0 +1,74 @@
+//! Prefix cache with limited entries.
+
+use indexmap::IndexSet;
+use xxhash_rust::xxh3;
+
+const BLOCK_TOKENS: u32 = 16;
+const BLOCK_BYTES: usize = 4 * BLOCK_TOKENS as usize;
+
+/// Blocks of prompts that were processed, least recently used first.
+#[derive(Debug)]
+pub struct PrefixCache {
+    capacity_blocks: usize,
+    blocks: IndexSet<(String, u64)>,
+}
+
+impl PrefixCache {
+    /// Creates an empty cache.
+    #[must_use]
+    pub fn new(capacity_blocks: usize) -> Self {
+        Self { capacity_blocks, blocks: IndexSet::new() }
+    }
+
+    /// Returns the tokens at the start of a prompt that need no prefill.
+    #[must_use]
+    pub fn cached_tokens(&self, instance: &str, prompt: &str) -> u32 {
+        let mut tokens = 0;
+        for hash in block_hashes(prompt) {
+            if !self.blocks.contains(&(instance.to_owned(), hash)) {
+                break;
+            }
+            tokens += BLOCK_TOKENS;
+        }
+        tokens
+    }
+
+    /// Stores the blocks of a prompt; returns what was stored and what was removed for it.
+    pub fn store(&mut self, instance: &str, prompt: &str) -> Changes {
+        let mut changes = Changes::default();
+        for hash in block_hashes(prompt) {
+            let block = (instance.to_owned(), hash);
+            if self.blocks.shift_remove(&block) {
+                self.blocks.insert(block);
+                continue;
+            }
+            changes.stored.push(block.clone());
+            self.blocks.insert(block);
+            if self.blocks.len() > self.capacity_blocks {
+                changes.removed.extend(self.blocks.shift_remove_index(0));
+            }
+        }
+        changes
+    }
+
+    /// Removes the blocks of an instance and returns them.
+    pub fn forget(&mut self, instance: &str) -> Changes {
+        let removed = self.blocks.iter().filter(|(name, _)| name == instance).cloned().collect();
+        self.blocks.retain(|(name, _)| name != instance);
+        Changes { stored: Vec::new(), removed }
+    }
+}
+
+/// Blocks that entered and left the cache: instance and hash of the prompt up to the block's end.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Blocks that entered.
+    pub stored: Vec<(String, u64)>,
+    /// Blocks that left.
+    pub removed: Vec<(String, u64)>,
+}
+
+fn block_hashes(prompt: &str) -> impl Iterator<Item = u64> {
+    let bytes = prompt.as_bytes();
+    (1..=bytes.len() / BLOCK_BYTES).map(|count| xxh3::xxh3_64(&bytes[..count * BLOCK_BYTES]))
+}
--- /dev/null
+++ b/crates/standins/src/engine/state.rs
@@ -0,0 +1,191 @@
+//! State of an engine under its mutex.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use jasminetack_wire::engine as wire;
+
+use super::{
+    Audit, Batch, CacheLog, Config, End, Generation, Job, PrefixCache, Refusal, ReportLog,
+    Reserved, Slots, SlotsError, Switches,
+};
+
+/// Requests that are remembered for `/resume` and `/cancel`.
+const KEEP_GENERATIONS: usize = 4_096;
+
+/// State of an engine under its mutex.
+#[derive(Debug)]
+pub struct State {
+    pub slots: Slots,
+    pub batch: Batch,
+    pub cache: PrefixCache,
+    pub cache_log: CacheLog,
+    pub reports: ReportLog,
+    pub switches: Switches,
+    pub audit: Audit,
+    pub highest_fencing: u64,
+    pub generations: IndexMap<String, Arc<Generation>>,
+    refuses_old_fencing: bool,
+    step_token_limit: u32,
+    step_tokens: u32,
+}
+
+impl State {
+    /// Creates the state of an engine that has just started.
+    pub fn new(config: &Config) -> Self {
+        Self {
+            slots: Slots::new(config.slots),
+            batch: Batch::new(config.batch_places, config.step_token_limit),
+            cache: PrefixCache::new(config.cache_blocks),
+            cache_log: CacheLog::default(),
+            reports: ReportLog::new(config.report_lag_ms),
+            switches: Switches::default(),
+            audit: Audit { step_token_limit: config.step_token_limit, ..Audit::default() },
+            highest_fencing: 0,
+            generations: IndexMap::new(),
+            refuses_old_fencing: config.refuses_old_fencing,
+            step_token_limit: config.step_token_limit,
+            step_tokens: 0,
+        }
+    }
+
+    /// Refuses an old fencing number, if the engine is of that kind, and remembers the highest one.
+    pub fn check_fencing(&mut self, fencing: u64) -> Result<(), Refusal> {
+        *self.audit.orders_by_fencing.entry(fencing).or_default() += 1;
+        if !self.refuses_old_fencing {
+            return Ok(());
+        }
+        if fencing < self.highest_fencing {
+            self.audit.fenced += 1;
+            let highest = self.highest_fencing;
+            let message = format!("fencing number {fencing} is below {highest}");
+            return Err(Refusal::new(412, "fenced", message));
+        }
+        self.highest_fencing = fencing;
+        Ok(())
+    }
+
+    /// Reserves a slot for a load.
+    pub fn reserve(&mut self, order: &wire::LoadAdapter) -> Result<Reserved, Refusal> {
+        self.slots.reserve(&order.lora_name, &order.lora_path).map_err(|error| match error {
+            SlotsError::Full => {
+                self.audit.loads_without_slot += 1;
+                Refusal::new(409, "no_free_slot", "every slot is taken".to_owned())
+            }
+            SlotsError::OtherWeights => {
+                let message = format!("{} is loaded with other weights", order.lora_name);
+                Refusal::new(400, "other_weights", message)
+            }
+        })
+    }
+
+    /// Unloads an instance; requests that use it are ended, which breaks the rules of the caller.
+    pub fn unload(&mut self, name: &str, now_ms: u64) -> Result<(), Refusal> {
+        if !self.slots.unload(name) {
+            let message = format!("The lora adapter '{name}' cannot be found.");
+            return Err(Refusal::new(404, "not_loaded", message));
+        }
+        self.audit.unloads += 1;
+        let changes = self.cache.forget(name);
+        self.cache_log.record(changes, now_ms);
+        for generation in self.batch.live() {
+            if generation.instance == name && generation.end(End::Unloaded) {
+                let violation = format!("unload of {name} in use by {}", generation.request_id);
+                self.audit.violations.push(violation);
+            }
+        }
+        Ok(())
+    }
+
+    /// Queues a request.
+    pub fn submit(&mut self, job: Job, now_ms: u64) -> Result<Arc<Generation>, Refusal> {
+        if self.switches.leaving == Some(true) {
+            return Err(Refusal::new(503, "leaving", "the engine is leaving".to_owned()));
+        }
+        let Some(source) = self.slots.source(&job.instance) else {
+            self.audit.not_loaded += 1;
+            let message = format!("The model `{}` does not exist.", job.instance);
+            return Err(Refusal::new(404, "not_loaded", message));
+        };
+        let cached_tokens = self.cache.cached_tokens(&job.instance, &job.prompt);
+        let priority = job.priority;
+        let generation = Arc::new(Generation::new(job, source, cached_tokens));
+        self.batch.submit(Arc::clone(&generation), priority);
+        if self.generations.len() >= KEEP_GENERATIONS {
+            self.generations.shift_remove_index(0);
+        }
+        self.generations.insert(generation.request_id.clone(), Arc::clone(&generation));
+        self.record_load(now_ms);
+        Ok(generation)
+    }
+
+    /// Ends a request early; returns whether it had not ended.
+    pub fn cancel(&mut self, request_id: &str) -> bool {
+        let generation = self.generations.get(request_id);
+        let cancelled = generation.is_some_and(|generation| generation.end(End::Cancelled));
+        if cancelled {
+            self.audit.cancelled += 1;
+        }
+        cancelled
+    }
+
+    /// Admits requests and divides the step's tokens; `None` when there is nothing to do.
+    pub fn begin_step(&mut self, orphan_ms: u64, now_ms: u64) -> Option<(u32, u32)> {
+        for generation in self.batch.live() {
+            let detached_at_ms = generation.detached_at_ms();
+            if detached_at_ms.is_some_and(|at_ms| at_ms + orphan_ms <= now_ms)
+                && generation.end(End::Cancelled)
+            {
+                self.audit.cancelled += 1;
+            }
+        }
+        self.batch.remove_ended();
+        for generation in self.batch.admit() {
+            *self.audit.runs.entry(generation.request_id.clone()).or_default() += 1;
+            let instance = generation.instance.clone();
+            self.audit.ran_on.insert(generation.request_id.clone(), instance);
+            self.audit.cached_tokens += u64::from(generation.cached_tokens);
+            let changes = self.cache.store(&generation.instance, &generation.prompt);
+            self.cache_log.record(changes, now_ms);
+        }
+        if self.batch.is_idle() {
+            self.step_tokens = 0;
+            self.record_load(now_ms);
+            return None;
+        }
+        let (generated, prefilled) = self.batch.begin_step();
+        self.step_tokens = generated + prefilled;
+        self.audit.steps += 1;
+        self.audit.generated_tokens += u64::from(generated);
+        self.audit.prefilled_tokens += u64::from(prefilled);
+        self.record_load(now_ms);
+        Some((generated, prefilled))
+    }
+
+    /// Hands out the tokens of the step.
+    pub fn finish_step(&mut self, now_ms: u64) {
+        for generation in self.batch.finish_step() {
+            if generation.ended() == Some(End::Complete) {
+                self.audit.completed += 1;
+            }
+        }
+        self.record_load(now_ms);
+    }
+
+    fn record_load(&mut self, now_ms: u64) {
+        let mut in_use = BTreeMap::<String, usize>::new();
+        for generation in self.batch.live() {
+            *in_use.entry(generation.instance.clone()).or_default() += 1;
+        }
+        let report = wire::LoadReport {
+            waiting: self.batch.waiting_count(),
+            running: self.batch.running_count(),
+            in_use,
+            step_tokens: self.step_tokens,
+            step_token_limit: self.step_token_limit,
+            age_ms: 0,
+        };
+        self.reports.record(report, now_ms);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/server.rs
@@ -0,0 +1,259 @@
+//! HTTP port of the platform.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use jasminetack_wire::platform;
+use parking_lot::Mutex;
+use serde_json::json;
+
+use super::{Counters, HostLog, Store, Switches, WeightGate};
+use crate::clock;
+use crate::http;
+use crate::relay;
+
+const DEFAULT_PAGE_ROWS: usize = 1_000;
+
+/// Settings of the platform.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    /// Bearer key that callers need; empty for none.
+    pub key: String,
+    /// Age of the host list that is shown.
+    pub host_list_lag_ms: u64,
+}
+
+struct Server {
+    key: String,
+    clock: clock::Clock,
+    front: relay::Relay,
+    state: Mutex<State>,
+    weights: Mutex<WeightGate>,
+}
+
+#[derive(Default)]
+struct State {
+    store: Store,
+    hosts: HostLog,
+    objects: IndexMap<String, Vec<u8>>,
+    switches: Switches,
+    counters: Counters,
+}
+
+/// Starts the platform in the background and returns its address.
+///
+/// It stands behind a relay, because tiny_http cannot close a connection without an answer.
+///
+/// # Errors
+///
+/// Fails when a port or a thread is not available.
+pub fn start(listener: TcpListener, config: Config) -> io::Result<SocketAddr> {
+    let address = listener.local_addr()?;
+    let inner = http::listen("127.0.0.1:0")?;
+    let front = relay::Relay::start(listener, inner.local_addr()?)?;
+    let switches =
+        Switches { host_list_lag_ms: Some(config.host_list_lag_ms), ..Switches::default() };
+    let server = Server {
+        key: config.key,
+        clock: clock::Clock::start(),
+        front,
+        state: Mutex::new(State { switches, ..State::default() }),
+        weights: Mutex::default(),
+    };
+    http::serve(inner, Arc::new(server))?;
+    Ok(address)
+}
+
+impl http::Handle for Server {
+    fn handle(&self, mut request: tiny_http::Request) -> io::Result<()> {
+        let url = request.url().to_owned();
+        let (path, query) = http::split_url(&url);
+        match path {
+            "/audit" => {
+                let audit = json!(self.state.lock().counters);
+                return http::respond_json(request, 200, &audit);
+            }
+            "/switch" => return self.switch(request),
+            _ => {}
+        }
+        let switches = self.state.lock().switches.clone();
+        if switches.outage == Some(true) {
+            self.state.lock().counters.refused += 1;
+            self.close(&request);
+            return Ok(());
+        }
+        if !http::is_authorized(&request, &self.key) {
+            return http::respond_error(request, 401, "bad_key", "the bearer key is not valid");
+        }
+        thread::sleep(Duration::from_millis(switches.slow_ms.unwrap_or(0)));
+        if let Some(name) = path.strip_prefix("/v1/objects/") {
+            return self.object(request, name);
+        }
+        if let Some(weights) = path.strip_prefix("/v1/weights/") {
+            return self.weights(request, weights);
+        }
+        if path == "/v1/hosts" || path.starts_with("/v1/hosts/") {
+            return self.hosts(request, path);
+        }
+        match path {
+            "/v1/txn" => self.transact(request),
+            "/v1/read" => match http::read_json(&mut request) {
+                Ok(read) => {
+                    let page = self.state.lock().store.read(&read);
+                    self.respond_page(request, &page)
+                }
+                Err(error) => http::respond_error(request, 400, "bad_json", &error.to_string()),
+            },
+            "/v1/rows" => {
+                let prefix = http::parameter(query, "prefix").unwrap_or_default();
+                let after = number(query, "after").unwrap_or(0);
+                let limit = number(query, "limit").unwrap_or(DEFAULT_PAGE_ROWS);
+                let page = self.state.lock().store.page(&prefix, after, limit);
+                self.respond_page(request, &page)
+            }
+            _ => http::respond_error(request, 404, "no_such_path", "no such path"),
+        }
+    }
+}
+
+impl Server {
+    fn switch(&self, mut request: tiny_http::Request) -> io::Result<()> {
+        let given = match http::read_json(&mut request) {
+            Ok(given) => given,
+            Err(error) => {
+                return http::respond_error(request, 400, "bad_json", &error.to_string());
+            }
+        };
+        let mut state = self.state.lock();
+        state.switches.merge(given);
+        let switches = state.switches.clone();
+        drop(state);
+        http::respond_json(request, 200, &switches)
+    }
+
+    fn transact(&self, mut request: tiny_http::Request) -> io::Result<()> {
+        let transaction: platform::Transaction = match http::read_json(&mut request) {
+            Ok(transaction) => transaction,
+            Err(error) => {
+                return http::respond_error(request, 400, "bad_json", &error.to_string());
+            }
+        };
+        let mut guard = self.state.lock();
+        let state = &mut *guard;
+        state.counters.writes += 1;
+        let keys: Vec<_> = transaction.writes.iter().map(|write| write.key.clone()).collect();
+        let reply = state.store.commit(transaction);
+        let committed = matches!(reply, platform::TransactionReply::Committed { .. });
+        if !committed {
+            state.counters.conflicts += 1;
+        }
+        if committed && state.switches.take_lost_reply(keys.iter().map(String::as_str)) {
+            state.counters.lost_replies += 1;
+            drop(guard);
+            self.close(&request);
+            return Ok(());
+        }
+        drop(guard);
+        http::respond_json(request, 200, &reply)
+    }
+
+    fn respond_page(
+        &self,
+        request: tiny_http::Request,
+        page: &platform::RowsPage,
+    ) -> io::Result<()> {
+        let mut state = self.state.lock();
+        state.counters.reads += 1;
+        state.counters.rows_read += page.rows.len() as u64;
+        drop(state);
+        http::respond_json(request, 200, page)
+    }
+
+    fn object(&self, mut request: tiny_http::Request, name: &str) -> io::Result<()> {
+        if *request.method() != tiny_http::Method::Put {
+            let mut state = self.state.lock();
+            state.counters.object_reads += 1;
+            let content = state.objects.get(name).cloned();
+            drop(state);
+            return match content {
+                Some(content) => request.respond(tiny_http::Response::from_data(content)),
+                None => http::respond_error(request, 404, "no_such_object", "no such object"),
+            };
+        }
+        let mut content = Vec::new();
+        request.as_reader().read_to_end(&mut content)?;
+        let mut guard = self.state.lock();
+        let state = &mut *guard;
+        state.counters.object_writes += 1;
+        state.objects.insert(name.to_owned(), content);
+        if state.switches.take_lost_reply([format!("objects/{name}").as_str()]) {
+            state.counters.lost_replies += 1;
+            drop(guard);
+            self.close(&request);
+            return Ok(());
+        }
+        drop(guard);
+        http::respond_json(request, 200, &json!({}))
+    }
+
+    fn weights(&self, request: tiny_http::Request, weights: &str) -> io::Result<()> {
+        let Some((adapter, version)) = weights.rsplit_once('/') else {
+            return http::respond_error(request, 404, "no_such_path", "give ADAPTER/VERSION");
+        };
+        let (takes_ms, in_flight) = {
+            let mut gate = self.weights.lock();
+            (gate.start(self.clock.now_ms()), gate.in_flight())
+        };
+        thread::sleep(Duration::from_millis(takes_ms));
+        self.weights.lock().finish();
+        let mut state = self.state.lock();
+        state.counters.weights += 1;
+        let most = &mut state.counters.weights_in_flight_max;
+        *most = in_flight.max(*most);
+        drop(state);
+        http::respond_json(request, 200, &json!({ "adapter": adapter, "version": version }))
+    }
+
+    fn hosts(&self, mut request: tiny_http::Request, path: &str) -> io::Result<()> {
+        let now_ms = self.clock.now_ms();
+        match request.method() {
+            tiny_http::Method::Post => match http::read_json(&mut request) {
+                Ok(host) => {
+                    self.state.lock().hosts.put(host, now_ms);
+                    http::respond_json(request, 200, &json!({}))
+                }
+                Err(error) => http::respond_error(request, 400, "bad_json", &error.to_string()),
+            },
+            tiny_http::Method::Delete => {
+                let name = path.trim_start_matches("/v1/hosts/");
+                let removed = self.state.lock().hosts.remove(name, now_ms);
+                http::respond_json(request, 200, &json!({ "removed": removed }))
+            }
+            _ => {
+                let mut state = self.state.lock();
+                state.counters.host_reads += 1;
+                let lag_ms = state.switches.host_list_lag_ms.unwrap_or(0);
+                let list = state.hosts.at(now_ms.saturating_sub(lag_ms));
+                drop(state);
+                http::respond_json(request, 200, &list)
+            }
+        }
+    }
+
+    fn close(&self, request: &tiny_http::Request) {
+        if let Some(address) = request.remote_addr() {
+            self.front.close(*address);
+        }
+    }
+}
+
+fn number<Number>(query: &str, name: &str) -> Option<Number>
+where
+    Number: std::str::FromStr,
+{
+    http::parameter(query, name)?.parse().ok()
+}
--- /dev/null
+++ b/crates/standins/src/relay/mod.rs
@@ -0,0 +1,11 @@
+//! TCP links with faults that can be switched on and off.
+
+mod faults;
+mod pump;
+#[allow(clippy::module_inception)]
+mod relay;
+mod server;
+
+pub use faults::Faults;
+pub use relay::Relay;
+pub use server::Server;
