--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod lease;
 pub mod name;
 pub mod place;
+pub mod quota;
 pub mod request;
 pub mod route;
 pub mod table;
