Add the harness for tests against the real programs

Cause: the guarantees can only be shown with the built programs under real failures. Change: crate jasminetack-proofs starts stand-ins and daemons on loopback, signals them by process id, ends them on drop, and reads answers with their outcome and completeness.

--- /dev/null
+++ b/crates/proofs/src/daemon.rs
@@ -0,0 +1,113 @@
+//! A daemon as a process.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use jasminetack_wire::platform as wire;
+use serde_json::Value;
+
+use crate::caller;
+use crate::http;
+use crate::platform;
+use crate::ports::Port;
+use crate::program::Program;
+
+const PEER_SECRET: &str = "peer-secret";
+
+/// A daemon as a process, with its entry in the host list.
+#[derive(Debug)]
+pub struct Daemon {
+    /// The process.
+    pub program: Program,
+    /// Its entry in the host list.
+    pub host: wire::Host,
+    callers: Port,
+    peers: Port,
+    ops: Port,
+    arguments: Vec<String>,
+}
+
+impl Daemon {
+    /// Starts a daemon; the address of `host` is filled in with the one for peers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started.
+    pub fn start(
+        mut host: wire::Host,
+        platform_url: &str,
+        flags: &[String],
+        logs: &Path,
+    ) -> io::Result<Self> {
+        let (callers, peers, ops) = (Port::pick()?, Port::pick()?, Port::pick()?);
+        host.address = peers.address().to_string();
+        let settings = [
+            ("--host", host.name.clone()),
+            ("--region", host.region.clone()),
+            ("--failure-domain", host.failure_domain.clone()),
+            ("--callers-address", callers.address().to_string()),
+            ("--peers-address", peers.address().to_string()),
+            ("--ops-address", ops.address().to_string()),
+            ("--platform-url", platform_url.to_owned()),
+            ("--platform-key", platform::KEY.to_owned()),
+            ("--peer-secret", PEER_SECRET.to_owned()),
+        ];
+        let mut arguments = Vec::new();
+        for (flag, value) in settings {
+            arguments.extend([flag.to_owned(), value]);
+        }
+        arguments.extend_from_slice(flags);
+        let program = Program::start("jasminetack-entry", &host.name, &arguments, logs)?;
+        Ok(Self { program, host, callers, peers, ops, arguments })
+    }
+
+    /// Starts the program again at its addresses after it ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started.
+    pub fn restart(&mut self, logs: &Path) -> io::Result<()> {
+        self.program = Program::start("jasminetack-entry", &self.host.name, &self.arguments, logs)?;
+        Ok(())
+    }
+
+    /// Returns the address of the callers' port.
+    #[must_use]
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Returns the address of the port for other daemons.
+    #[must_use]
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers.address()
+    }
+
+    /// Tells whether the daemon accepts requests.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        http::status(&format!("http://{}/readyz", self.ops.address())) == Some(200)
+    }
+
+    /// Returns the decisions that the daemon took about a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon knows none.
+    pub fn explain(&self, request_id: &str) -> io::Result<Value> {
+        http::get(&format!("http://{}/explain/{request_id}", self.ops.address()), "")
+    }
+
+    /// Sends a completion request.
+    #[must_use]
+    pub fn ask(&self, ask: &caller::Ask) -> caller::Answer {
+        caller::ask(self.callers_address(), ask)
+    }
+
+    /// Calls an app service.
+    #[must_use]
+    pub fn call(&self, method: &str, path: &str, key: Option<&str>) -> caller::Answer {
+        caller::call(self.callers_address(), method, path, key, "{}")
+    }
+}
--- /dev/null
+++ b/crates/proofs/src/platform.rs
@@ -0,0 +1,152 @@
+//! The platform stand-in as a process.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use jasminetack_wire::platform as wire;
+use jasminetack_wire::row;
+use serde_json::{Value, json};
+
+use crate::http;
+use crate::program::Program;
+
+/// Bearer key of the platform.
+pub const KEY: &str = "platform-key";
+
+/// The platform stand-in as a process.
+#[derive(Debug)]
+pub struct Platform {
+    /// The process.
+    pub program: Program,
+    address: SocketAddr,
+}
+
+impl Platform {
+    /// Starts the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started.
+    pub fn start(host_list_lag_ms: u64, logs: &Path) -> io::Result<Self> {
+        let arguments = [
+            "--address",
+            "127.0.0.1:0",
+            "--key",
+            KEY,
+            "--host-list-lag-ms",
+            &host_list_lag_ms.to_string(),
+        ];
+        let arguments = arguments.map(str::to_owned);
+        let mut program = Program::start("standin-platform", "platform", &arguments, logs)?;
+        let address = program.announced_address()?;
+        Ok(Self { program, address })
+    }
+
+    /// Returns the base URL.
+    #[must_use]
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Adds or replaces a host of the host list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub fn put_host(&self, host: &wire::Host) -> io::Result<()> {
+        http::post(&format!("{}/v1/hosts", self.url()), KEY, host).map(drop)
+    }
+
+    /// Removes a host from the host list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub fn remove_host(&self, name: &str) -> io::Result<()> {
+        http::delete(&format!("{}/v1/hosts/{name}", self.url()), KEY).map(drop)
+    }
+
+    /// Commits a transaction.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub fn transact(&self, transaction: &wire::Transaction) -> io::Result<wire::TransactionReply> {
+        let reply = http::post(&format!("{}/v1/txn", self.url()), KEY, transaction)?;
+        serde_json::from_value(reply).map_err(io::Error::other)
+    }
+
+    /// Reads one row.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub fn read(&self, key: &str) -> io::Result<wire::StoredRow> {
+        let request = wire::ReadRequest { keys: vec![key.to_owned()] };
+        let page = http::post(&format!("{}/v1/read", self.url()), KEY, &request)?;
+        let page: wire::RowsPage = serde_json::from_value(page).map_err(io::Error::other)?;
+        page.rows.into_iter().next().ok_or_else(|| io::Error::other("the row is missing"))
+    }
+
+    /// Lists the rows under a prefix.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub fn rows(&self, prefix: &str) -> io::Result<Vec<wire::StoredRow>> {
+        let url = format!("{}/v1/rows?prefix={prefix}&after=0&limit=1000000", self.url());
+        let page: wire::RowsPage =
+            serde_json::from_value(http::get(&url, KEY)?).map_err(io::Error::other)?;
+        Ok(page.rows)
+    }
+
+    /// Writes a row of the table, `KIND/NAME`, whatever it was before; returns its version.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer or the row changes meanwhile.
+    pub fn put_row(&self, name: &str, row: &row::WireRow) -> io::Result<u64> {
+        let key = format!("{}{name}", row::ROW_PREFIX);
+        let before = self.read(&key)?;
+        let version = before.value.is_some().then_some(before.version);
+        let value = serde_json::to_value(row)?;
+        let transaction = wire::Transaction {
+            conditions: vec![wire::Condition { key: key.clone(), version }],
+            writes: vec![wire::Write { key, value: Some(value) }],
+        };
+        match self.transact(&transaction)? {
+            wire::TransactionReply::Committed { version } => Ok(version),
+            wire::TransactionReply::Conflict { rows } => {
+                Err(io::Error::other(format!("conflict: {rows:?}")))
+            }
+        }
+    }
+
+    /// Changes faults.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub fn switch(&self, faults: &Value) -> io::Result<()> {
+        http::post(&format!("{}/switch", self.url()), KEY, faults).map(drop)
+    }
+
+    /// Starts or ends an outage.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub fn set_outage(&self, outage: bool) -> io::Result<()> {
+        self.switch(&json!({ "outage": outage }))
+    }
+
+    /// Returns the counters.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub fn audit(&self) -> io::Result<Value> {
+        http::get(&format!("{}/audit", self.url()), KEY)
+    }
+}
