Add the operations port of the daemon

Health, readiness, metrics and the decisions about a request are served by tiny_http on a thread of their own, so that they answer while traffic or the control thread is busy. Platform calls, requests, requests in flight and routing decisions are recorded; the other metrics are registered and wait for the parts that set them.

The decisions about a request carry their age instead of a time, since hosts share no clock.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -11,6 +11,9 @@
 
 use crate::clock;
 use crate::control;
+use crate::journal;
+use crate::metrics;
+use crate::ops;
 use crate::platform;
 use crate::settings;
 use crate::snapshot;
@@ -33,7 +36,7 @@
         /// Cause.
         source: std::io::Error,
     },
-    /// The callers' port is not available.
+    /// A port is not available.
     #[snafu(display("cannot listen on {address}: {source}"))]
     Listen {
         /// Address of the port.
@@ -53,8 +56,18 @@
     let settings = Arc::new(settings);
     let clock = clock::Clock::start();
     let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
+    let metrics = Arc::new(metrics::Metrics::new());
+    let journal = Arc::new(journal::Journal::new(settings.explain_requests));
+    let ops = ops::Ops {
+        host: settings.host.clone(),
+        clock,
+        snapshot: Arc::clone(&snapshot),
+        metrics: Arc::clone(&metrics),
+        journal: Arc::clone(&journal),
+    };
+    ops.start(settings.ops_address).context(ListenSnafu { address: settings.ops_address })?;
     let (control_sender, control_receiver) = crossbeam_channel::unbounded();
-    let platform = platform::Client::start(&settings, control_sender)
+    let platform = platform::Client::start(&settings, control_sender, &metrics)
         .context(ThreadSnafu { part: "the platform threads" })?;
     let dispatcher = Arc::new(traffic::Dispatcher::new(traffic::EngineClient::new()));
     let control =
@@ -69,6 +82,14 @@
         .build()
         .context(ThreadSnafu { part: "the traffic runtime" })?;
     let address = settings.callers_address;
-    let server = traffic::Server::new(settings, snapshot, clock, dispatcher, route::Scored);
+    let server = traffic::Server::new(
+        settings,
+        snapshot,
+        clock,
+        dispatcher,
+        route::Scored,
+        metrics,
+        journal,
+    );
     runtime.block_on(server.serve()).context(ListenSnafu { address })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod control;
 mod journal;
 mod metrics;
+mod ops;
 mod platform;
 mod snapshot;
 mod traffic;
--- /dev/null
+++ b/crates/entry/src/ops.rs
@@ -0,0 +1,130 @@
+//! Operations port: health, readiness, metrics and the decisions about a request.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use arc_swap::ArcSwap;
+use jasminetack_domain::name;
+use jasminetack_wire::operations;
+
+use crate::clock;
+use crate::journal;
+use crate::metrics;
+use crate::snapshot;
+
+const TEXT: &str = "text/plain; charset=utf-8";
+const JSON: &str = "application/json";
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Answers operators and monitoring on a thread of its own.
+#[derive(Debug)]
+pub struct Ops {
+    /// Name of this host.
+    pub host: name::HostName,
+    /// Clock of the journal.
+    pub clock: clock::Clock,
+    /// The view that traffic uses.
+    pub snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
+    /// Metrics of the daemon.
+    pub metrics: Arc<metrics::Metrics>,
+    /// Decisions by request.
+    pub journal: Arc<journal::Journal>,
+}
+
+struct Answer {
+    status: u16,
+    content_type: &'static str,
+    text: String,
+}
+
+impl Ops {
+    /// Starts to listen and returns the address of the port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the port is not available or the thread cannot be started.
+    pub fn start(self, address: SocketAddr) -> io::Result<()> {
+        let server = tiny_http::Server::http(address).map_err(io::Error::other)?;
+        let address = server.server_addr().to_string();
+        spdlog::info!("listening", kv: { port = "operations", address = address.as_str() });
+        thread::Builder::new().name("operations".to_owned()).spawn(move || self.run(&server))?;
+        Ok(())
+    }
+
+    fn run(&self, server: &tiny_http::Server) {
+        for request in server.incoming_requests() {
+            let answer = self.answer(request.method(), request.url());
+            let mut response =
+                tiny_http::Response::from_string(answer.text).with_status_code(answer.status);
+            if let Ok(header) = tiny_http::Header::from_bytes("content-type", answer.content_type) {
+                response.add_header(header);
+            }
+            // The reader is gone when the answer cannot be written.
+            let _ = request.respond(response);
+        }
+    }
+
+    fn answer(&self, method: &tiny_http::Method, path: &str) -> Answer {
+        if *method != tiny_http::Method::Get {
+            return Answer::text(405, "only GET is allowed\n");
+        }
+        if let Some(request_id) = path.strip_prefix(operations::EXPLAIN_PREFIX) {
+            return self.explain(&name::RequestId::from(request_id));
+        }
+        match path {
+            "/healthz" => Answer::text(200, "ok\n"),
+            "/readyz" => self.readiness(),
+            "/metrics" => self.encode_metrics(),
+            _ => Answer::text(404, "paths: /healthz /readyz /metrics /explain/REQUEST-ID\n"),
+        }
+    }
+
+    fn readiness(&self) -> Answer {
+        let snapshot = self.snapshot.load();
+        if snapshot.ready {
+            return Answer::text(200, "ready\n");
+        }
+        if snapshot.table.head_version() == 0 {
+            return Answer::text(503, "not ready: the table has not been read yet\n");
+        }
+        Answer::text(503, "not ready: the table cannot be confirmed\n")
+    }
+
+    fn encode_metrics(&self) -> Answer {
+        let snapshot = self.snapshot.load();
+        let version = i64::try_from(snapshot.table.head_version()).unwrap_or(i64::MAX);
+        let owned =
+            snapshot.workers.values().filter(|view| view.owner.as_ref() == Some(&self.host));
+        let owned = i64::try_from(owned.count()).unwrap_or(i64::MAX);
+        self.metrics.table_version.set(version);
+        self.metrics.owned_workers.set(owned);
+        self.metrics.ready.set(i64::from(snapshot.ready));
+        Answer { status: 200, content_type: OPEN_METRICS, text: self.metrics.encode() }
+    }
+
+    fn explain(&self, request_id: &name::RequestId) -> Answer {
+        let entries = self.journal.entries(request_id);
+        let status = if entries.is_empty() { 404 } else { 200 };
+        let now_ms = self.clock.now_ms();
+        let mut decisions = Vec::with_capacity(entries.len());
+        for entry in entries {
+            let age_ms = now_ms.saturating_sub(entry.at_ms);
+            decisions.push(operations::ExplainedDecision { age_ms, text: entry.text });
+        }
+        let explanation = operations::Explanation {
+            host: self.host.to_string(),
+            request_id: request_id.to_string(),
+            decisions,
+        };
+        let text = serde_json::to_string(&explanation).unwrap_or_default();
+        Answer { status, content_type: JSON, text }
+    }
+}
+
+impl Answer {
+    fn text(status: u16, text: &str) -> Self {
+        Self { status, content_type: TEXT, text: text.to_owned() }
+    }
+}
--- a/crates/entry/src/platform/client.rs
+++ b/crates/entry/src/platform/client.rs
@@ -1,12 +1,14 @@
 //! Threads that make the control thread's calls.
 
 use std::io;
+use std::sync::Arc;
 use std::thread;
 
 use crossbeam_channel::{Receiver, Sender};
 
 use super::{Caller, Job, Reply};
 use crate::control;
+use crate::metrics;
 use crate::settings;
 
 /// Two threads, so that one slow call does not hold up the lease renewal.
@@ -27,15 +29,17 @@
     pub fn start(
         settings: &settings::Settings,
         results: Sender<control::Message>,
+        metrics: &Arc<metrics::Metrics>,
     ) -> io::Result<Self> {
         let (jobs, receiver) = crossbeam_channel::unbounded();
         for index in 0..THREAD_COUNT {
             let caller = Caller::new(settings);
             let receiver = receiver.clone();
             let results = results.clone();
+            let metrics = Arc::clone(metrics);
             thread::Builder::new()
                 .name(format!("platform-{index}"))
-                .spawn(move || run(&caller, &receiver, &results))?;
+                .spawn(move || run(&caller, &receiver, &results, &metrics))?;
         }
         Ok(Self { jobs })
     }
@@ -47,7 +51,12 @@
     }
 }
 
-fn run(caller: &Caller, jobs: &Receiver<Job>, results: &Sender<control::Message>) {
+fn run(
+    caller: &Caller,
+    jobs: &Receiver<Job>,
+    results: &Sender<control::Message>,
+    metrics: &metrics::Metrics,
+) {
     for job in jobs {
         let reply = match job {
             Job::Rows { prefix, after } => Reply::Rows(caller.rows(prefix, after)),
@@ -57,6 +66,7 @@
                 Reply::Transact { tag, result: caller.transact(&transaction) }
             }
         };
+        metrics.finish_platform_call(reply.call(), reply.succeeded());
         if results.send(control::Message::Platform(reply)).is_err() {
             return;
         }
--- a/crates/entry/src/platform/job.rs
+++ b/crates/entry/src/platform/job.rs
@@ -57,3 +57,24 @@
         result: Result<platform::TransactionReply, CallError>,
     },
 }
+
+impl Reply {
+    /// Returns the name of the call, for metrics.
+    pub fn call(&self) -> &'static str {
+        match self {
+            Self::Rows(_) => "rows",
+            Self::Hosts(_) => "hosts",
+            Self::Read { .. } => "read",
+            Self::Transact { .. } => "transact",
+        }
+    }
+
+    /// Tells whether the platform answered the call.
+    pub fn succeeded(&self) -> bool {
+        match self {
+            Self::Rows(result) | Self::Read { result, .. } => result.is_ok(),
+            Self::Hosts(result) => result.is_ok(),
+            Self::Transact { result, .. } => result.is_ok(),
+        }
+    }
+}
--- a/crates/entry/src/traffic/model_call.rs
+++ b/crates/entry/src/traffic/model_call.rs
@@ -19,6 +19,7 @@
 use super::caller_error::CallerError;
 use super::dispatcher::Dispatcher;
 use super::model_order::ModelOrder;
+use crate::journal;
 use crate::settings;
 use crate::snapshot;
 
@@ -31,6 +32,7 @@
     pub snapshot: &'a snapshot::Snapshot,
     pub dispatcher: &'a Arc<Dispatcher>,
     pub policy: &'a RoutePolicy,
+    pub journal: &'a journal::Journal,
     pub request_id: &'a name::RequestId,
     pub team: name::TeamName,
 }
@@ -103,6 +105,11 @@
             considered = considered.as_str(),
             reason = decision.reason,
         });
+        let text = format!(
+            "route adapter={adapter} worker={} cost_ms={} considered={considered} reason={:?}",
+            decision.worker, decision.cost_ms, decision.reason,
+        );
+        self.journal.record(self.request_id, now_ms, text);
         Ok(decision.worker)
     }
 }
--- a/crates/entry/src/traffic/server.rs
+++ b/crates/entry/src/traffic/server.rs
@@ -15,6 +15,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use jasminetack_domain::name;
+use jasminetack_domain::request;
 use jasminetack_domain::route;
 use jasminetack_domain::table;
 use sha2::Digest;
@@ -26,6 +27,8 @@
 use super::dispatcher::Dispatcher;
 use super::model_call::ModelCall;
 use crate::clock;
+use crate::journal;
+use crate::metrics;
 use crate::settings;
 use crate::snapshot;
 
@@ -36,6 +39,8 @@
     clock: clock::Clock,
     dispatcher: Arc<Dispatcher>,
     policy: RoutePolicy,
+    metrics: Arc<metrics::Metrics>,
+    journal: Arc<journal::Journal>,
     connections: Arc<Semaphore>,
     next_request: AtomicU64,
 }
@@ -51,10 +56,22 @@
         clock: clock::Clock,
         dispatcher: Arc<Dispatcher>,
         policy: RoutePolicy,
+        metrics: Arc<metrics::Metrics>,
+        journal: Arc<journal::Journal>,
     ) -> Self {
         let connections = Arc::new(Semaphore::new(settings.max_connections));
         let next_request = AtomicU64::new(1);
-        Self { settings, snapshot, clock, dispatcher, policy, connections, next_request }
+        Self {
+            settings,
+            snapshot,
+            clock,
+            dispatcher,
+            policy,
+            metrics,
+            journal,
+            connections,
+            next_request,
+        }
     }
 
     /// Serves callers until the listener fails.
@@ -102,10 +119,12 @@
     async fn answer(&self, request: Request<Incoming>) -> Response<body::Body> {
         let number = self.next_request.fetch_add(1, Ordering::Relaxed);
         let request_id = name::RequestId::from(format!("{}-{number}", self.settings.host));
-        match self.route_path(request, &request_id).await {
-            Ok(response) => response,
-            Err(error) => error.into_response(&request_id),
-        }
+        self.metrics.in_flight.inc();
+        let result = self.route_path(request, &request_id).await;
+        self.metrics.in_flight.dec();
+        let label = result.as_ref().map_or_else(|error| error.outcome.as_str(), |_| "answered");
+        self.metrics.finish_request(request::Class::Normal, label);
+        result.unwrap_or_else(|error| error.into_response(&request_id))
     }
 
     async fn route_path(
@@ -133,6 +152,7 @@
             snapshot: &snapshot,
             dispatcher: &self.dispatcher,
             policy: &self.policy,
+            journal: &self.journal,
             request_id,
             team,
         };
