Check edits of the table before anything is written

An edit records the row and version it was decided on; a set of edits is checked as a whole for limits, versions, known teams, bearer keys and duplicates, and every broken rule says what to do. Versions are never removed and new ones are higher, while the default may move to any version, so that a rollback is possible without reusing a number. Differences between rows are typed values.

--- /dev/null
+++ b/crates/domain/src/table/edit_problem.rs
@@ -0,0 +1,110 @@
+//! What is wrong with an edit.
+
+use super::RowKey;
+use crate::name;
+
+/// A rule that an edit breaks.
+#[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
+#[snafu(display("{key}: {rule}"))]
+pub struct EditProblem {
+    /// Key of the row.
+    pub key: RowKey,
+    /// The rule.
+    pub rule: EditRule,
+}
+
+/// A rule about edits; the text says what to do.
+#[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
+pub enum EditRule {
+    /// The name cannot be used in requests or keys.
+    #[snafu(display(
+        "the name is not valid; use 1 to 128 letters, digits, dots, hyphens or underscores"
+    ))]
+    Name,
+    /// The row is of another kind than its key.
+    #[snafu(display("the row is of another kind than its key; use a key of the row's kind"))]
+    Kind,
+    /// The row that is to be deleted does not exist.
+    #[snafu(display("there is no such row to delete; check the name with `show`"))]
+    NothingToDelete,
+    /// The weight is out of range.
+    #[snafu(display("weight {weight} is out of range; give 1 to 10000"))]
+    Weight {
+        /// Value found.
+        weight: u32,
+    },
+    /// The ceiling is out of range.
+    #[snafu(display("ceiling {ceiling} is out of range; give 1 to 1000000, or none"))]
+    Ceiling {
+        /// Value found.
+        ceiling: u32,
+    },
+    /// The share is out of range.
+    #[snafu(display("share {share} is out of range; give 1 to 10000"))]
+    Share {
+        /// Value found.
+        share: u32,
+    },
+    /// The adapter names no base model.
+    #[snafu(display("the base model is missing; set base-model"))]
+    BaseModel,
+    /// A version is 0 or occurs twice.
+    #[snafu(display("version {version} is 0 or occurs twice; give each version once, from 1"))]
+    Version {
+        /// Value found.
+        version: u32,
+    },
+    /// The versions before the default are not in order.
+    #[snafu(display(
+        "the versions are not ascending; list them in order, with only the default moved to the end"
+    ))]
+    VersionOrder,
+    /// A version is lower than one that exists.
+    #[snafu(display("new version {version} is not above {highest}; use a higher number"))]
+    VersionNotHigher {
+        /// Value found.
+        version: u32,
+        /// Highest version in force.
+        highest: u32,
+    },
+    /// A version in force is missing.
+    #[snafu(display(
+        "version {version} may be in use and cannot be removed; keep it and move the default"
+    ))]
+    VersionRemoved {
+        /// Version that is missing.
+        version: u32,
+    },
+    /// The team of the adapter does not exist.
+    #[snafu(display("there is no team {team}; create it first or in the same file"))]
+    UnknownTeam {
+        /// Team that is missing.
+        team: name::TeamName,
+    },
+    /// The team that is to be deleted still has adapters.
+    #[snafu(display("adapter {adapter} belongs to the team; move or delete the adapter first"))]
+    TeamInUse {
+        /// One adapter of the team.
+        adapter: name::AdapterName,
+    },
+    /// A bearer key occurs twice.
+    #[snafu(display("a bearer key is already valid for team {team}; use another key"))]
+    KeyInUse {
+        /// Team that has the key.
+        team: name::TeamName,
+    },
+    /// A pattern of repeatable calls cannot match.
+    #[snafu(display(
+        "calls {method} {path_prefix} cannot match; give a method in capitals or *, and a path \
+         that begins with /"
+    ))]
+    Call {
+        /// Method of the pattern.
+        method: String,
+        /// Path prefix of the pattern.
+        path_prefix: String,
+    },
+    /// The row is edited twice.
+    #[snafu(display("the row is edited more than once; combine the edits"))]
+    Duplicate,
+}
--- a/crates/domain/src/table/mod.rs
+++ b/crates/domain/src/table/mod.rs
@@ -1,6 +1,10 @@
 //! The operators' table: rows, versions and the rules for applying changes.
 
 mod adapter_row;
+mod difference;
+mod edit;
+mod edit_problem;
+mod edit_rules;
 mod key_hash;
 mod limits;
 mod resolve_error;
@@ -12,6 +16,9 @@
 mod team_row;
 
 pub use adapter_row::AdapterRow;
+pub use difference::{Change, Difference};
+pub use edit::{Edit, check_edits};
+pub use edit_problem::{EditProblem, EditRule};
 pub use key_hash::KeyHash;
 pub use limits::Limits;
 pub use resolve_error::ResolveError;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod codec;
 pub mod engine;
 pub mod failure;
+pub mod history;
 pub mod operations;
 pub mod peer;
 pub mod platform;
