Add the operator's command line

jasminetack-table shows the table, sets one row, applies a file of changes, and shows history, status and the decisions about a request. Changes are checked as a whole before one transaction writes them with their history. A transaction whose reply was lost is sent again: its own history row makes the repetition fail and proves that the first one took effect.

--- a/crates/domain/src/table/edit_problem.rs
+++ b/crates/domain/src/table/edit_problem.rs
@@ -45,6 +45,9 @@
         /// Value found.
         share: u32,
     },
+    /// The adapter names no team.
+    #[snafu(display("the team is missing; set team"))]
+    Team,
     /// The adapter names no base model.
     #[snafu(display("the base model is missing; set base-model"))]
     BaseModel,
--- a/crates/domain/src/table/edit_rules.rs
+++ b/crates/domain/src/table/edit_rules.rs
@@ -66,7 +66,7 @@
         match edit.new_row() {
             Some(Row::Adapter(row)) => {
                 let team = RowKey::new(RowKind::Team, row.team.as_str());
-                if !rows.contains_key(&team) {
+                if !team.name().is_empty() && !rows.contains_key(&team) {
                     problems.push(report(EditRule::UnknownTeam { team: row.team.clone() }));
                 }
             }
@@ -102,6 +102,9 @@
 }
 
 fn adapter(old: Option<&AdapterRow>, new: &AdapterRow, broken: &mut Vec<EditRule>) {
+    if new.team.as_str().is_empty() {
+        broken.push(EditRule::Team);
+    }
     if new.base_model.as_str().is_empty() {
         broken.push(EditRule::BaseModel);
     }
--- /dev/null
+++ b/crates/table/src/commands/show.rs
@@ -0,0 +1,69 @@
+//! Command `show`.
+
+use std::io::Write;
+
+use jasminetack_domain::table;
+use jasminetack_wire::platform as wire;
+use jasminetack_wire::row;
+use snafu::ResultExt;
+
+use crate::command_error::{self, CommandError};
+use crate::platform;
+use crate::stored;
+use crate::text;
+
+/// Shows one row, the rows of a kind, or the whole table.
+///
+/// # Errors
+///
+/// Fails when the platform cannot be read or there is no such row.
+pub fn run<TableService, Output>(
+    service: &TableService,
+    wanted: Option<&str>,
+    output: &mut Output,
+) -> Result<(), CommandError>
+where
+    TableService: platform::Platform,
+    Output: Write,
+{
+    let rows = read(service, wanted)?;
+    let mut shown = 0;
+    for stored in &rows {
+        let (key, Some(parsed)) = stored::parse(stored)? else { continue };
+        let line = text::row_line(&parsed);
+        writeln!(output, "{key} (version {}) {line}", stored.version)
+            .context(command_error::OutputSnafu)?;
+        shown += 1;
+    }
+    if shown == 0 {
+        let wanted = wanted.unwrap_or("any kind");
+        let message = format!("there is no row {wanted}; `show` lists all rows");
+        return Err(CommandError::NotFound { message });
+    }
+    Ok(())
+}
+
+fn read<TableService>(
+    service: &TableService,
+    wanted: Option<&str>,
+) -> Result<Vec<wire::StoredRow>, CommandError>
+where
+    TableService: platform::Platform,
+{
+    if let Some(key) = wanted.and_then(table::RowKey::parse) {
+        let keys = vec![stored::storage_key(&key)];
+        let page = service.read(&wire::ReadRequest { keys });
+        return Ok(page.context(command_error::PlatformSnafu)?.rows);
+    }
+    let prefix = match wanted {
+        None => row::ROW_PREFIX.to_owned(),
+        Some(kind @ ("adapter" | "team" | "service")) => format!("{}{kind}/", row::ROW_PREFIX),
+        Some(other) => {
+            let message = format!("{other:?} is not a kind or KIND/NAME");
+            return Err(CommandError::Input { message });
+        }
+    };
+    let mut rows = service.rows(&prefix, 0).context(command_error::PlatformSnafu)?.rows;
+    rows.sort_by(|left, right| left.key.cmp(&right.key));
+    Ok(rows)
+}
--- /dev/null
+++ b/crates/table/src/commands/status.rs
@@ -0,0 +1,72 @@
+//! Command `status`.
+
+use std::io::Write;
+
+use jasminetack_wire::row;
+use snafu::ResultExt;
+
+use crate::command_error::{self, CommandError};
+use crate::platform;
+use crate::session_view;
+
+/// Shows where changes are in force and which hosts have not confirmed them.
+///
+/// # Errors
+///
+/// Fails when the platform cannot be read or a host has not confirmed a change.
+pub fn run<TableService, Output>(
+    service: &TableService,
+    output: &mut Output,
+) -> Result<(), CommandError>
+where
+    TableService: platform::Platform,
+    Output: Write,
+{
+    let page =
+        service.rows(session_view::SESSION_PREFIX, 0).context(command_error::PlatformSnafu)?;
+    let mut sessions = Vec::new();
+    for stored in &page.rows {
+        sessions.extend(session_view::SessionView::parse(stored)?);
+    }
+    sessions.sort_by(|left, right| left.host.cmp(&right.host));
+    let serving = || sessions.iter().filter(|session| session.serves());
+    // Only changes after the lowest version in force can be missing anywhere.
+    let lowest = serving().map(|session| session.table_version).min().unwrap_or(0);
+    let page = service.rows(row::ROW_PREFIX, lowest).context(command_error::PlatformSnafu)?;
+    let mut text = format!("table head {}\n", page.head_version);
+    let mut behind = 0;
+    for session in &sessions {
+        let version = session.table_version;
+        let missing = page.rows.iter().filter(|row| row.version > version).count();
+        let note = if !session.serves() {
+            "does not serve".to_owned()
+        } else if missing == 0 {
+            "confirmed".to_owned()
+        } else {
+            behind += 1;
+            format!("{missing} changes not confirmed")
+        };
+        text.push_str(&format!(
+            "{} {} version in force {version}: {note}\n",
+            session.host, session.state
+        ));
+    }
+    for stored in &page.rows {
+        let missing = serving().filter(|session| session.table_version < stored.version);
+        let hosts: Vec<_> = missing.map(|session| session.host.as_str()).collect();
+        if hosts.is_empty() {
+            continue;
+        }
+        let key = stored.key.strip_prefix(row::ROW_PREFIX).unwrap_or(&stored.key);
+        let hosts = hosts.join(", ");
+        text.push_str(&format!("{key} version {}: not in force on {hosts}\n", stored.version));
+    }
+    if serving().next().is_none() {
+        text.push_str("no daemon serves\n");
+    }
+    output.write_all(text.as_bytes()).context(command_error::OutputSnafu)?;
+    if behind > 0 {
+        return Err(CommandError::NotConfirmed { hosts: behind });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/table/src/lib.rs
@@ -0,0 +1,27 @@
+//! The operator's command line: rows, edits, history, status and explanations.
+//!
+//! ```
+//! use jasminetack_domain::table;
+//! use jasminetack_table::assignment;
+//!
+//! let mut row = assignment::blank_row(table::RowKind::Team);
+//! assignment::Assignment::parse("weight=3").unwrap().assign(&mut row).unwrap();
+//! assert_eq!(row.limits().weight, 3);
+//! ```
+
+pub mod assignment;
+pub mod command_error;
+pub mod commands;
+pub mod commit;
+pub mod file;
+#[rustfmt::skip]
+#[allow(missing_docs)]
+pub mod flags;
+pub mod plan;
+pub mod platform;
+pub mod program;
+pub mod row_change;
+pub mod session_view;
+pub mod settings;
+pub mod stored;
+pub mod text;
--- /dev/null
+++ b/crates/table/src/plan.rs
@@ -0,0 +1,142 @@
+//! Edits decided on the rows in force, checked as a whole.
+
+use std::fmt::Write;
+
+use jasminetack_domain::table;
+use jasminetack_wire::platform as wire;
+use jasminetack_wire::row;
+use snafu::{ResultExt, ensure};
+
+use crate::command_error::{self, CommandError};
+use crate::platform;
+use crate::row_change;
+use crate::stored;
+use crate::text;
+
+/// Checked edits and the versions that must still hold when they are written.
+#[derive(Debug)]
+pub struct Plan {
+    edits: Vec<table::Edit>,
+    conditions: Vec<wire::Condition>,
+}
+
+impl Plan {
+    /// Decides the edits on the rows in force and checks them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform cannot be read, or when any of the changes is not allowed.
+    pub fn new<TableService>(
+        service: &TableService,
+        changes: &[row_change::RowChange],
+    ) -> Result<Self, CommandError>
+    where
+        TableService: platform::Platform,
+    {
+        let table = load(service, changes)?;
+        let mut edits = Vec::new();
+        for change in changes {
+            let current = table.row(&change.key).map(|(_, row)| row.as_ref());
+            let row = change.apply(current).map_err(|error| CommandError::Input {
+                message: format!("{}: {error}", change.key),
+            })?;
+            edits.push(table::Edit::new(&table, change.key.clone(), row));
+        }
+        table::check_edits(&table, &edits)
+            .map_err(|problems| CommandError::Refused { problems })?;
+        edits.retain(|edit| !edit.differences().is_empty());
+        let conditions = conditions(&table, &edits);
+        Ok(Self { edits, conditions })
+    }
+
+    /// Returns the edits that make a difference.
+    #[must_use]
+    pub fn edits(&self) -> &[table::Edit] {
+        &self.edits
+    }
+
+    /// Returns the versions that must still hold.
+    #[must_use]
+    pub fn conditions(&self) -> &[wire::Condition] {
+        &self.conditions
+    }
+
+    /// Writes what the edits change.
+    #[must_use]
+    pub fn describe(&self) -> String {
+        self.edits.iter().map(text::edit).collect()
+    }
+
+    /// Compares the rows of a conflict with the rows that the edits would have written.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a row cannot be read.
+    pub fn describe_conflict(&self, rows: &[wire::StoredRow]) -> Result<String, CommandError> {
+        let mut description = String::new();
+        for stored in rows.iter().filter(|stored| stored.key.starts_with(row::ROW_PREFIX)) {
+            let (key, current) = stored::parse(stored)?;
+            let line =
+                |row: Option<&table::Row>| row.map_or_else(|| "deleted".to_owned(), text::row_line);
+            let edit = self.edits.iter().find(|edit| *edit.key() == key);
+            let wanted = edit.map_or_else(
+                || "(not edited, but the edit depends on it)".to_owned(),
+                |edit| line(edit.new_row()),
+            );
+            // Writing to a string does not fail.
+            let _ = writeln!(
+                description,
+                "{key}\n  yours:             {wanted}\n  now (version {}): {}",
+                stored.version,
+                line(current.as_ref()),
+            );
+        }
+        Ok(description)
+    }
+}
+
+/// Reads the rows that the changes and their checks need, not the whole table.
+fn load<TableService>(
+    service: &TableService,
+    changes: &[row_change::RowChange],
+) -> Result<table::Table, CommandError>
+where
+    TableService: platform::Platform,
+{
+    ensure!(!changes.is_empty(), command_error::InputSnafu { message: "there are no changes" });
+    let keys = changes.iter().map(|change| stored::storage_key(&change.key)).collect();
+    let mut table = table::Table::default();
+    let page = service.read(&wire::ReadRequest { keys }).context(command_error::PlatformSnafu)?;
+    stored::apply(&mut table, &page.rows)?;
+    let teams = service.rows(&prefix(table::RowKind::Team), 0);
+    stored::apply(&mut table, &teams.context(command_error::PlatformSnafu)?.rows)?;
+    let deletes_team = changes.iter().any(|change| {
+        change.key.kind() == table::RowKind::Team && change.action == row_change::Action::Delete
+    });
+    if deletes_team {
+        let adapters = service.rows(&prefix(table::RowKind::Adapter), 0);
+        stored::apply(&mut table, &adapters.context(command_error::PlatformSnafu)?.rows)?;
+    }
+    Ok(table)
+}
+
+fn conditions(table: &table::Table, edits: &[table::Edit]) -> Vec<wire::Condition> {
+    let mut conditions = Vec::<wire::Condition>::new();
+    for edit in edits {
+        let key = stored::storage_key(edit.key());
+        conditions.push(wire::Condition { key, version: edit.expected_version() });
+    }
+    for team in edits.iter().filter_map(table::Edit::depends_on) {
+        let key = stored::storage_key(&team);
+        if conditions.iter().any(|condition| condition.key == key) {
+            continue;
+        }
+        let version = table.row(&team).map(|(version, _)| version);
+        conditions.push(wire::Condition { key, version });
+    }
+    conditions
+}
+
+fn prefix(kind: table::RowKind) -> String {
+    format!("{}{}/", row::ROW_PREFIX, kind.as_str())
+}
--- /dev/null
+++ b/crates/table/src/session_view.rs
@@ -0,0 +1,48 @@
+//! Session rows as this program reads them.
+
+use std::net::SocketAddr;
+
+use jasminetack_wire::platform as wire;
+use serde::Deserialize;
+
+use crate::command_error::CommandError;
+
+/// Prefix of the keys of session rows.
+pub const SESSION_PREFIX: &str = "session/";
+
+/// What this program needs of a session row; daemons may add fields.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct SessionView {
+    /// Host of the daemon.
+    #[serde(skip)]
+    pub host: String,
+    /// State of the session.
+    pub state: String,
+    /// Table version that is in force at the daemon.
+    pub table_version: u64,
+    /// Address of the operations port.
+    #[serde(default)]
+    pub ops_address: Option<SocketAddr>,
+}
+
+impl SessionView {
+    /// Reads a stored session row; deleted rows give nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the row was not written by a daemon that this program knows.
+    pub fn parse(stored: &wire::StoredRow) -> Result<Option<Self>, CommandError> {
+        let Some(value) = &stored.value else { return Ok(None) };
+        let view: Self = serde_json::from_value(value.clone()).map_err(|error| {
+            CommandError::Stored { key: stored.key.clone(), message: error.to_string() }
+        })?;
+        let host = stored.key.strip_prefix(SESSION_PREFIX).unwrap_or(&stored.key).to_owned();
+        Ok(Some(Self { host, ..view }))
+    }
+
+    /// Tells whether the daemon serves callers.
+    #[must_use]
+    pub fn serves(&self) -> bool {
+        matches!(self.state.as_str(), "live" | "leaving")
+    }
+}
