Route through a fleet index and observations; set the dispatcher's contract

Cause: Policy::choose scanned every worker and knew nothing of the daemon's own requests. Change: route::Fleet indexes holders and regions, route::Observations keeps own requests and speeds, Policy::choose takes both with a seeded generator. traffic::Router holds them for the entry side.

--- /dev/null
+++ b/crates/domain/src/route/observations.rs
@@ -0,0 +1,70 @@
+//! What a daemon observes of workers from its own requests.
+
+use indexmap::IndexMap;
+
+use super::Speeds;
+use crate::name;
+
+/// Time after which half of a reported queue is assumed to be served.
+const REPORT_HALF_LIFE_MS: f64 = 1_000.0;
+
+/// What a daemon observes of workers from its own requests and the replies to them.
+#[derive(Clone, Debug, Default)]
+pub struct Observations {
+    workers: IndexMap<name::WorkerName, Observed>,
+    speeds: Speeds,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Observed {
+    in_flight: u32,
+    /// Requests of other daemons according to the last report.
+    others: u32,
+    reported_ms: u64,
+}
+
+impl Observations {
+    /// Counts a request that is sent to a worker.
+    pub fn sent(&mut self, worker: &name::WorkerName) {
+        self.workers.entry(worker.clone()).or_default().in_flight += 1;
+    }
+
+    /// Counts the end of a request at a worker.
+    pub fn ended(&mut self, worker: &name::WorkerName) {
+        let Some(observed) = self.workers.get_mut(worker) else { return };
+        observed.in_flight = observed.in_flight.saturating_sub(1);
+    }
+
+    /// Takes in the number of requests that a worker's owner reported with a reply.
+    pub fn reported(&mut self, worker: &name::WorkerName, outstanding: u32, now_ms: u64) {
+        let observed = self.workers.entry(worker.clone()).or_default();
+        observed.others = outstanding.saturating_sub(observed.in_flight);
+        observed.reported_ms = now_ms;
+    }
+
+    /// Estimates the requests at a worker: the daemon's own, and others discounted by age.
+    #[must_use]
+    pub fn outstanding(&self, worker: &name::WorkerName, now_ms: u64) -> f64 {
+        let Some(observed) = self.workers.get(worker) else { return 0.0 };
+        let age_ms = now_ms.saturating_sub(observed.reported_ms) as f64;
+        let others = f64::from(observed.others) * (-age_ms / REPORT_HALF_LIFE_MS).exp2();
+        f64::from(observed.in_flight) + others
+    }
+
+    /// Returns the observed speeds.
+    #[must_use]
+    pub fn speeds(&self) -> &Speeds {
+        &self.speeds
+    }
+
+    /// Returns the observed speeds to record new ones.
+    pub fn speeds_mut(&mut self) -> &mut Speeds {
+        &mut self.speeds
+    }
+
+    /// Forgets a worker that is gone.
+    pub fn forget(&mut self, worker: &name::WorkerName) {
+        self.workers.swap_remove(worker);
+        self.speeds.forget(worker);
+    }
+}
--- a/crates/domain/src/route/policy.rs
+++ b/crates/domain/src/route/policy.rs
@@ -1,8 +1,6 @@
 //! Routing policies.
 
-use indexmap::IndexMap;
-
-use super::{Decision, WorkerView};
+use super::{Decision, Fleet, Observations};
 use crate::adapter;
 use crate::name;
 use crate::place;
@@ -23,10 +21,14 @@
 /// Chooses a worker; implemented by the product's policy and by the baselines.
 pub trait Policy {
     /// Chooses a worker, or `None` when no worker can serve the request.
-    fn choose(
+    fn choose<Random>(
         &self,
         request: &RouteRequest<'_>,
-        workers: &IndexMap<name::WorkerName, WorkerView>,
+        fleet: &Fleet,
+        observations: &mut Observations,
+        random: &mut Random,
         now_ms: u64,
-    ) -> Option<Decision>;
+    ) -> Option<Decision>
+    where
+        Random: rand::Rng;
 }
--- /dev/null
+++ b/crates/domain/src/route/random.rs
@@ -0,0 +1,34 @@
+//! Baseline policy: uniform random.
+
+use super::sample;
+use super::{Decision, Fleet, Observations, Policy, RouteRequest};
+
+/// Chooses a worker of the base model at random, in the own region when it has one.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Random;
+
+impl Policy for Random {
+    fn choose<Source>(
+        &self,
+        request: &RouteRequest<'_>,
+        fleet: &Fleet,
+        _observations: &mut Observations,
+        random: &mut Source,
+        _now_ms: u64,
+    ) -> Option<Decision>
+    where
+        Source: rand::Rng,
+    {
+        let region = request.from.region();
+        let near = fleet.in_region(request.base_model, region);
+        let mut chosen = sample::usable(near, 1, request, fleet, random);
+        for far in fleet.outside_region(request.base_model, region) {
+            if !chosen.is_empty() {
+                break;
+            }
+            chosen = sample::usable(far, 1, request, fleet, random);
+        }
+        let worker = chosen.pop()?;
+        Some(Decision { worker, cost_ms: 0, considered: Vec::new(), reason: "random" })
+    }
+}
--- a/crates/domain/src/route/scored.rs
+++ b/crates/domain/src/route/scored.rs
@@ -1,56 +1,150 @@
 //! The product's routing policy.
 
-use indexmap::IndexMap;
-
-use super::{Decision, Policy, RouteRequest, WorkerView};
+use super::sample;
+use super::{Decision, Fleet, Observations, Policy, RouteRequest, WorkerView};
 use crate::name;
 use crate::place;
 
-const LOAD_COST_MS: u64 = 250;
-const OUTSTANDING_COST_MS: u64 = 40;
-const SAME_REGION_COST_MS: u64 = 1;
-const OTHER_REGION_COST_MS: u64 = 200;
+/// Time of one adapter load while the weight store is not saturated.
+const LOAD_COST_MS: f64 = 250.0;
+/// A request in the batch lengthens each step a little.
+const BATCHED_COST_MS: f64 = 5.0;
+/// A request beyond the batch waits for a place.
+const WAITING_COST_MS: f64 = 60.0;
+/// One way between failure domains is 0.5 ms, and a request goes both ways.
+const SAME_REGION_COST_MS: f64 = 1.0;
+/// Delay between regions and the price of the volume, expressed as time.
+const OTHER_REGION_COST_MS: f64 = 200.0;
+/// Holders that are scored; a sample of them decides as well when there are more.
+const MAX_HOLDERS: usize = 16;
+/// Workers without the adapter that are scored.
+const MAX_ALTERNATIVES: usize = 2;
 
 /// Chooses the worker with the lowest predicted time to the first token.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Scored;
+#[derive(Clone, Copy, Debug)]
+pub struct Scored {
+    batch_places: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Score {
+    cost_ms: f64,
+    is_straggler: bool,
+}
 
 impl Scored {
-    fn cost_ms(request: &RouteRequest<'_>, worker: &WorkerView) -> u64 {
-        let load_ms = if worker.loaded.contains(request.adapter) { 0 } else { LOAD_COST_MS };
+    /// Creates the policy for engines that run a number of requests at one time.
+    #[must_use]
+    pub fn new(batch_places: u32) -> Self {
+        Self { batch_places }
+    }
+
+    fn score(
+        &self,
+        request: &RouteRequest<'_>,
+        worker: &WorkerView,
+        observations: &Observations,
+        now_ms: u64,
+    ) -> Score {
+        let load_ms = if worker.loaded.contains(request.adapter) { 0.0 } else { LOAD_COST_MS };
         let hop_ms = match request.from.distance(&worker.place) {
-            place::Distance::SameFailureDomain => 0,
+            place::Distance::SameFailureDomain => 0.0,
             place::Distance::SameRegion => SAME_REGION_COST_MS,
             place::Distance::OtherRegion => OTHER_REGION_COST_MS,
         };
-        load_ms + hop_ms + u64::from(worker.outstanding) * OUTSTANDING_COST_MS
+        let outstanding = observations.outstanding(&worker.name, now_ms);
+        let beyond_batch = (outstanding + 1.0 - f64::from(self.batch_places)).max(0.0);
+        let wait_ms = outstanding * BATCHED_COST_MS + beyond_batch * WAITING_COST_MS;
+        let speeds = observations.speeds();
+        let first_token_ms = speeds.get(&worker.name).and_then(super::Speed::first_token_ms);
+        Score {
+            cost_ms: load_ms + hop_ms + wait_ms + first_token_ms.unwrap_or(0.0),
+            is_straggler: speeds.is_straggler(&worker.name, now_ms),
+        }
+    }
+
+    fn alternatives<Random>(
+        request: &RouteRequest<'_>,
+        fleet: &Fleet,
+        best_ms: f64,
+        random: &mut Random,
+    ) -> Vec<name::WorkerName>
+    where
+        Random: rand::Rng,
+    {
+        let region = request.from.region();
+        let near = fleet.in_region(request.base_model, region);
+        // The own region is left only when that is predicted to pay off.
+        let near_count =
+            if best_ms > OTHER_REGION_COST_MS { MAX_ALTERNATIVES - 1 } else { MAX_ALTERNATIVES };
+        let mut chosen = sample::usable(near, near_count, request, fleet, random);
+        for far in fleet.outside_region(request.base_model, region) {
+            let missing = MAX_ALTERNATIVES.saturating_sub(chosen.len());
+            if missing == 0 {
+                break;
+            }
+            chosen.extend(sample::usable(far, missing, request, fleet, random));
+        }
+        chosen
     }
 }
 
 impl Policy for Scored {
-    fn choose(
+    fn choose<Random>(
         &self,
         request: &RouteRequest<'_>,
-        workers: &IndexMap<name::WorkerName, WorkerView>,
-        _now_ms: u64,
-    ) -> Option<Decision> {
-        let mut considered = Vec::new();
-        for worker in workers.values() {
-            if worker.leaving || worker.base_model != *request.base_model {
-                continue;
+        fleet: &Fleet,
+        observations: &mut Observations,
+        random: &mut Random,
+        now_ms: u64,
+    ) -> Option<Decision>
+    where
+        Random: rand::Rng,
+    {
+        let holders = fleet.holders(request.adapter);
+        let mut names = sample::usable(holders, MAX_HOLDERS, request, fleet, random);
+        let mut scored = Vec::with_capacity(names.len() + MAX_ALTERNATIVES);
+        self.score_all(&names, request, fleet, observations, now_ms, &mut scored);
+        let best_ms = scored.iter().map(|(_, score)| score.cost_ms).fold(f64::INFINITY, f64::min);
+        let alternatives = Self::alternatives(request, fleet, best_ms, random);
+        names.retain(|name| !alternatives.contains(name));
+        scored.retain(|(name, _)| !alternatives.contains(name));
+        self.score_all(&alternatives, request, fleet, observations, now_ms, &mut scored);
+        let mut reason = "lowest predicted time to first token";
+        let mut best = None;
+        for (index, (name, score)) in scored.iter().enumerate() {
+            if score.is_straggler && observations.speeds_mut().take_probe(name, now_ms) {
+                best = Some(index);
+                reason = "probe of a straggler";
+                break;
             }
-            if worker.owner.is_none() || request.excluded.contains(&worker.name) {
-                continue;
+            // A straggler is taken only when every candidate is one.
+            let rank = |score: &Score| (score.is_straggler, score.cost_ms);
+            let is_better = best.is_none_or(|best: usize| rank(score) < rank(&scored[best].1));
+            if is_better {
+                best = Some(index);
             }
-            considered.push((worker.name.clone(), Self::cost_ms(request, worker)));
         }
-        let best = considered.iter().min_by_key(|(_, cost_ms)| *cost_ms)?.clone();
-        considered.retain(|(name, _)| *name != best.0);
-        Some(Decision {
-            worker: best.0,
-            cost_ms: best.1,
-            considered,
-            reason: "lowest predicted time to first token",
-        })
+        let (worker, score) = scored.swap_remove(best?);
+        let considered = scored.into_iter();
+        let considered = considered.map(|(name, score)| (name, score.cost_ms as u64)).collect();
+        Some(Decision { worker, cost_ms: score.cost_ms as u64, considered, reason })
+    }
+}
+
+impl Scored {
+    fn score_all(
+        &self,
+        names: &[name::WorkerName],
+        request: &RouteRequest<'_>,
+        fleet: &Fleet,
+        observations: &Observations,
+        now_ms: u64,
+        scored: &mut Vec<(name::WorkerName, Score)>,
+    ) {
+        for name in names {
+            let Some(worker) = fleet.get(name) else { continue };
+            scored.push((name.clone(), self.score(request, worker, observations, now_ms)));
+        }
     }
 }
--- /dev/null
+++ b/crates/domain/src/route/speeds.rs
@@ -0,0 +1,144 @@
+//! Speeds of workers compared with each other.
+
+use indexmap::IndexMap;
+
+use super::Speed;
+use crate::name;
+
+/// A worker is slow above this multiple of the median of its base model.
+const STRAGGLER_FACTOR: f64 = 3.0;
+/// Time during which a worker must be slow before it is avoided.
+const STRAGGLER_AFTER_MS: u64 = 1_000;
+/// Interval of the requests that find out whether a straggler recovered.
+const PROBE_INTERVAL_MS: u64 = 1_000;
+/// Interval of computing a median; it scans the workers of a base model.
+const MEDIAN_INTERVAL_MS: u64 = 250;
+/// Fewer workers than this have no meaningful median.
+const MIN_COMPARED: usize = 3;
+/// Differences below this are noise rather than a straggler.
+const MIN_SLOW_MS: f64 = 5.0;
+
+/// Speeds of all workers and the medians of their base models.
+#[derive(Clone, Debug, Default)]
+pub struct Speeds {
+    workers: IndexMap<name::WorkerName, (name::BaseModelName, Speed)>,
+    medians: IndexMap<name::BaseModelName, Medians>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Medians {
+    first_token_ms: Option<f64>,
+    between_tokens_ms: Option<f64>,
+    at_ms: u64,
+}
+
+impl Speeds {
+    /// Records the time from sending a request to its first token.
+    pub fn record_first_token(
+        &mut self,
+        worker: &name::WorkerName,
+        base_model: &name::BaseModelName,
+        elapsed_ms: f64,
+        now_ms: u64,
+    ) {
+        self.speed_mut(worker, base_model).record_first_token(elapsed_ms, now_ms);
+        self.compare(worker, now_ms);
+    }
+
+    /// Records the time between two tokens.
+    pub fn record_between_tokens(
+        &mut self,
+        worker: &name::WorkerName,
+        base_model: &name::BaseModelName,
+        elapsed_ms: f64,
+        now_ms: u64,
+    ) {
+        self.speed_mut(worker, base_model).record_between_tokens(elapsed_ms, now_ms);
+        self.compare(worker, now_ms);
+    }
+
+    /// Returns the speed of a worker.
+    #[must_use]
+    pub fn get(&self, worker: &name::WorkerName) -> Option<&Speed> {
+        self.workers.get(worker).map(|(_, speed)| speed)
+    }
+
+    /// Returns whether a worker has been slow for so long that it gets no ordinary work.
+    #[must_use]
+    pub fn is_straggler(&self, worker: &name::WorkerName, now_ms: u64) -> bool {
+        let slow_since_ms = self.get(worker).and_then(Speed::slow_since_ms);
+        slow_since_ms.is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= STRAGGLER_AFTER_MS)
+    }
+
+    /// Returns whether a straggler may get one request now, and counts it if so.
+    pub fn take_probe(&mut self, worker: &name::WorkerName, now_ms: u64) -> bool {
+        let Some((_, speed)) = self.workers.get_mut(worker) else { return false };
+        if speed.probed_ms().is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < PROBE_INTERVAL_MS) {
+            return false;
+        }
+        speed.probe(now_ms);
+        true
+    }
+
+    /// Forgets a worker that is gone.
+    pub fn forget(&mut self, worker: &name::WorkerName) {
+        self.workers.swap_remove(worker);
+    }
+
+    fn speed_mut(
+        &mut self,
+        worker: &name::WorkerName,
+        base_model: &name::BaseModelName,
+    ) -> &mut Speed {
+        let entry = self.workers.entry(worker.clone());
+        &mut entry.or_insert_with(|| (base_model.clone(), Speed::default())).1
+    }
+
+    fn compare(&mut self, worker: &name::WorkerName, now_ms: u64) {
+        let Some((base_model, _)) = self.workers.get(worker) else { return };
+        let base_model = base_model.clone();
+        let medians = self.medians(&base_model, now_ms);
+        let Some((_, speed)) = self.workers.get_mut(worker) else { return };
+        let is_slow = exceeds(speed.first_token_ms(), medians.first_token_ms)
+            || exceeds(speed.between_tokens_ms(), medians.between_tokens_ms);
+        speed.compare(is_slow, now_ms);
+    }
+
+    fn medians(&mut self, base_model: &name::BaseModelName, now_ms: u64) -> Medians {
+        if let Some(medians) = self.medians.get(base_model)
+            && now_ms.saturating_sub(medians.at_ms) < MEDIAN_INTERVAL_MS
+        {
+            return *medians;
+        }
+        let mut first_tokens = Vec::new();
+        let mut between_tokens = Vec::new();
+        for (other_model, speed) in self.workers.values() {
+            if other_model != base_model {
+                continue;
+            }
+            first_tokens.extend(speed.first_token_ms());
+            between_tokens.extend(speed.between_tokens_ms());
+        }
+        let medians = Medians {
+            first_token_ms: median(first_tokens),
+            between_tokens_ms: median(between_tokens),
+            at_ms: now_ms,
+        };
+        self.medians.insert(base_model.clone(), medians);
+        medians
+    }
+}
+
+fn exceeds(value_ms: Option<f64>, median_ms: Option<f64>) -> bool {
+    let (Some(value_ms), Some(median_ms)) = (value_ms, median_ms) else { return false };
+    value_ms > median_ms * STRAGGLER_FACTOR && value_ms - median_ms > MIN_SLOW_MS
+}
+
+fn median(mut values: Vec<f64>) -> Option<f64> {
+    if values.len() < MIN_COMPARED {
+        return None;
+    }
+    let middle = values.len() / 2;
+    let (_, median, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(*median)
+}
--- a/crates/entry/src/control/control.rs
+++ b/crates/entry/src/control/control.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 use jasminetack_domain::adapter;
 use jasminetack_domain::lease;
 use jasminetack_domain::name;
@@ -65,7 +65,7 @@
     /// Handles a message from another thread.
     pub fn receive(&mut self, _cx: CX![], message: Message) {
         match message {
-            Message::Peer { .. } => {}
+            Message::Peer { .. } | Message::Worker(_) => {}
             Message::Platform(platform::Reply::Rows(Ok(page))) => self.apply_rows(page),
             Message::Platform(platform::Reply::Hosts(Ok(hosts))) => self.apply_hosts(hosts),
             Message::Platform(platform::Reply::Rows(Err(error))) => log_failed("rows", &error),
@@ -101,7 +101,7 @@
     }
 
     fn apply_hosts(&mut self, list: wire::HostList) {
-        let mut workers = IndexMap::new();
+        let mut fleet = route::Fleet::default();
         for host in list.hosts {
             let wire::HostRole::Engine { base_model, refuses_old_fencing } = host.role else {
                 continue;
@@ -113,23 +113,20 @@
             let fencing = adapter::FencingNumber::new(1);
             let worker = name.clone();
             self.dispatcher.grant(lease::Grant { worker, fencing, refuses_old_fencing }, address);
-            workers.insert(
-                name.clone(),
-                route::WorkerView {
-                    name,
-                    place: place::Place::new(
-                        name::RegionName::from(host.region),
-                        name::FailureDomainName::from(host.failure_domain),
-                    ),
-                    base_model: name::BaseModelName::from(base_model),
-                    owner: Some(self.host.clone()),
-                    loaded: IndexSet::new(),
-                    outstanding: 0,
-                    leaving: host.leaving,
-                },
-            );
+            fleet.insert(route::WorkerView {
+                name,
+                place: place::Place::new(
+                    name::RegionName::from(host.region),
+                    name::FailureDomainName::from(host.failure_domain),
+                ),
+                base_model: name::BaseModelName::from(base_model),
+                owner: Some(self.host.clone()),
+                loaded: IndexSet::new(),
+                outstanding: 0,
+                leaving: host.leaving,
+            });
         }
-        self.view.workers = workers;
+        self.view.fleet = Arc::new(fleet);
         self.publish();
     }
 
--- a/crates/entry/src/control/message.rs
+++ b/crates/entry/src/control/message.rs
@@ -4,6 +4,7 @@
 use jasminetack_wire::peer;
 
 use crate::platform;
+use crate::traffic;
 
 /// A message to the control thread.
 #[derive(Clone, Debug)]
@@ -17,4 +18,6 @@
         /// Content of the frame.
         body: peer::Body,
     },
+    /// Report of an owned worker.
+    Worker(traffic::WorkerEvent),
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -11,6 +11,7 @@
 
 use crate::clock;
 use crate::control;
+use crate::journal;
 use crate::platform;
 use crate::settings;
 use crate::snapshot;
@@ -54,21 +55,30 @@
     let clock = clock::Clock::start();
     let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
     let (control_sender, control_receiver) = crossbeam_channel::unbounded();
+    let worker_events = control_sender.clone();
     let platform = platform::Client::start(&settings, control_sender)
         .context(ThreadSnafu { part: "the platform threads" })?;
-    let dispatcher = Arc::new(traffic::Dispatcher::new(traffic::EngineClient::new()));
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .thread_name("traffic")
+        .build()
+        .context(ThreadSnafu { part: "the traffic runtime" })?;
+    let dispatcher = Arc::new(traffic::Dispatcher::new(
+        &settings,
+        clock,
+        Arc::new(journal::Journal::new(settings.explain_requests)),
+        worker_events,
+        runtime.handle().clone(),
+    ));
     let control =
         control::Control::new(&settings, platform, Arc::clone(&dispatcher), Arc::clone(&snapshot));
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || control::run(control, &control_receiver))
         .context(ThreadSnafu { part: "the control thread" })?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .thread_name("traffic")
-        .build()
-        .context(ThreadSnafu { part: "the traffic runtime" })?;
     let address = settings.callers_address;
-    let server = traffic::Server::new(settings, snapshot, clock, dispatcher, route::Scored);
+    let batch_places = u32::try_from(settings.engine_batch).unwrap_or(u32::MAX);
+    let router = traffic::Router::new(route::Scored::new(batch_places), rand::random());
+    let server = traffic::Server::new(settings, snapshot, clock, dispatcher, router);
     runtime.block_on(server.serve()).context(ListenSnafu { address })
 }
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -14,7 +14,7 @@
     /// The operators' table.
     pub table: Arc<table::Table>,
     /// The model workers.
-    pub workers: IndexMap<name::WorkerName, route::WorkerView>,
+    pub fleet: Arc<route::Fleet>,
     /// The other daemons, by host.
     pub peers: IndexMap<name::HostName, Peer>,
     /// Addresses of app services by service name, leaving ones left out.
--- a/crates/entry/src/traffic/dispatcher.rs
+++ b/crates/entry/src/traffic/dispatcher.rs
@@ -4,18 +4,26 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use crossbeam_channel::Sender;
 use http_body_util::BodyExt;
 use hyper::header;
 use indexmap::IndexMap;
+use jasminetack_domain::adapter;
 use jasminetack_domain::lease;
 use jasminetack_domain::name;
 use jasminetack_domain::request;
 use jasminetack_wire::engine;
+use tokio::runtime;
 use tokio::sync::mpsc;
 
 use super::answer_event::{AnswerEvent, Refusal};
 use super::engine_client::{EngineClient, EngineError};
 use super::model_order::ModelOrder;
+use super::worker_event::WorkerSummary;
+use crate::clock;
+use crate::control;
+use crate::journal;
+use crate::settings;
 
 /// Events that may wait for a slow reader before the engine is read no further.
 const EVENT_BUFFER: usize = 16;
@@ -26,6 +34,10 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     engines: EngineClient,
+    clock: clock::Clock,
+    journal: Arc<journal::Journal>,
+    control: Sender<control::Message>,
+    runtime: runtime::Handle,
     owned: ArcSwap<IndexMap<name::WorkerName, Arc<Owned>>>,
 }
 
@@ -37,8 +49,27 @@
 
 impl Dispatcher {
     /// Creates a dispatcher that owns no worker.
-    pub fn new(engines: EngineClient) -> Self {
-        Self { engines, owned: ArcSwap::default() }
+    pub fn new(
+        _settings: &settings::Settings,
+        clock: clock::Clock,
+        journal: Arc<journal::Journal>,
+        control: Sender<control::Message>,
+        runtime: runtime::Handle,
+    ) -> Self {
+        let engines = EngineClient::new();
+        Self { engines, clock, journal, control, runtime, owned: ArcSwap::default() }
+    }
+
+    /// Sets how many adapter loads this daemon may have in flight, at least one.
+    pub fn set_load_limit(&self, _loads: usize) {}
+
+    /// Tells that the owner of a worker under a fencing number has ended or finished, so that its
+    /// instances may be unloaded.
+    pub fn former_owner_gone(&self, _worker: &name::WorkerName, _fencing: adapter::FencingNumber) {}
+
+    /// Summarizes the owned workers.
+    pub fn summaries(&self) -> Vec<WorkerSummary> {
+        Vec::new()
     }
 
     /// Starts to serve a worker under a grant.
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -7,8 +7,11 @@
 mod engine_client;
 mod model_call;
 mod model_order;
+mod router;
 mod server;
+mod worker_event;
 
 pub use dispatcher::Dispatcher;
-pub use engine_client::EngineClient;
+pub use router::Router;
 pub use server::Server;
+pub use worker_event::WorkerEvent;
--- a/crates/entry/src/traffic/model_call.rs
+++ b/crates/entry/src/traffic/model_call.rs
@@ -19,6 +19,7 @@
 use super::caller_error::CallerError;
 use super::dispatcher::Dispatcher;
 use super::model_order::ModelOrder;
+use super::router::Router;
 use crate::settings;
 use crate::snapshot;
 
@@ -30,7 +31,7 @@
     pub settings: &'a settings::Settings,
     pub snapshot: &'a snapshot::Snapshot,
     pub dispatcher: &'a Arc<Dispatcher>,
-    pub policy: &'a RoutePolicy,
+    pub router: &'a Router<RoutePolicy>,
     pub request_id: &'a name::RequestId,
     pub team: name::TeamName,
 }
@@ -81,7 +82,7 @@
         let request =
             route::RouteRequest { adapter, base_model, from: &self.settings.place, excluded: &[] };
         let decision =
-            self.policy.choose(&request, &self.snapshot.workers, now_ms).ok_or_else(|| {
+            self.router.choose(&request, &self.snapshot.fleet, now_ms).ok_or_else(|| {
                 CallerError::not_run(
                     StatusCode::SERVICE_UNAVAILABLE,
                     "no_worker",
--- /dev/null
+++ b/crates/entry/src/traffic/router.rs
@@ -0,0 +1,84 @@
+//! Routing decisions and the observations that they rest on.
+
+use jasminetack_domain::name;
+use jasminetack_domain::route;
+use parking_lot::Mutex;
+use rand::SeedableRng;
+
+/// Decides on workers with one policy and keeps what requests observe of workers.
+#[derive(Debug)]
+pub struct Router<RoutePolicy> {
+    policy: RoutePolicy,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    observations: route::Observations,
+    random: rand_pcg::Pcg64Mcg,
+}
+
+impl<RoutePolicy> Router<RoutePolicy>
+where
+    RoutePolicy: route::Policy,
+{
+    /// Creates a router whose random choices follow from a seed.
+    pub fn new(policy: RoutePolicy, seed: u64) -> Self {
+        let random = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+        let state = State { observations: route::Observations::default(), random };
+        Self { policy, state: Mutex::new(state) }
+    }
+
+    /// Chooses a worker, or `None` when no worker can serve the request.
+    pub fn choose(
+        &self,
+        request: &route::RouteRequest<'_>,
+        fleet: &route::Fleet,
+        now_ms: u64,
+    ) -> Option<route::Decision> {
+        let mut state = self.state.lock();
+        let State { observations, random } = &mut *state;
+        self.policy.choose(request, fleet, observations, random, now_ms)
+    }
+
+    /// Counts a request that is sent to a worker; `ended` must follow.
+    pub fn sent(&self, worker: &name::WorkerName) {
+        self.state.lock().observations.sent(worker);
+    }
+
+    /// Counts the end of a request at a worker.
+    pub fn ended(&self, worker: &name::WorkerName) {
+        self.state.lock().observations.ended(worker);
+    }
+
+    /// Takes in the number of requests that came with `Head` or `Progress`.
+    pub fn reported(&self, worker: &name::WorkerName, outstanding: u32, now_ms: u64) {
+        self.state.lock().observations.reported(worker, outstanding, now_ms);
+    }
+
+    /// Records the time from sending a request to its first token.
+    pub fn first_token(
+        &self,
+        worker: &name::WorkerName,
+        base_model: &name::BaseModelName,
+        elapsed_ms: f64,
+        now_ms: u64,
+    ) {
+        let mut state = self.state.lock();
+        let speeds = state.observations.speeds_mut();
+        speeds.record_first_token(worker, base_model, elapsed_ms, now_ms);
+    }
+
+    /// Records the mean time between the tokens of an answer or a part of it.
+    pub fn between_tokens(
+        &self,
+        worker: &name::WorkerName,
+        base_model: &name::BaseModelName,
+        elapsed_ms: f64,
+        now_ms: u64,
+    ) {
+        let mut state = self.state.lock();
+        let speeds = state.observations.speeds_mut();
+        speeds.record_between_tokens(worker, base_model, elapsed_ms, now_ms);
+    }
+}
--- a/crates/entry/src/traffic/server.rs
+++ b/crates/entry/src/traffic/server.rs
@@ -25,6 +25,7 @@
 use super::caller_error::CallerError;
 use super::dispatcher::Dispatcher;
 use super::model_call::ModelCall;
+use super::router::Router;
 use crate::clock;
 use crate::settings;
 use crate::snapshot;
@@ -35,7 +36,7 @@
     snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
     clock: clock::Clock,
     dispatcher: Arc<Dispatcher>,
-    policy: RoutePolicy,
+    router: Router<RoutePolicy>,
     connections: Arc<Semaphore>,
     next_request: AtomicU64,
 }
@@ -50,11 +51,11 @@
         snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
         clock: clock::Clock,
         dispatcher: Arc<Dispatcher>,
-        policy: RoutePolicy,
+        router: Router<RoutePolicy>,
     ) -> Self {
         let connections = Arc::new(Semaphore::new(settings.max_connections));
         let next_request = AtomicU64::new(1);
-        Self { settings, snapshot, clock, dispatcher, policy, connections, next_request }
+        Self { settings, snapshot, clock, dispatcher, router, connections, next_request }
     }
 
     /// Serves callers until the listener fails.
@@ -132,7 +133,7 @@
             settings: &self.settings,
             snapshot: &snapshot,
             dispatcher: &self.dispatcher,
-            policy: &self.policy,
+            router: &self.router,
             request_id,
             team,
         };
