Forward model requests between daemons

Cause: each worker has one owning daemon, so other daemons must forward to it. Change: a port for other daemons with a shared secret, a client with pooled connections and one request at a time on each, frame encoding and checked decoding of answers, and a choice between the local dispatcher and a peer. Traffic types are public for the tests.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -7,7 +7,9 @@
 use arc_swap::ArcSwap;
 use jasminetack_domain::route;
 use jasminetack_program::log;
+use jasminetack_wire::peer;
 use snafu::ResultExt;
+use tokio::net::TcpListener;
 
 use crate::clock;
 use crate::control;
@@ -33,7 +35,7 @@
         /// Cause.
         source: std::io::Error,
     },
-    /// The callers' port is not available.
+    /// A port is not available.
     #[snafu(display("cannot listen on {address}: {source}"))]
     Listen {
         /// Address of the port.
@@ -54,7 +56,7 @@
     let clock = clock::Clock::start();
     let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
     let (control_sender, control_receiver) = crossbeam_channel::unbounded();
-    let platform = platform::Client::start(&settings, control_sender)
+    let platform = platform::Client::start(&settings, control_sender.clone())
         .context(ThreadSnafu { part: "the platform threads" })?;
     let dispatcher = Arc::new(traffic::Dispatcher::new(traffic::EngineClient::new()));
     let control =
@@ -68,7 +70,19 @@
         .thread_name("traffic")
         .build()
         .context(ThreadSnafu { part: "the traffic runtime" })?;
+    let hello = peer::Hello {
+        host: settings.host.to_string(),
+        incarnation: 0,
+        secret: settings.peer_secret.clone(),
+    };
+    let peers = traffic::PeerClient::new(hello);
+    let owners = traffic::Owners::new(settings.host.clone(), Arc::clone(&dispatcher), peers);
+    let peer_server =
+        traffic::PeerServer::new(settings.peer_secret.clone(), control_sender, dispatcher);
+    let address = settings.peers_address;
+    let listener = runtime.block_on(TcpListener::bind(address)).context(ListenSnafu { address })?;
+    runtime.spawn(peer_server.serve(listener));
     let address = settings.callers_address;
-    let server = traffic::Server::new(settings, snapshot, clock, dispatcher, route::Scored);
+    let server = traffic::Server::new(settings, snapshot, clock, owners, route::Scored);
     runtime.block_on(server.serve()).context(ListenSnafu { address })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,13 +14,13 @@
 
 #![allow(dead_code)]
 
+pub mod clock;
+pub mod control;
 pub mod daemon;
+pub mod journal;
+pub mod platform;
 pub mod settings;
+pub mod snapshot;
+pub mod traffic;
 
-mod clock;
-mod control;
-mod journal;
 mod metrics;
-mod platform;
-mod snapshot;
-mod traffic;
--- /dev/null
+++ b/crates/entry/src/traffic/answer_encoder.rs
@@ -0,0 +1,63 @@
+//! Encoding of an answer's progress as peer frames.
+
+use jasminetack_domain::request;
+use jasminetack_wire::peer;
+
+use super::answer_event::AnswerEvent;
+
+/// Encodes the events of one request.
+#[derive(Clone, Debug)]
+pub struct AnswerEncoder {
+    request_id: String,
+    next_sequence: u64,
+    outstanding: u32,
+}
+
+impl AnswerEncoder {
+    /// Creates an encoder for the answer to a request.
+    #[must_use]
+    pub fn new(request_id: String) -> Self {
+        Self { request_id, next_sequence: 0, outstanding: 0 }
+    }
+
+    /// Encodes an event.
+    pub fn encode(&mut self, event: AnswerEvent) -> peer::Frame {
+        let request_id = self.request_id.clone();
+        let body = match event {
+            AnswerEvent::Progress { outstanding } => {
+                self.outstanding = outstanding;
+                return self.progress();
+            }
+            AnswerEvent::Head { status, content_type, outstanding } => {
+                self.outstanding = outstanding;
+                let status = u32::from(status);
+                peer::Body::Head(peer::Head { request_id, status, content_type, outstanding })
+            }
+            AnswerEvent::Chunk(data) => {
+                let sequence = self.next_sequence;
+                self.next_sequence += 1;
+                peer::Body::Chunk(peer::Chunk { request_id, sequence, data })
+            }
+            AnswerEvent::End => {
+                peer::Body::End(peer::End { request_id, chunk_count: self.next_sequence })
+            }
+            AnswerEvent::Refused(refusal) => peer::Body::Refused(peer::Refused {
+                request_id,
+                not_run: refusal.outcome == request::Outcome::NotRun,
+                code: refusal.code,
+                message: refusal.message,
+                status: u32::from(refusal.status),
+                retry_after_ms: refusal.retry_after_ms.unwrap_or(0),
+            }),
+        };
+        peer::Frame { body: Some(body) }
+    }
+
+    /// Encodes a sign of life for the time until the next event.
+    #[must_use]
+    pub fn progress(&self) -> peer::Frame {
+        let request_id = self.request_id.clone();
+        let progress = peer::Progress { request_id, outstanding: self.outstanding };
+        peer::Frame { body: Some(peer::Body::Progress(progress)) }
+    }
+}
--- a/crates/entry/src/traffic/engine_client.rs
+++ b/crates/entry/src/traffic/engine_client.rs
@@ -30,6 +30,12 @@
     http: legacy::Client<legacy::connect::HttpConnector, Full<Bytes>>,
 }
 
+impl Default for EngineClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl EngineClient {
     /// Creates a client.
     pub fn new() -> Self {
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -1,5 +1,7 @@
 //! Traffic: callers' connections, upstream streams and forwarded requests.
 
+mod answer_decoder;
+mod answer_encoder;
 mod answer_event;
 mod body;
 mod caller_error;
@@ -7,8 +9,22 @@
 mod engine_client;
 mod model_call;
 mod model_order;
+mod owners;
+mod peer_client;
+mod peer_connection;
+mod peer_server;
 mod server;
+mod start_order;
 
+pub use answer_decoder::{AnswerDecoder, FrameError};
+pub use answer_encoder::AnswerEncoder;
+pub use answer_event::{AnswerEvent, Refusal};
 pub use dispatcher::Dispatcher;
 pub use engine_client::EngineClient;
+pub use model_order::{BadForward, ModelOrder};
+pub use owners::Owners;
+pub use peer_client::PeerClient;
+pub use peer_connection::{PeerStream, connect};
+pub use peer_server::PeerServer;
 pub use server::Server;
+pub use start_order::StartOrder;
--- a/crates/entry/src/traffic/model_call.rs
+++ b/crates/entry/src/traffic/model_call.rs
@@ -1,7 +1,5 @@
 //! Entry side of one model request, from admission to the end of its answer.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 use http_body_util::{Either, channel};
 use hyper::header;
@@ -17,8 +15,9 @@
 use super::answer_event::{AnswerEvent, Refusal};
 use super::body;
 use super::caller_error::CallerError;
-use super::dispatcher::Dispatcher;
 use super::model_order::ModelOrder;
+use super::owners::Owners;
+use super::start_order::StartOrder;
 use crate::settings;
 use crate::snapshot;
 
@@ -26,18 +25,19 @@
 const BODY_BUFFER_CHUNKS: usize = 16;
 
 /// What a model request needs besides its own content.
-pub struct ModelCall<'a, RoutePolicy> {
+pub struct ModelCall<'a, RoutePolicy, Local> {
     pub settings: &'a settings::Settings,
     pub snapshot: &'a snapshot::Snapshot,
-    pub dispatcher: &'a Arc<Dispatcher>,
+    pub owners: &'a Owners<Local>,
     pub policy: &'a RoutePolicy,
     pub request_id: &'a name::RequestId,
     pub team: name::TeamName,
 }
 
-impl<RoutePolicy> ModelCall<'_, RoutePolicy>
+impl<RoutePolicy, Local> ModelCall<'_, RoutePolicy, Local>
 where
     RoutePolicy: route::Policy,
+    Local: StartOrder,
 {
     /// Serves the request at the present time.
     ///
@@ -68,7 +68,7 @@
             path,
             body,
         };
-        let events = self.dispatcher.start(order);
+        let events = self.owners.start(self.snapshot, order).map_err(CallerError::from)?;
         relay(events, self.request_id, &adapter).await
     }
 
--- a/crates/entry/src/traffic/server.rs
+++ b/crates/entry/src/traffic/server.rs
@@ -23,38 +23,40 @@
 
 use super::body;
 use super::caller_error::CallerError;
-use super::dispatcher::Dispatcher;
 use super::model_call::ModelCall;
+use super::owners::Owners;
+use super::start_order::StartOrder;
 use crate::clock;
 use crate::settings;
 use crate::snapshot;
 
 /// Serves callers with one routing policy.
-pub struct Server<RoutePolicy> {
+pub struct Server<RoutePolicy, Local> {
     settings: Arc<settings::Settings>,
     snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
     clock: clock::Clock,
-    dispatcher: Arc<Dispatcher>,
+    owners: Owners<Local>,
     policy: RoutePolicy,
     connections: Arc<Semaphore>,
     next_request: AtomicU64,
 }
 
-impl<RoutePolicy> Server<RoutePolicy>
+impl<RoutePolicy, Local> Server<RoutePolicy, Local>
 where
     RoutePolicy: route::Policy + Send + Sync + 'static,
+    Local: StartOrder + Send + Sync + 'static,
 {
     /// Creates a server that is not listening yet.
     pub fn new(
         settings: Arc<settings::Settings>,
         snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
         clock: clock::Clock,
-        dispatcher: Arc<Dispatcher>,
+        owners: Owners<Local>,
         policy: RoutePolicy,
     ) -> Self {
         let connections = Arc::new(Semaphore::new(settings.max_connections));
         let next_request = AtomicU64::new(1);
-        Self { settings, snapshot, clock, dispatcher, policy, connections, next_request }
+        Self { settings, snapshot, clock, owners, policy, connections, next_request }
     }
 
     /// Serves callers until the listener fails.
@@ -131,7 +133,7 @@
         let call = ModelCall {
             settings: &self.settings,
             snapshot: &snapshot,
-            dispatcher: &self.dispatcher,
+            owners: &self.owners,
             policy: &self.policy,
             request_id,
             team,
--- /dev/null
+++ b/crates/entry/src/traffic/start_order.rs
@@ -0,0 +1,21 @@
+//! Owners of workers as traffic sees them.
+
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+
+use super::answer_event::AnswerEvent;
+use super::dispatcher::Dispatcher;
+use super::model_order::ModelOrder;
+
+/// Starts model requests on the workers that one daemon owns.
+pub trait StartOrder {
+    /// Starts a request; dropping the receiver cancels it.
+    fn start(&self, order: ModelOrder) -> mpsc::Receiver<AnswerEvent>;
+}
+
+impl StartOrder for Arc<Dispatcher> {
+    fn start(&self, order: ModelOrder) -> mpsc::Receiver<AnswerEvent> {
+        Dispatcher::start(self, order)
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/peers.rs
@@ -0,0 +1,214 @@
+//! Tests of forwarding between daemons over real connections.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use jasminetack_domain::adapter;
+use jasminetack_domain::name;
+use jasminetack_domain::request;
+use jasminetack_entry::control;
+use jasminetack_entry::traffic;
+use jasminetack_wire::peer;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time;
+
+const BOUND: Duration = Duration::from_secs(10);
+const SECRET: &str = "peer secret of the test";
+
+/// Owner whose answers the test writes.
+#[derive(Clone)]
+struct ScriptedOwner {
+    started: mpsc::UnboundedSender<(traffic::ModelOrder, mpsc::Sender<traffic::AnswerEvent>)>,
+}
+
+type Started = mpsc::UnboundedReceiver<(traffic::ModelOrder, mpsc::Sender<traffic::AnswerEvent>)>;
+
+impl traffic::StartOrder for ScriptedOwner {
+    fn start(&self, order: traffic::ModelOrder) -> mpsc::Receiver<traffic::AnswerEvent> {
+        let (sender, receiver) = mpsc::channel(8);
+        self.started.send((order, sender)).unwrap();
+        receiver
+    }
+}
+
+async fn serve() -> (SocketAddr, Started, crossbeam_channel::Receiver<control::Message>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (started, orders) = mpsc::unbounded_channel();
+    let (control, messages) = crossbeam_channel::unbounded();
+    let server = traffic::PeerServer::new(SECRET.to_owned(), control, ScriptedOwner { started });
+    tokio::spawn(server.serve(listener));
+    (address, orders, messages)
+}
+
+fn hello(secret: &str) -> peer::Hello {
+    peer::Hello { host: "e1".to_owned(), incarnation: 1, secret: secret.to_owned() }
+}
+
+fn order(request_id: &str) -> traffic::ModelOrder {
+    traffic::ModelOrder {
+        request_id: name::RequestId::from(request_id),
+        worker: name::WorkerName::from("w1"),
+        adapter: adapter::AdapterRef::new(name::AdapterName::from("offer"), 1),
+        team: name::TeamName::from("desk"),
+        weight: 1,
+        share: 1,
+        class: request::Class::Normal,
+        remaining_ms: 1_000,
+        path: "/v1/completions".to_owned(),
+        body: "{}".into(),
+    }
+}
+
+fn head() -> traffic::AnswerEvent {
+    traffic::AnswerEvent::Head { status: 200, content_type: "text/plain".into(), outstanding: 1 }
+}
+
+async fn next(events: &mut mpsc::Receiver<traffic::AnswerEvent>) -> traffic::AnswerEvent {
+    loop {
+        let event = time::timeout(BOUND, events.recv()).await.unwrap().unwrap();
+        if !matches!(event, traffic::AnswerEvent::Progress { .. }) {
+            return event;
+        }
+    }
+}
+
+async fn refusal(events: &mut mpsc::Receiver<traffic::AnswerEvent>) -> traffic::Refusal {
+    match next(events).await {
+        traffic::AnswerEvent::Refused(refusal) => refusal,
+        event => panic!("not a refusal: {event:?}"),
+    }
+}
+
+/// Guards against lost or changed answers, also when a connection serves a second request.
+#[tokio::test]
+async fn answers_come_back_and_the_connection_is_used_again() {
+    let (address, mut orders, _messages) = serve().await;
+    let client = traffic::PeerClient::new(hello(SECRET));
+    for request_id in ["r1", "r2"] {
+        let mut events = client.start(address, order(request_id));
+        let (received, answer) = time::timeout(BOUND, orders.recv()).await.unwrap().unwrap();
+        assert_eq!(received, order(request_id));
+        let chunk = traffic::AnswerEvent::Chunk(request_id.to_owned().into());
+        for event in [head(), chunk, traffic::AnswerEvent::End] {
+            answer.send(event.clone()).await.unwrap();
+            assert_eq!(next(&mut events).await, event);
+        }
+    }
+}
+
+/// Guards against a queued request that runs although its caller hung up.
+#[tokio::test]
+async fn dropped_receiver_cancels_at_the_owner() {
+    let (address, mut orders, _messages) = serve().await;
+    let client = traffic::PeerClient::new(hello(SECRET));
+    let events = client.start(address, order("r1"));
+    let (_, answer) = time::timeout(BOUND, orders.recv()).await.unwrap().unwrap();
+    drop(events);
+    time::timeout(BOUND, answer.closed()).await.expect("the owner sees the cancellation");
+}
+
+/// Guards against a silent engine that passes for a lost owner.
+#[tokio::test]
+async fn owner_reports_progress_while_the_engine_is_silent() {
+    let (address, mut orders, _messages) = serve().await;
+    let client = traffic::PeerClient::new(hello(SECRET));
+    let mut events = client.start(address, order("r1"));
+    let (_, answer) = time::timeout(BOUND, orders.recv()).await.unwrap().unwrap();
+    for _ in 0..5 {
+        let event = time::timeout(BOUND, events.recv()).await.unwrap().unwrap();
+        assert!(matches!(event, traffic::AnswerEvent::Progress { .. }), "{event:?}");
+    }
+    answer.send(head()).await.unwrap();
+    assert_eq!(next(&mut events).await, head());
+}
+
+/// Guards against a not-run refusal that loses its guarantee on the way.
+#[tokio::test]
+async fn refusals_keep_their_outcome() {
+    let (address, mut orders, _messages) = serve().await;
+    let client = traffic::PeerClient::new(hello(SECRET));
+    for expected in [
+        traffic::Refusal::not_run(503, "not_owner", "not the owner"),
+        traffic::Refusal::unknown(502, "engine_failed", "the engine failed"),
+    ] {
+        let mut events = client.start(address, order("r1"));
+        let (_, answer) = time::timeout(BOUND, orders.recv()).await.unwrap().unwrap();
+        answer.send(traffic::AnswerEvent::Refused(expected.clone())).await.unwrap();
+        assert_eq!(refusal(&mut events).await, expected);
+    }
+}
+
+/// Guards against `unknown` for a request that was never sent.
+#[tokio::test]
+async fn unreachable_owner_is_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let client = traffic::PeerClient::new(hello(SECRET));
+    let refusal = refusal(&mut client.start(address, order("r1"))).await;
+    assert_eq!(refusal.outcome, request::Outcome::NotRun);
+}
+
+/// Guards against `not-run` when the owner may have started, and against waiting forever.
+#[tokio::test]
+async fn lost_or_faulty_owner_is_unknown() {
+    for reply in ["", "silent", "\0\0\0\x05hello", "\u{7f}\u{7f}\u{7f}\u{7f}"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let client = traffic::PeerClient::new(hello(SECRET));
+        let mut events = client.start(address, order("r1"));
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut connection: traffic::PeerStream =
+            tokio_util::codec::Framed::new(stream, Default::default());
+        let frames = [connection.next().await, connection.next().await];
+        assert!(frames.iter().all(|frame| matches!(frame, Some(Ok(_)))), "{frames:?}");
+        match reply {
+            "" => drop(connection),
+            "silent" => {}
+            bytes => connection.get_mut().write_all(bytes.as_bytes()).await.unwrap(),
+        }
+        assert_eq!(refusal(&mut events).await.outcome, request::Outcome::Unknown, "{reply:?}");
+    }
+}
+
+/// Guards against control messages and requests of senders that do not know the secret.
+#[tokio::test]
+async fn control_messages_need_the_secret() {
+    let (address, mut orders, messages) = serve().await;
+    let heartbeat = peer::Heartbeat { host: "e1".to_owned(), ..Default::default() };
+    let frame = peer::Frame { body: Some(peer::Body::Heartbeat(heartbeat.clone())) };
+    let mut stranger = traffic::connect(address, hello("guess")).await.unwrap();
+    // The server may have closed the connection already.
+    let _ = stranger.send(frame.clone()).await;
+    let events = &mut traffic::PeerClient::new(hello("guess")).start(address, order("r1"));
+    assert!(matches!(refusal(events).await.code.as_str(), "bad_secret" | "owner_lost"));
+    let mut daemon = traffic::connect(address, hello(SECRET)).await.unwrap();
+    daemon.send(frame).await.unwrap();
+    let message = tokio::task::spawn_blocking(move || messages.recv_timeout(BOUND));
+    let control::Message::Peer { from, body } = message.await.unwrap().unwrap() else {
+        panic!("not a peer message");
+    };
+    assert_eq!(from.as_str(), "e1");
+    assert_eq!(body, peer::Body::Heartbeat(heartbeat));
+    assert!(orders.try_recv().is_err(), "no request was started");
+}
+
+/// Guards against a crash of the port by truncated or oversized first frames.
+#[tokio::test]
+async fn bad_first_frames_close_the_connection_only() {
+    let (address, mut orders, _messages) = serve().await;
+    for bytes in
+        [&b"\0\0\0"[..], b"\xff\xff\xff\xff", b"\0\0\0\x02\x12\xff", b"GET / HTTP/1.1\r\n\r\n"]
+    {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+        let _ = stream.shutdown().await;
+    }
+    let client = traffic::PeerClient::new(hello(SECRET));
+    let _events = client.start(address, order("r1"));
+    assert!(time::timeout(BOUND, orders.recv()).await.unwrap().is_some());
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -19,9 +19,17 @@
 
 impl<Frame> Default for ProstCodec<Frame> {
     fn default() -> Self {
+        Self::with_max_frame_bytes(MAX_FRAME_BYTES)
+    }
+}
+
+impl<Frame> ProstCodec<Frame> {
+    /// Creates a codec that refuses longer frames.
+    #[must_use]
+    pub fn with_max_frame_bytes(max_frame_bytes: usize) -> Self {
         Self {
             frames: codec::LengthDelimitedCodec::builder()
-                .max_frame_length(MAX_FRAME_BYTES)
+                .max_frame_length(max_frame_bytes)
                 .new_codec(),
             marker: PhantomData,
         }
