--- a/crates/entry/tests/answer_frames.rs
+++ b/crates/entry/tests/answer_frames.rs
@@ -1,5 +1,7 @@
 //! Property tests of forwarded requests and their answers as frames.
 
+#![allow(clippy::unwrap_used)]
+
 use jasminetack_domain::adapter;
 use jasminetack_domain::name;
 use jasminetack_domain::request;
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -1,5 +1,7 @@
 //! Tests of forwarding between daemons over real connections.
 
+#![allow(clippy::unwrap_used)]
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -1,5 +1,7 @@
 //! Property tests of the framing between daemons.
 
+#![allow(clippy::unwrap_used)]
+
 use bytes::BytesMut;
 use jasminetack_wire::codec;
 use jasminetack_wire::peer;
