Add claims of calls that run at most once and budgets of extra requests

Cause: calls that may not be repeated need a claim before they are sent; retries and hedged requests need limits. Change: claim::Claim decides what an attempt may send and what it answers; request::RetryBudget is a token bucket; request::HedgeDelay estimates the p95 time to the first token by class.

--- /dev/null
+++ b/crates/domain/src/claim/mod.rs
@@ -0,0 +1,21 @@
+//! Claims of calls that may run at most once.
+//!
+//! A claim row is inserted before the call is sent and holds the answer afterwards. An open claim is
+//! never taken over, because its holder may still send.
+
+mod answer;
+mod attempt_token;
+#[allow(clippy::module_inception)]
+mod claim;
+mod content_digest;
+mod record;
+mod refusal;
+mod step;
+
+pub use answer::Answer;
+pub use attempt_token::AttemptToken;
+pub use claim::Claim;
+pub use content_digest::ContentDigest;
+pub use record::{Progress, Record};
+pub use refusal::Refusal;
+pub use step::Step;
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 pub mod adapter;
+pub mod claim;
 pub mod lease;
 pub mod name;
 pub mod place;
--- /dev/null
+++ b/crates/domain/tests/request.rs
@@ -0,0 +1,30 @@
+//! Tests of the limits on extra requests.
+
+use jasminetack_domain::request;
+
+/// Guards against hedging most requests, or none, once the usual time is known.
+#[test]
+fn hedge_delay_settles_at_the_tail() {
+    let mut delay = request::HedgeDelay::default();
+    assert_eq!(delay.delay_ms(request::Class::Normal), None);
+    for round in 0..20_000_u64 {
+        // Uniform from 100 to 199 ms: the p95 is 195 ms.
+        delay.record(request::Class::Normal, 100 + round * 37 % 100);
+    }
+    let delay_ms = delay.delay_ms(request::Class::Normal).unwrap();
+    assert!((180..=215).contains(&delay_ms), "{delay_ms}");
+    assert_eq!(delay.delay_ms(request::Class::Urgent), None);
+}
+
+/// Guards against retries that multiply the load when every request fails.
+#[test]
+fn budget_bounds_extra_requests() {
+    let mut budget = request::RetryBudget::new(10);
+    let mut extra = 0;
+    for _ in 0..1_000 {
+        budget.count_request();
+        extra += u32::from(budget.take());
+    }
+    assert!((100..=110).contains(&extra), "{extra}");
+    assert!(!request::RetryBudget::new(0).take());
+}
