Keep claims in the table service with grouped transactions

Cause: calls that run at most once need a claim before they are sent and their answer afterwards. The retention must exceed twice the longest deadline.

--- a/crates/domain/src/claim/claim.rs
+++ b/crates/domain/src/claim/claim.rs
@@ -94,6 +94,11 @@
         Step::ReadBack
     }
 
+    /// The key has a row that cannot be read, which another attempt may have written.
+    pub fn blocked(&mut self) -> Step {
+        self.refuse(Refusal::Open)
+    }
+
     /// The claim can be neither written nor read back. Nothing is sent, since another attempt may
     /// hold the key.
     pub fn unreachable(&mut self) -> Step {
--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -1,6 +1,6 @@
 //! The daemon's monotonic clock.
 
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// Monotonic clock that counts milliseconds since the daemon started.
 #[derive(Clone, Copy, Debug)]
@@ -19,3 +19,10 @@
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 }
+
+/// Returns the wall clock in milliseconds since 1970, for times that other hosts read.
+#[must_use]
+pub fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/entry/src/platform/claim_closer.rs
@@ -0,0 +1,192 @@
+//! Recorded answers, removals and the retention of claims.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+use jasminetack_wire::claim as wire;
+use jasminetack_wire::platform;
+
+use super::Store;
+use crate::clock;
+
+/// Most claims in one transaction.
+const MAX_GROUP: usize = 64;
+/// Closings that wait for the platform; beyond it claims stay open, which is safe.
+const MAX_BACKLOG: usize = 10_000;
+const SHORTEST_BACKOFF: Duration = Duration::from_millis(100);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
+/// Sweeps within one retention time. At 24 h and 400 daemons the platform gets a sweep every 9 s.
+const SWEEPS_PER_RETENTION: u64 = 24;
+
+/// End of a claim: its answer, or its removal.
+#[derive(Clone, Debug)]
+pub struct Closing {
+    pub(super) key: String,
+    pub(super) version: u64,
+    /// The claim with its answer; `None` removes the claim.
+    pub(super) row: Option<wire::ClaimRow>,
+}
+
+/// Closes claims on a thread of its own.
+#[derive(Debug)]
+pub struct ClaimCloser<Storage> {
+    pub(super) store: Storage,
+    pub(super) group_time: Duration,
+    pub(super) retention_ms: u64,
+    backlog: VecDeque<Closing>,
+    backoff: Duration,
+    retry_at: Instant,
+    swept_version: u64,
+}
+
+impl<Storage> ClaimCloser<Storage>
+where
+    Storage: Store,
+{
+    pub(super) fn new(store: Storage, group_time: Duration, retention_ms: u64) -> Self {
+        let backlog = VecDeque::new();
+        let (backoff, retry_at) = (SHORTEST_BACKOFF, Instant::now());
+        Self { store, group_time, retention_ms, backlog, backoff, retry_at, swept_version: 0 }
+    }
+
+    /// Closes claims until every sender is gone.
+    pub(super) fn run(mut self, closings: &Receiver<Closing>) {
+        let mut sweep_at = next_sweep(self.retention_ms);
+        loop {
+            let now = Instant::now();
+            if now >= sweep_at {
+                self.sweep(clock::unix_ms());
+                sweep_at = next_sweep(self.retention_ms);
+            }
+            let wake_at = if self.backlog.is_empty() { sweep_at } else { self.retry_at };
+            match closings.recv_timeout(wake_at.saturating_duration_since(now)) {
+                Ok(closing) => self.push(closing),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            let until = Instant::now() + self.group_time;
+            while let Ok(closing) = closings.recv_deadline(until) {
+                self.push(closing);
+            }
+            if Instant::now() >= self.retry_at {
+                self.write();
+            }
+        }
+    }
+
+    fn push(&mut self, closing: Closing) {
+        if self.backlog.len() >= MAX_BACKLOG {
+            spdlog::error!("claim-left-open", kv: { key = closing.key.as_str() });
+            return;
+        }
+        self.backlog.push_back(closing);
+    }
+
+    /// Writes the backlog; what the platform does not confirm stays for the next time.
+    fn write(&mut self) {
+        while !self.backlog.is_empty() {
+            let count = self.backlog.len().min(MAX_GROUP);
+            let group: Vec<_> = self.backlog.drain(..count).collect();
+            match close(&self.store, group) {
+                Ok(()) => self.backoff = SHORTEST_BACKOFF,
+                Err((error, group)) => {
+                    let error = error.to_string();
+                    spdlog::warn!("claim-close-failed", kv: { error = error.as_str() });
+                    self.backlog.extend(group);
+                    self.retry_at = Instant::now() + self.backoff;
+                    self.backoff = (self.backoff * 2).min(LONGEST_BACKOFF);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Removes claims that are older than the retention time.
+    fn sweep(&mut self, now_unix_ms: u64) {
+        loop {
+            let page = match self.store.rows(wire::CLAIM_PREFIX, self.swept_version) {
+                Ok(page) => page,
+                Err(error) => {
+                    let error = error.to_string();
+                    spdlog::warn!("claim-sweep-failed", kv: { error = error.as_str() });
+                    return;
+                }
+            };
+            let mut expired = Vec::new();
+            let (mut version, mut is_last) = (self.swept_version, page.rows.is_empty());
+            for row in page.rows {
+                if !is_expired(row.value.as_ref(), now_unix_ms, self.retention_ms) {
+                    is_last = true;
+                    break;
+                }
+                version = row.version;
+                if row.value.is_some() {
+                    expired.push(Closing { key: row.key, version: row.version, row: None });
+                }
+            }
+            let count = expired.len();
+            while !expired.is_empty() {
+                let rest = expired.split_off(expired.len().min(MAX_GROUP));
+                if close(&self.store, expired).is_err() {
+                    return;
+                }
+                expired = rest;
+            }
+            self.swept_version = version;
+            if count > 0 {
+                spdlog::info!("claims-swept", kv: { count, version });
+            }
+            if is_last {
+                return;
+            }
+        }
+    }
+}
+
+/// Commits closings that do not depend on each other.
+///
+/// A conflict means that the claim changed since it was read: it was closed already by a write whose
+/// reply was lost, or swept.
+fn close<Storage>(
+    store: &Storage,
+    mut group: Vec<Closing>,
+) -> Result<(), (super::CallError, Vec<Closing>)>
+where
+    Storage: Store,
+{
+    while !group.is_empty() {
+        let mut transaction = platform::Transaction::default();
+        for closing in &group {
+            let (key, version) = (closing.key.clone(), Some(closing.version));
+            transaction.conditions.push(platform::Condition { key, version });
+            let value = closing.row.as_ref().and_then(|row| serde_json::to_value(row).ok());
+            transaction.writes.push(platform::Write { key: closing.key.clone(), value });
+        }
+        let rows = match store.transact(&transaction) {
+            Ok(platform::TransactionReply::Committed { .. }) => return Ok(()),
+            Ok(platform::TransactionReply::Conflict { rows }) => rows,
+            Err(error) => return Err((error, group)),
+        };
+        let before = group.len();
+        group.retain(|closing| !rows.iter().any(|row| row.key == closing.key));
+        if group.len() == before {
+            // A conflict that concerns no closing would repeat without end.
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+fn is_expired(value: Option<&serde_json::Value>, now_unix_ms: u64, retention_ms: u64) -> bool {
+    let Some(value) = value else { return true };
+    let row: Option<wire::ClaimRow> = serde_json::from_value(value.clone()).ok();
+    row.is_some_and(|row| now_unix_ms.saturating_sub(row.claimed_unix_ms) > retention_ms)
+}
+
+fn next_sweep(retention_ms: u64) -> Instant {
+    // Daemons that start together must not sweep together.
+    let interval_ms = (retention_ms / SWEEPS_PER_RETENTION).max(1);
+    let wait_ms = interval_ms / 2 + rand::random_range(0..interval_ms);
+    Instant::now() + Duration::from_millis(wait_ms)
+}
--- /dev/null
+++ b/crates/entry/src/platform/claim_writer.rs
@@ -0,0 +1,213 @@
+//! Inserts of claims, grouped into shared transactions.
+
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, Sender};
+use indexmap::IndexMap;
+use jasminetack_domain::claim;
+use jasminetack_wire::claim as wire;
+use jasminetack_wire::platform;
+use tokio::sync::oneshot;
+
+use super::claim_closer::Closing;
+use super::{HeldClaim, Store};
+use crate::clock;
+
+/// Most claims in one transaction.
+const MAX_GROUP: usize = 64;
+
+/// What became of an attempt to claim a key.
+#[derive(Debug)]
+pub enum Claimed {
+    /// The claim is stored and the call may be sent.
+    Held(HeldClaim),
+    /// The call ran; this is its recorded answer.
+    Replay(claim::Answer),
+    /// The call must not be sent.
+    Refused(claim::Refusal),
+}
+
+/// An attempt to claim a key.
+#[derive(Debug)]
+pub struct Insert {
+    pub(super) key: String,
+    pub(super) attempt: claim::Claim,
+    pub(super) reply: oneshot::Sender<Claimed>,
+}
+
+/// Writes claims on a thread of its own.
+#[derive(Debug)]
+pub struct ClaimWriter<Storage> {
+    pub(super) store: Storage,
+    pub(super) group_time: Duration,
+    pub(super) closings: Sender<Closing>,
+}
+
+impl<Storage> ClaimWriter<Storage>
+where
+    Storage: Store,
+{
+    /// Writes claims until every sender of attempts is gone.
+    pub(super) fn run(&self, inserts: &Receiver<Insert>) {
+        while let Ok(first) = inserts.recv() {
+            let mut group = vec![first];
+            let until = Instant::now() + self.group_time;
+            while group.len() < MAX_GROUP {
+                let Ok(insert) = inserts.recv_deadline(until) else { break };
+                group.push(insert);
+            }
+            while !group.is_empty() {
+                group = self.write_group(group);
+            }
+        }
+    }
+
+    /// Settles one attempt for each key and returns further attempts at the same keys.
+    fn write_group(&self, group: Vec<Insert>) -> Vec<Insert> {
+        let mut open = IndexMap::new();
+        let mut later = Vec::new();
+        for insert in group {
+            // A caller that hung up while the claim waited needs none.
+            if insert.reply.is_closed() {
+                continue;
+            }
+            if open.contains_key(&insert.key) {
+                later.push(insert);
+                continue;
+            }
+            open.insert(insert.key.clone(), insert);
+        }
+        while !open.is_empty() {
+            open = self.write_round(open);
+        }
+        later
+    }
+
+    /// Writes all attempts in one transaction and returns those that must be written again.
+    fn write_round(&self, open: IndexMap<String, Insert>) -> IndexMap<String, Insert> {
+        let now_unix_ms = clock::unix_ms();
+        match self.store.transact(&transaction(&open, now_unix_ms)) {
+            Ok(platform::TransactionReply::Committed { version }) => {
+                for mut insert in open.into_values() {
+                    let step = insert.attempt.inserted();
+                    self.settle(insert, step, version, now_unix_ms);
+                }
+                IndexMap::new()
+            }
+            Ok(platform::TransactionReply::Conflict { rows }) => self.settle_found(open, rows),
+            Err(error) if error.may_have_applied => {
+                log_failed(&error, "insert-unanswered");
+                self.read_back(open)
+            }
+            Err(error) => {
+                log_failed(&error, "insert-failed");
+                self.give_up(open)
+            }
+        }
+    }
+
+    /// Settles the attempts whose keys have a row; the others did not conflict.
+    fn settle_found(
+        &self,
+        mut open: IndexMap<String, Insert>,
+        rows: Vec<platform::StoredRow>,
+    ) -> IndexMap<String, Insert> {
+        let before = open.len();
+        for row in rows {
+            let Some(mut insert) = open.swap_remove(&row.key) else { continue };
+            let (step, claimed_unix_ms) = found(&mut insert.attempt, row.value);
+            if step == claim::Step::Insert {
+                open.insert(insert.key.clone(), insert);
+                continue;
+            }
+            self.settle(insert, step, row.version, claimed_unix_ms);
+        }
+        if open.len() == before {
+            // A conflict that concerns no attempt would repeat without end.
+            return self.give_up(open);
+        }
+        open
+    }
+
+    fn read_back(&self, mut open: IndexMap<String, Insert>) -> IndexMap<String, Insert> {
+        for insert in open.values_mut() {
+            insert.attempt.insert_unanswered();
+        }
+        let request = platform::ReadRequest { keys: open.keys().cloned().collect() };
+        let page = match self.store.read(&request) {
+            Ok(page) => page,
+            Err(error) => {
+                log_failed(&error, "read-back-failed");
+                return self.give_up(open);
+            }
+        };
+        let mut again = IndexMap::new();
+        let mut rows: IndexMap<_, _> =
+            page.rows.into_iter().map(|row| (row.key.clone(), row)).collect();
+        for mut insert in open.into_values() {
+            let (version, value) =
+                rows.swap_remove(&insert.key).map_or((0, None), |row| (row.version, row.value));
+            let (step, claimed_unix_ms) = found(&mut insert.attempt, value);
+            if step == claim::Step::Insert {
+                again.insert(insert.key.clone(), insert);
+                continue;
+            }
+            self.settle(insert, step, version, claimed_unix_ms);
+        }
+        again
+    }
+
+    fn give_up(&self, open: IndexMap<String, Insert>) -> IndexMap<String, Insert> {
+        for mut insert in open.into_values() {
+            let step = insert.attempt.unreachable();
+            self.settle(insert, step, 0, 0);
+        }
+        IndexMap::new()
+    }
+
+    fn settle(&self, insert: Insert, step: claim::Step, version: u64, claimed_unix_ms: u64) {
+        let claimed = match step {
+            claim::Step::Send => Claimed::Held(HeldClaim {
+                key: insert.key,
+                version,
+                claimed_unix_ms,
+                attempt: insert.attempt,
+                closings: self.closings.clone(),
+            }),
+            claim::Step::Replay(answer) => Claimed::Replay(answer),
+            claim::Step::Refuse(refusal) => Claimed::Refused(refusal),
+            claim::Step::Insert | claim::Step::ReadBack => {
+                Claimed::Refused(claim::Refusal::NotClaimed)
+            }
+        };
+        // When the caller hung up, dropping the held claim removes it.
+        let _ = insert.reply.send(claimed);
+    }
+}
+
+fn transaction(open: &IndexMap<String, Insert>, now_unix_ms: u64) -> platform::Transaction {
+    let mut transaction = platform::Transaction::default();
+    for (key, insert) in open {
+        let row = wire::ClaimRow::new(&insert.attempt.open_record(), now_unix_ms);
+        transaction.conditions.push(platform::Condition { key: key.clone(), version: None });
+        let value = serde_json::to_value(row).ok();
+        transaction.writes.push(platform::Write { key: key.clone(), value });
+    }
+    transaction
+}
+
+fn found(attempt: &mut claim::Claim, value: Option<serde_json::Value>) -> (claim::Step, u64) {
+    let Some(value) = value else { return (attempt.found(None), 0) };
+    let row = serde_json::from_value::<wire::ClaimRow>(value).ok();
+    let claimed_unix_ms = row.as_ref().map_or(0, |row| row.claimed_unix_ms);
+    let Some(record) = row.and_then(|row| claim::Record::try_from(row).ok()) else {
+        // A row that cannot be read blocks the key like an open claim.
+        return (attempt.blocked(), 0);
+    };
+    (attempt.found(Some(&record)), claimed_unix_ms)
+}
+
+fn log_failed(error: &super::CallError, step: &'static str) {
+    let error = error.to_string();
+    spdlog::warn!("claim-write-failed", kv: { step, error = error.as_str() });
+}
--- /dev/null
+++ b/crates/entry/src/platform/claims.rs
@@ -0,0 +1,62 @@
+//! Claims of calls that run at most once, kept in the table service.
+
+use std::io;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::Sender;
+use jasminetack_domain::claim;
+use tokio::sync::oneshot;
+
+use super::Store;
+use super::claim_closer::ClaimCloser;
+use super::claim_writer::{ClaimWriter, Claimed, Insert};
+
+/// Threads that write claims, so that one slow transaction does not hold up all others.
+const WRITER_COUNT: usize = 2;
+/// Attempts that wait for a writer; further ones are refused.
+const MAX_WAITING: usize = 1_024;
+
+/// Claims keys for calls that run at most once; clones share the threads.
+#[derive(Clone, Debug)]
+pub struct Claims {
+    inserts: Sender<Insert>,
+}
+
+impl Claims {
+    /// Starts the threads; attempts that arrive within `group_ms` share a transaction.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a thread cannot be started.
+    pub fn start<Storage>(store: &Storage, group_ms: u64, retention_ms: u64) -> io::Result<Self>
+    where
+        Storage: Store + Clone + Send + 'static,
+    {
+        let group_time = Duration::from_millis(group_ms);
+        let (inserts, receiver) = crossbeam_channel::bounded(MAX_WAITING);
+        let (closings, closing_receiver) = crossbeam_channel::unbounded();
+        for index in 0..WRITER_COUNT {
+            let closings = closings.clone();
+            let writer = ClaimWriter { store: store.clone(), group_time, closings };
+            let receiver = receiver.clone();
+            thread::Builder::new()
+                .name(format!("claims-{index}"))
+                .spawn(move || writer.run(&receiver))?;
+        }
+        let closer = ClaimCloser::new(store.clone(), group_time, retention_ms);
+        thread::Builder::new()
+            .name("claims-close".to_owned())
+            .spawn(move || closer.run(&closing_receiver))?;
+        Ok(Self { inserts })
+    }
+
+    /// Claims a key for an attempt.
+    pub async fn claim(&self, key: String, attempt: claim::Claim) -> Claimed {
+        let (reply, claimed) = oneshot::channel();
+        if self.inserts.try_send(Insert { key, attempt, reply }).is_err() {
+            return Claimed::Refused(claim::Refusal::NotClaimed);
+        }
+        claimed.await.unwrap_or(Claimed::Refused(claim::Refusal::NotClaimed))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/platform/held_claim.rs
@@ -0,0 +1,52 @@
+//! Claims that this daemon holds.
+
+use crossbeam_channel::Sender;
+use jasminetack_domain::claim;
+use jasminetack_wire::claim as wire;
+
+use super::claim_closer::Closing;
+
+/// A stored claim of this daemon; dropping it removes the claim if no byte of the call was sent.
+#[derive(Debug)]
+pub struct HeldClaim {
+    pub(super) key: String,
+    pub(super) version: u64,
+    pub(super) claimed_unix_ms: u64,
+    pub(super) attempt: claim::Claim,
+    pub(super) closings: Sender<Closing>,
+}
+
+impl HeldClaim {
+    /// Allows to send the call once.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the call was sent or the claim is too old.
+    pub fn begin_send(&mut self, now_ms: u64) -> Result<(), claim::Refusal> {
+        self.attempt.begin_send(now_ms)
+    }
+
+    /// The connection failed before any byte of the call was sent.
+    pub fn unsent(&mut self) {
+        self.attempt.unsent();
+    }
+
+    /// Records the answer of the call in the background, with retries.
+    pub fn record(self, answer: claim::Answer) {
+        let record = self.attempt.done_record(answer);
+        self.close(Some(wire::ClaimRow::new(&record, self.claimed_unix_ms)));
+    }
+
+    fn close(&self, row: Option<wire::ClaimRow>) {
+        // The receiver lives as long as the process.
+        let _ = self.closings.send(Closing { key: self.key.clone(), version: self.version, row });
+    }
+}
+
+impl Drop for HeldClaim {
+    fn drop(&mut self) {
+        if self.attempt.may_remove() {
+            self.close(None);
+        }
+    }
+}
--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -335,5 +335,11 @@
             let value = Some(self.lease_ttl_ms.to_string());
             reader.problem("--lease-ttl-ms", value, "a number above --lease-renew-ms");
         }
+        // A claim that is removed while its call may still be sent would allow a second run.
+        if self.claim_retention_ms <= 2 * self.max_timeout_ms {
+            let value = Some(self.claim_retention_ms.to_string());
+            let allowed = "a number above twice --max-timeout-ms";
+            reader.problem("--claim-retention-ms", value, allowed);
+        }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 //! assert_eq!(page.head_version, 7);
 //! ```
 
+pub mod claim;
 pub mod codec;
 pub mod engine;
 pub mod failure;
