--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lease;
 pub mod name;
 pub mod place;
+pub mod quota;
 pub mod request;
 pub mod route;
 pub mod table;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -13,6 +13,9 @@
 
 use crate::clock;
 use crate::control;
+use crate::journal;
+use crate::metrics;
+use crate::ops;
 use crate::platform;
 use crate::settings;
 use crate::snapshot;
@@ -55,8 +58,18 @@
     let settings = Arc::new(settings);
     let clock = clock::Clock::start();
     let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
+    let metrics = Arc::new(metrics::Metrics::new());
+    let journal = Arc::new(journal::Journal::new(settings.explain_requests));
+    let ops = ops::Ops {
+        host: settings.host.clone(),
+        clock,
+        snapshot: Arc::clone(&snapshot),
+        metrics: Arc::clone(&metrics),
+        journal: Arc::clone(&journal),
+    };
+    ops.start(settings.ops_address).context(ListenSnafu { address: settings.ops_address })?;
     let (control_sender, control_receiver) = crossbeam_channel::unbounded();
-    let platform = platform::Client::start(&settings, control_sender.clone())
+    let platform = platform::Client::start(&settings, control_sender.clone(), &metrics)
         .context(ThreadSnafu { part: "the platform threads" })?;
     let dispatcher = Arc::new(traffic::Dispatcher::new(traffic::EngineClient::new()));
     let control =
@@ -83,6 +96,7 @@
     let listener = runtime.block_on(TcpListener::bind(address)).context(ListenSnafu { address })?;
     runtime.spawn(peer_server.serve(listener));
     let address = settings.callers_address;
-    let server = traffic::Server::new(settings, snapshot, clock, owners, route::Scored);
+    let server =
+        traffic::Server::new(settings, snapshot, clock, owners, route::Scored, metrics, journal);
     runtime.block_on(server.serve()).context(ListenSnafu { address })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod snapshot;
 pub mod traffic;
 
-mod metrics;
+pub mod metrics;
+mod ops;
