--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -7,7 +7,9 @@
 use arc_swap::ArcSwap;
 use jasminetack_domain::route;
 use jasminetack_program::log;
+use jasminetack_wire::peer;
 use snafu::ResultExt;
+use tokio::net::TcpListener;
 
 use crate::clock;
 use crate::control;
@@ -68,7 +70,7 @@
     ops.start(settings.ops_address).context(ListenSnafu { address: settings.ops_address })?;
     let (control_sender, control_receiver) = crossbeam_channel::unbounded();
     let worker_events = control_sender.clone();
-    let platform = platform::Client::start(&settings, control_sender, &metrics)
+    let platform = platform::Client::start(&settings, control_sender.clone(), &metrics)
         .context(ThreadSnafu { part: "the platform threads" })?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -88,10 +90,21 @@
         .name("control".to_owned())
         .spawn(move || control::run(control, &control_receiver))
         .context(ThreadSnafu { part: "the control thread" })?;
+    let hello = peer::Hello {
+        host: settings.host.to_string(),
+        incarnation: 0,
+        secret: settings.peer_secret.clone(),
+    };
+    let peers = traffic::PeerClient::new(hello);
+    let owners = traffic::Owners::new(settings.host.clone(), Arc::clone(&dispatcher), peers);
+    let peer_server =
+        traffic::PeerServer::new(settings.peer_secret.clone(), control_sender, dispatcher);
+    let address = settings.peers_address;
+    let listener = runtime.block_on(TcpListener::bind(address)).context(ListenSnafu { address })?;
+    runtime.spawn(peer_server.serve(listener));
     let address = settings.callers_address;
     let batch_places = u32::try_from(settings.engine_batch).unwrap_or(u32::MAX);
     let router = traffic::Router::new(route::Scored::new(batch_places), rand::random());
-    let server =
-        traffic::Server::new(settings, snapshot, clock, dispatcher, router, metrics, journal);
+    let server = traffic::Server::new(settings, snapshot, clock, owners, router, metrics, journal);
     runtime.block_on(server.serve()).context(ListenSnafu { address })
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -70,6 +70,12 @@
     pub ready: Gauge,
 }
 
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Metrics {
     /// Registers all metrics.
     pub fn new() -> Self {
--- a/crates/entry/src/traffic/server.rs
+++ b/crates/entry/src/traffic/server.rs
@@ -24,9 +24,10 @@
 
 use super::body;
 use super::caller_error::CallerError;
-use super::dispatcher::Dispatcher;
 use super::model_call::ModelCall;
+use super::owners::Owners;
 use super::router::Router;
+use super::start_order::StartOrder;
 use crate::clock;
 use crate::journal;
 use crate::metrics;
@@ -34,11 +35,11 @@
 use crate::snapshot;
 
 /// Serves callers with one routing policy.
-pub struct Server<RoutePolicy> {
+pub struct Server<RoutePolicy, Local> {
     settings: Arc<settings::Settings>,
     snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
     clock: clock::Clock,
-    dispatcher: Arc<Dispatcher>,
+    owners: Owners<Local>,
     metrics: Arc<metrics::Metrics>,
     journal: Arc<journal::Journal>,
     router: Router<RoutePolicy>,
@@ -46,16 +47,17 @@
     next_request: AtomicU64,
 }
 
-impl<RoutePolicy> Server<RoutePolicy>
+impl<RoutePolicy, Local> Server<RoutePolicy, Local>
 where
     RoutePolicy: route::Policy + Send + Sync + 'static,
+    Local: StartOrder + Send + Sync + 'static,
 {
     /// Creates a server that is not listening yet.
     pub fn new(
         settings: Arc<settings::Settings>,
         snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
         clock: clock::Clock,
-        dispatcher: Arc<Dispatcher>,
+        owners: Owners<Local>,
         router: Router<RoutePolicy>,
         metrics: Arc<metrics::Metrics>,
         journal: Arc<journal::Journal>,
@@ -66,7 +68,7 @@
             settings,
             snapshot,
             clock,
-            dispatcher,
+            owners,
             router,
             metrics,
             journal,
@@ -151,7 +153,7 @@
         let call = ModelCall {
             settings: &self.settings,
             snapshot: &snapshot,
-            dispatcher: &self.dispatcher,
+            owners: &self.owners,
             journal: &self.journal,
             router: &self.router,
             request_id,
