Count requests in flight and name the messages from traffic to control

A graceful shutdown needs to know when the last request is answered, and the control thread needs to learn of loaded adapters, drained ownerships and refused fencing numbers. InFlight is an atomic counter with guards and a wait that does not spin; control::Message carries the notices.

--- a/crates/entry/src/control/control.rs
+++ b/crates/entry/src/control/control.rs
@@ -65,7 +65,12 @@
     /// Handles a message from another thread.
     pub fn receive(&mut self, _cx: CX![], message: Message) {
         match message {
-            Message::Peer { .. } => {}
+            Message::Peer { .. }
+            | Message::Loaded { .. }
+            | Message::Drained { .. }
+            | Message::Superseded { .. }
+            | Message::Terminate
+            | Message::Idle => {}
             Message::Platform(platform::Reply::Rows(Ok(page))) => self.apply_rows(page),
             Message::Platform(platform::Reply::Hosts(Ok(hosts))) => self.apply_hosts(hosts),
             Message::Platform(platform::Reply::Rows(Err(error))) => log_failed("rows", &error),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 #![allow(dead_code)]
 
 pub mod daemon;
+pub mod in_flight;
 pub mod settings;
 
 mod clock;
