--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod adapter;
 pub mod lease;
+pub mod member;
 pub mod name;
 pub mod place;
 pub mod request;
--- /dev/null
+++ b/crates/domain/src/member/fixed_timeout.rs
@@ -0,0 +1,28 @@
+//! Detector with a fixed timeout.
+
+use super::Detector;
+
+/// Suspects a sender after a fixed time of silence.
+#[derive(Clone, Debug)]
+pub struct FixedTimeout {
+    timeout_ms: u64,
+    last_ms: u64,
+}
+
+impl FixedTimeout {
+    /// Creates a detector whose silence starts now.
+    #[must_use]
+    pub fn new(timeout_ms: u64, now_ms: u64) -> Self {
+        Self { timeout_ms, last_ms: now_ms }
+    }
+}
+
+impl Detector for FixedTimeout {
+    fn arrived(&mut self, now_ms: u64) {
+        self.last_ms = now_ms;
+    }
+
+    fn suspected_from_ms(&self) -> u64 {
+        self.last_ms + self.timeout_ms
+    }
+}
--- a/crates/domain/src/table/mod.rs
+++ b/crates/domain/src/table/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' table: rows, versions and the rules for applying changes.
 
 mod adapter_row;
+mod freshness;
 mod key_hash;
 mod limits;
 mod resolve_error;
@@ -12,6 +13,7 @@
 mod team_row;
 
 pub use adapter_row::AdapterRow;
+pub use freshness::{Freshness, Standing};
 pub use key_hash::KeyHash;
 pub use limits::Limits;
 pub use resolve_error::ResolveError;
--- /dev/null
+++ b/crates/domain/tests/member.rs
@@ -0,0 +1,103 @@
+//! Tests of membership, detectors and rumors.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use jasminetack_domain::lease;
+use jasminetack_domain::member::{self, Detector};
+use jasminetack_domain::name;
+use jasminetack_domain::place;
+
+fn observe(membership: &mut member::Membership, host: &str, region: &str) {
+    let row = lease::SessionRow {
+        host: name::HostName::from(host),
+        incarnation: lease::Incarnation::new(1),
+        state: lease::SessionState::Live,
+        renewals: 0,
+        table_version: 0,
+        host_incarnation: 0,
+        place: place::Place::new(
+            name::RegionName::from(region),
+            name::FailureDomainName::from("a"),
+        ),
+        peers_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+    };
+    membership.observe(lease::Stored::new(1, row), 0);
+}
+
+/// Guards against one monitor with a broken link making everybody avoid a healthy daemon.
+#[test]
+fn daemon_is_suspected_by_more_than_half_of_its_monitors_only() {
+    let mut membership = member::Membership::new(name::HostName::from("a"), 3);
+    for host in ["a", "b", "c", "d", "e"] {
+        observe(&mut membership, host, "north");
+    }
+    let accused =
+        lease::Holder { host: name::HostName::from("b"), incarnation: lease::Incarnation::new(1) };
+    let monitors: Vec<_> = membership.monitors_of(&accused.host).into_iter().cloned().collect();
+    assert_eq!(monitors.len(), 3);
+    assert!(!membership.accuse(&accused, &monitors[0], true));
+    assert!(membership.accuse(&accused, &monitors[1], true));
+    assert!(membership.is_suspected(&accused.host));
+    assert!(membership.accuse(&accused, &monitors[0], false));
+    assert!(!membership.is_suspected(&accused.host));
+}
+
+/// Guards against a region with one daemon that nobody would monitor.
+#[test]
+fn monitors_come_from_other_regions_when_the_own_has_too_few() {
+    let mut membership = member::Membership::new(name::HostName::from("a"), 3);
+    for (host, region) in [("a", "north"), ("b", "north"), ("c", "south"), ("d", "south")] {
+        observe(&mut membership, host, region);
+    }
+    let monitors = membership.monitors_of(&name::HostName::from("a"));
+    assert_eq!(monitors.len(), 3);
+    assert_eq!(monitors[0].as_str(), "b");
+}
+
+/// Guards against a detector that follows regular intervals wrongly or never suspects.
+#[test]
+fn detectors_expect_the_next_heartbeat_and_suspect_silence() {
+    let mut fixed = member::FixedTimeout::new(1_500, 0);
+    let mut deviation = member::MeanDeviation::new(4.0, 1_000, 1_500, 0);
+    let mut grey = member::GreyPrediction::new(1_000, 1_500, 0);
+    for beat in 1..=20 {
+        fixed.arrived(beat * 500);
+        deviation.arrived(beat * 500);
+        grey.arrived(beat * 500);
+    }
+    assert!((grey.predicted_ms() - 500.0).abs() < 1.0, "{}", grey.predicted_ms());
+    for suspected_from_ms in
+        [fixed.suspected_from_ms(), deviation.suspected_from_ms(), grey.suspected_from_ms()]
+    {
+        assert!((11_498..=11_502).contains(&suspected_from_ms), "{suspected_from_ms}");
+    }
+}
+
+/// Guards against an old event replacing a newer one, and against digests that hide a difference.
+#[test]
+fn digests_differ_exactly_where_rumors_differ() {
+    let rumor = |subject: &str, version, state| member::Rumor {
+        subject: Arc::from(subject),
+        version,
+        state,
+    };
+    let (mut one, mut other) = (member::Rumors::default(), member::Rumors::default());
+    for index in 0..200 {
+        let subject = format!("worker/w{index}");
+        one.learn(rumor(&subject, 1, 'a'));
+        other.learn(rumor(&subject, 1, 'a'));
+    }
+    assert!(one.differing(other.digest()).is_empty());
+    assert_eq!(one.learn(rumor("worker/w7", 2, 'b')), member::Learned::New);
+    assert_eq!(one.learn(rumor("worker/w7", 1, 'c')), member::Learned::Known);
+    let buckets = other.differing(one.digest());
+    assert_eq!(buckets.len(), 1);
+    for rumor in one.in_buckets(&buckets) {
+        other.learn(rumor);
+    }
+    assert!(one.differing(other.digest()).is_empty());
+    one.forget("worker/w7");
+    other.forget("worker/w7");
+    assert!(one.differing(other.digest()).is_empty());
+}
