--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod member;
 pub mod name;
 pub mod place;
+pub mod quota;
 pub mod request;
 pub mod route;
 pub mod table;
