Encode sessions, owners and gossip states

Rows of the table service are JSON and convert with TryFrom; gossip carries prost states without renewal counters, since a renewal is no event.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod codec;
 pub mod engine;
 pub mod failure;
+pub mod lease_row;
 pub mod peer;
 pub mod platform;
 pub mod row;
+pub mod spread;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -2,11 +2,13 @@
 
 use prost::{Message, Oneof};
 
+use crate::spread;
+
 /// One message on a connection between daemons.
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// Content of the message.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 20, 21, 22, 23")]
     pub body: Option<Body>,
 }
 
@@ -40,6 +42,18 @@
     /// Events that spread from daemon to daemon.
     #[prost(message, tag = "9")]
     Gossip(Gossip),
+    /// Comparison of all known events.
+    #[prost(message, tag = "20")]
+    Digest(spread::Digest),
+    /// Asks for a heartbeat.
+    #[prost(message, tag = "21")]
+    StatusRequest(spread::StatusRequest),
+    /// Asks for table rows.
+    #[prost(message, tag = "22")]
+    RowsRequest(spread::RowsRequest),
+    /// Table rows.
+    #[prost(message, tag = "23")]
+    Rows(spread::Rows),
 }
 
 /// Identifies the sender and proves that it knows the shared secret.
@@ -185,9 +199,13 @@
     /// Table version in force at the sender.
     #[prost(uint64, tag = "4")]
     pub table_version: u64,
-    /// Time since the platform confirmed that version, directly or through peers.
-    #[prost(uint64, tag = "5")]
-    pub table_age_ms: u64,
+    /// Time since the platform confirmed that version, directly or through peers; missing when it
+    /// never did.
+    #[prost(uint64, optional, tag = "5")]
+    pub table_age_ms: Option<u64>,
+    /// Version of the sender's session row after its last renewal; 0 before the first.
+    #[prost(uint64, tag = "6")]
+    pub session_version: u64,
 }
 
 /// Events that spread from daemon to daemon.
@@ -196,12 +214,16 @@
     /// The events.
     #[prost(message, repeated, tag = "1")]
     pub events: Vec<Event>,
+    /// Buckets of which the sender listed every event and wants the receiver's newer ones.
+    #[prost(uint32, repeated, tag = "2")]
+    pub wanted_buckets: Vec<u32>,
 }
 
 /// State of one subject; a higher version replaces a lower one.
 #[derive(Clone, PartialEq, Message)]
 pub struct Event {
-    /// What the event is about: `session/HOST`, `worker/WORKER` or `table`.
+    /// What the event is about: `session/HOST`, `owner/WORKER`, `worker/WORKER`,
+    /// `suspect/HOST/MONITOR` or `table`.
     #[prost(string, tag = "1")]
     pub subject: String,
     /// Version of the state.
