--- a/crates/domain/src/lease/session_row.rs
+++ b/crates/domain/src/lease/session_row.rs
@@ -25,6 +25,8 @@
     pub place: place::Place,
     /// Address of the port for other daemons.
     pub peers_address: SocketAddr,
+    /// Address of the operations port, for operators; not known from gossip.
+    pub ops_address: Option<SocketAddr>,
 }
 
 impl SessionRow {
--- a/crates/domain/src/table/mod.rs
+++ b/crates/domain/src/table/mod.rs
@@ -2,6 +2,10 @@
 
 mod adapter_row;
 mod freshness;
+mod difference;
+mod edit;
+mod edit_problem;
+mod edit_rules;
 mod key_hash;
 mod limits;
 mod resolve_error;
@@ -14,6 +18,9 @@
 
 pub use adapter_row::AdapterRow;
 pub use freshness::{Freshness, Standing};
+pub use difference::{Change, Difference};
+pub use edit::{Edit, check_edits};
+pub use edit_problem::{EditProblem, EditRule};
 pub use key_hash::KeyHash;
 pub use limits::Limits;
 pub use resolve_error::ResolveError;
--- a/crates/domain/tests/lease.rs
+++ b/crates/domain/tests/lease.rs
@@ -21,6 +21,7 @@
         host_incarnation: 3,
         place: place("north", "a"),
         peers_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        ops_address: None,
     }
 }
 
--- a/crates/domain/tests/member.rs
+++ b/crates/domain/tests/member.rs
@@ -21,6 +21,7 @@
             name::FailureDomainName::from("a"),
         ),
         peers_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        ops_address: None,
     };
     membership.observe(lease::Stored::new(1, row), 0);
 }
--- /dev/null
+++ b/crates/entry/src/control/host_list.rs
@@ -0,0 +1,122 @@
+//! The platform's host list as last read.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use jasminetack_domain::lease;
+use jasminetack_domain::name;
+use jasminetack_domain::place;
+use jasminetack_wire::platform as wire;
+
+/// Hosts by role; the last list is kept while the platform is out of reach.
+#[derive(Debug, Default)]
+pub struct HostList {
+    last: wire::HostList,
+    workers: IndexMap<name::WorkerName, WorkerHost>,
+    services: IndexMap<name::ServiceName, Vec<SocketAddr>>,
+    daemons: IndexMap<name::HostName, DaemonHost>,
+    /// Highest incarnation of each daemon's host that any list showed.
+    highest_seen: IndexMap<name::HostName, u64>,
+}
+
+/// Host of a model worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerHost {
+    /// Address of the engine.
+    pub address: SocketAddr,
+    /// Region and failure domain.
+    pub place: place::Place,
+    /// Base model that the engine serves.
+    pub base_model: name::BaseModelName,
+    /// Whether the engine refuses old fencing numbers.
+    pub refuses_old_fencing: bool,
+    /// Whether the host is leaving.
+    pub leaving: bool,
+}
+
+/// Host of a daemon.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DaemonHost {
+    /// Address of the port for other daemons.
+    pub address: SocketAddr,
+    /// Whether the host is leaving.
+    pub leaving: bool,
+    /// Incarnation of the host.
+    pub incarnation: u64,
+}
+
+impl HostList {
+    /// Takes in a list; returns whether anything changed.
+    pub fn apply(&mut self, list: wire::HostList) -> bool {
+        if list == self.last {
+            return false;
+        }
+        self.last = list.clone();
+        self.workers.clear();
+        self.services.clear();
+        self.daemons.clear();
+        for host in list.hosts {
+            let Ok(address) = host.address.parse() else {
+                let (host, address) = (host.name.as_str(), host.address.as_str());
+                spdlog::error!("host-invalid", kv: { host, address });
+                continue;
+            };
+            let place = place::Place::new(
+                name::RegionName::from(host.region),
+                name::FailureDomainName::from(host.failure_domain),
+            );
+            let leaving = host.leaving;
+            match host.role {
+                wire::HostRole::Entry => {
+                    let name = name::HostName::from(host.name);
+                    let incarnation = host.incarnation;
+                    let highest = self.highest_seen.entry(name.clone()).or_default();
+                    *highest = incarnation.max(*highest);
+                    self.daemons.insert(name, DaemonHost { address, leaving, incarnation });
+                }
+                wire::HostRole::Engine { base_model, refuses_old_fencing } => {
+                    let base_model = name::BaseModelName::from(base_model);
+                    let worker =
+                        WorkerHost { address, place, base_model, refuses_old_fencing, leaving };
+                    self.workers.insert(name::WorkerName::from(host.name), worker);
+                }
+                wire::HostRole::App { service } => {
+                    let addresses =
+                        self.services.entry(name::ServiceName::from(service)).or_default();
+                    // A leaving host gets no new work.
+                    if !leaving {
+                        addresses.push(address);
+                    }
+                }
+            }
+        }
+        true
+    }
+
+    /// Lists the model workers.
+    pub fn workers(&self) -> &IndexMap<name::WorkerName, WorkerHost> {
+        &self.workers
+    }
+
+    /// Lists the addresses of app services.
+    pub fn services(&self) -> &IndexMap<name::ServiceName, Vec<SocketAddr>> {
+        &self.services
+    }
+
+    /// Lists the hosts of daemons.
+    pub fn daemons(&self) -> &IndexMap<name::HostName, DaemonHost> {
+        &self.daemons
+    }
+
+    /// Tells whether a daemon's host is leaving.
+    pub fn is_leaving(&self, host: &name::HostName) -> bool {
+        self.daemons.get(host).is_some_and(|daemon| daemon.leaving)
+    }
+
+    /// Tells whether the list proves that a former owner's process is gone.
+    pub fn proves_end_of(&self, former: &lease::Former) -> bool {
+        let host = &former.holder.host;
+        let listed = self.daemons.get(host).map(|daemon| daemon.incarnation);
+        former.ended_by_host_list(self.highest_seen.get(host).copied(), listed)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/table_feed.rs
@@ -0,0 +1,198 @@
+//! The table snapshot and the changes that come for it.
+
+use std::sync::Arc;
+
+use jasminetack_domain::member;
+use jasminetack_domain::name;
+use jasminetack_domain::table;
+use jasminetack_wire::peer;
+use jasminetack_wire::platform as wire;
+use jasminetack_wire::row;
+use jasminetack_wire::spread;
+
+use super::Context;
+use crate::platform;
+
+/// A page with as many rows is followed by another one.
+const FULL_PAGE_ROWS: usize = 5_000;
+/// Rows that one page may bring before they are logged as a number.
+const MAX_LOGGED_ROWS: usize = 50;
+/// Pause between requests for rows to peers.
+const PEER_REQUEST_INTERVAL_MS: u64 = 1_000;
+
+/// Keeps the table up to date from the platform or, while it is out of reach, from peers.
+pub struct TableFeed {
+    table: Arc<table::Table>,
+    freshness: table::Freshness,
+    /// When the outstanding poll was sent.
+    asked_ms: Option<u64>,
+    /// Whether the last poll failed.
+    unreachable: bool,
+    peer_asked_ms: u64,
+}
+
+impl TableFeed {
+    /// Creates a feed without a table.
+    pub fn new(stale_ms: u64) -> Self {
+        Self {
+            table: Arc::default(),
+            freshness: table::Freshness::new(stale_ms),
+            asked_ms: None,
+            unreachable: false,
+            peer_asked_ms: 0,
+        }
+    }
+
+    /// Returns the table.
+    pub fn table(&self) -> &Arc<table::Table> {
+        &self.table
+    }
+
+    /// Returns what is known of the table's age.
+    pub fn freshness(&self) -> &table::Freshness {
+        &self.freshness
+    }
+
+    /// Judges whether the table may be served from.
+    pub fn standing(&self, members: &member::Membership, now_ms: u64) -> table::Standing {
+        let peers = members.peers().map(|(host, _)| host);
+        self.freshness.judge(self.table.head_version(), peers, now_ms)
+    }
+
+    /// Asks the platform for changes unless a poll is outstanding.
+    pub fn poll(&mut self, context: &Context) {
+        if self.asked_ms.is_some() {
+            return;
+        }
+        self.asked_ms = Some(context.now_ms());
+        let after = self.table.head_version();
+        context.submit(platform::Job::Rows { prefix: row::ROW_PREFIX, after });
+    }
+
+    /// Handles the result of a poll; returns whether the table changed.
+    pub fn polled(
+        &mut self,
+        context: &Context,
+        result: Result<wire::RowsPage, platform::CallError>,
+    ) -> bool {
+        let asked_ms = self.asked_ms.take().unwrap_or_default();
+        self.unreachable = result.is_err();
+        let Ok(page) = result else { return false };
+        let is_full = page.rows.len() >= FULL_PAGE_ROWS;
+        // The version of the last row, not of the store, which rises with every renewed session:
+        // the head must only change with the table.
+        let head_version = page.rows.last().map_or(0, |row| row.version);
+        let changed = self.apply(page.rows, head_version);
+        if is_full {
+            self.poll(context);
+            return changed;
+        }
+        self.freshness.confirmed_by_platform(asked_ms);
+        changed
+    }
+
+    /// Records what a peer says of its table, and asks it for rows if the platform cannot give them.
+    pub fn heard(
+        &mut self,
+        context: &mut Context,
+        members: &member::Membership,
+        peer: &name::HostName,
+        heartbeat: &peer::Heartbeat,
+    ) {
+        let now_ms = context.now_ms();
+        let age_ms = heartbeat.table_age_ms;
+        self.freshness.peer_reported(peer, heartbeat.table_version, age_ms, now_ms);
+        let head = self.table.head_version();
+        self.freshness.adopt(head);
+        if heartbeat.table_version <= head {
+            return;
+        }
+        self.poll(context);
+        let asked_lately =
+            self.peer_asked_ms > 0 && now_ms < self.peer_asked_ms + PEER_REQUEST_INTERVAL_MS;
+        if !self.unreachable || asked_lately {
+            return;
+        }
+        self.peer_asked_ms = now_ms;
+        let request = spread::RowsRequest { after: head };
+        context.send(members, peer, peer::Body::RowsRequest(request));
+    }
+
+    /// Answers a peer's request for rows.
+    pub fn rows_after(&self, after: u64) -> spread::Rows {
+        let mut changes: Vec<_> =
+            self.table.entries().filter(|(_, version, _)| *version > after).collect();
+        changes.sort_by_key(|(_, version, _)| *version);
+        let mut head_version = self.table.head_version();
+        if let Some((_, cut, _)) = changes.get(FULL_PAGE_ROWS) {
+            // Rows of one commit share a version and must not be separated.
+            let cut = *cut;
+            let is_one_commit = changes.first().is_some_and(|(_, first, _)| *first == cut);
+            head_version = if is_one_commit { cut } else { cut - 1 };
+            changes.retain(|(_, version, _)| *version <= head_version);
+        }
+        let mut rows = Vec::with_capacity(changes.len());
+        for (key, version, row) in changes {
+            let value = row.map(|row| serde_json::to_string(&row::WireRow::from(row.as_ref())));
+            let value = value.transpose().unwrap_or_default().unwrap_or_default();
+            rows.push(spread::RowCopy { key: key.to_string(), version, value });
+        }
+        spread::Rows { rows, head_version }
+    }
+
+    /// Applies rows from a peer; returns whether the table changed.
+    pub fn received(&mut self, rows: spread::Rows) -> bool {
+        let head_version = rows.head_version;
+        let rows = rows.rows.into_iter().map(|copy| {
+            // An empty value marks a deleted row.
+            let value = serde_json::from_str(&copy.value).ok();
+            let key = format!("{}{}", row::ROW_PREFIX, copy.key);
+            wire::StoredRow { key, version: copy.version, value }
+        });
+        let changed = self.apply(rows.collect(), head_version);
+        self.freshness.adopt(self.table.head_version());
+        changed
+    }
+
+    fn apply(&mut self, rows: Vec<wire::StoredRow>, head_version: u64) -> bool {
+        if rows.is_empty() && head_version <= self.table.head_version() {
+            return false;
+        }
+        let is_logged = rows.len() <= MAX_LOGGED_ROWS;
+        let mut table = table::Table::clone(&self.table);
+        let mut applied = 0;
+        for stored in rows {
+            let Some(key) = stored.key.strip_prefix(row::ROW_PREFIX).and_then(table::RowKey::parse)
+            else {
+                continue;
+            };
+            let parsed = match stored.value.map(parse_row).transpose() {
+                Ok(parsed) => parsed,
+                Err(error) => {
+                    let key = key.to_string();
+                    spdlog::error!("row-invalid", kv: { key = key.as_str(), error = error.as_str() });
+                    continue;
+                }
+            };
+            if table.apply(key.clone(), stored.version, parsed) == table::Applied::Stale {
+                continue;
+            }
+            applied += 1;
+            if is_logged {
+                let key = key.to_string();
+                spdlog::info!("row-applied", kv: { key = key.as_str(), version = stored.version });
+            }
+        }
+        if !is_logged {
+            spdlog::info!("rows-applied", kv: { count = applied, head_version });
+        }
+        table.confirm_head(head_version);
+        self.table = Arc::new(table);
+        applied > 0
+    }
+}
+
+fn parse_row(value: serde_json::Value) -> Result<table::Row, String> {
+    let wire: row::WireRow = serde_json::from_value(value).map_err(|error| error.to_string())?;
+    table::Row::try_from(wire).map_err(|error| error.to_string())
+}
--- a/crates/wire/src/lease_row.rs
+++ b/crates/wire/src/lease_row.rs
@@ -38,6 +38,9 @@
     pub failure_domain: String,
     /// Address of the port for other daemons.
     pub peers_address: SocketAddr,
+    /// Address of the operations port.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ops_address: Option<SocketAddr>,
 }
 
 /// Value of an owner row.
@@ -139,6 +142,7 @@
             region: row.place.region().to_string(),
             failure_domain: row.place.failure_domain().to_string(),
             peers_address: row.peers_address,
+            ops_address: row.ops_address,
         }
     }
 }
@@ -164,6 +168,7 @@
                 name::FailureDomainName::from(wire.failure_domain),
             ),
             peers_address: wire.peers_address,
+            ops_address: wire.ops_address,
         };
         Ok(Self::new(version, row))
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod engine;
 pub mod failure;
 pub mod lease_row;
+pub mod history;
+pub mod operations;
 pub mod peer;
 pub mod platform;
 pub mod row;
--- a/crates/wire/src/spread.rs
+++ b/crates/wire/src/spread.rs
@@ -200,6 +200,7 @@
                 name::FailureDomainName::from(wire.failure_domain),
             ),
             peers_address,
+            ops_address: None,
         })
     }
 }
