--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod clock;
 pub mod control;
 pub mod daemon;
+pub mod in_flight;
 pub mod journal;
 pub mod platform;
 pub mod settings;
