--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A small fleet on loopback.
 
 use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::thread;
 
@@ -12,7 +13,7 @@
 use crate::caller;
 use crate::daemon::Daemon;
 use crate::platform::Platform;
-use crate::upstream::Upstream;
+use crate::upstream::{Relay, Upstream};
 use crate::wait;
 
 /// Regions in which hosts are placed in turn.
@@ -48,6 +49,8 @@
     pub adapters: Vec<(String, Vec<u32>)>,
     /// Age of the host list that is shown.
     pub host_list_lag_ms: u64,
+    /// Whether each daemon reaches the platform through a relay of its own.
+    pub platform_relays: bool,
 }
 
 impl Default for Plan {
@@ -61,6 +64,7 @@
             daemon_flags: Vec::new(),
             adapters: vec![("offers".to_owned(), vec![1]), ("riders".to_owned(), vec![1, 2])],
             host_list_lag_ms: 0,
+            platform_relays: false,
         }
     }
 }
@@ -76,6 +80,8 @@
     pub apps: Vec<Upstream>,
     /// The platform.
     pub platform: Platform,
+    /// Links of the daemons to the platform, if the plan asks for them.
+    pub platform_relays: Vec<Relay>,
     logs: Option<tempfile::TempDir>,
     _permit: Permit,
 }
@@ -98,6 +104,7 @@
             engines: Vec::new(),
             apps: Vec::new(),
             platform,
+            platform_relays: Vec::new(),
             logs: Some(logs),
             _permit: permit,
         };
@@ -114,7 +121,13 @@
         }
         for index in 0..plan.daemons {
             let host = host(&format!("entry{index}"), wire::HostRole::Entry, index);
-            let url = fleet.platform.url();
+            let mut url = fleet.platform.url();
+            if plan.platform_relays {
+                let name = format!("platform-relay{index}");
+                let relay = Relay::start(&name, fleet.platform.address(), fleet.logs())?;
+                url = format!("http://{}", relay.address);
+                fleet.platform_relays.push(relay);
+            }
             let daemon = Daemon::start(host, &url, &plan.daemon_flags, fleet.logs())?;
             fleet.platform.put_host(&daemon.host)?;
             fleet.daemons.push(daemon);
@@ -147,6 +160,33 @@
         Some((index, value["fencing"].as_u64()?))
     }
 
+    /// Returns the callers' addresses of all daemons but those with the given indices.
+    #[must_use]
+    pub fn callers_without(&self, left_out: &[usize]) -> Vec<SocketAddr> {
+        let mut addresses = Vec::new();
+        for (index, daemon) in self.daemons.iter().enumerate() {
+            if !left_out.contains(&index) {
+                addresses.push(daemon.callers_address());
+            }
+        }
+        addresses
+    }
+
+    /// Returns how many calls the app services executed, and how many of them for one key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an app service does not answer.
+    pub fn executions(&self, key: &str) -> io::Result<(u64, u64)> {
+        let (mut all, mut of_key) = (0, 0);
+        for app in &self.apps {
+            let audit = app.audit()?;
+            all += audit["executions"].as_array().map_or(0, Vec::len) as u64;
+            of_key += audit["by_idempotency_key"][key].as_u64().unwrap_or(0);
+        }
+        Ok((all, of_key))
+    }
+
     /// Returns the directory of the logs.
     #[must_use]
     pub fn logs(&self) -> &Path {
@@ -171,7 +211,13 @@
         let mut runs = 0;
         for engine in &self.engines {
             if let Ok(audit) = engine.engine_audit() {
-                runs += audit.runs.get(request_id).copied().unwrap_or(0);
+                for (id, count) in &audit.runs {
+                    // Retries and hedges append a mark to the request id.
+                    let mark = id.strip_prefix(request_id).map(|mark| mark.chars().next());
+                    if mark.is_some_and(|mark| !mark.is_some_and(|mark| mark.is_ascii_digit())) {
+                        runs += count;
+                    }
+                }
             }
         }
         runs
--- a/crates/proofs/src/platform.rs
+++ b/crates/proofs/src/platform.rs
@@ -43,6 +43,12 @@
         Ok(Self { program, address })
     }
 
+    /// Returns the address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the base URL.
     #[must_use]
     pub fn url(&self) -> String {
--- a/crates/proofs/src/program.rs
+++ b/crates/proofs/src/program.rs
@@ -134,7 +134,11 @@
 }
 
 /// Returns the directory of the built programs, found from the running test's own path.
-fn target_directory() -> io::Result<PathBuf> {
+///
+/// # Errors
+///
+/// Fails when the test does not run from a target directory.
+pub fn target_directory() -> io::Result<PathBuf> {
     let test = env::current_exe()?;
     let directory = test.ancestors().find(|path| path.join("deps").is_dir());
     let message = "the test does not run from a target directory";
