Let the platform stand-in's weight store fail by itself

Cause: the design treats table service and weight store as separate parts with separate outages. Change: outage covers table, objects and hosts; weights_outage covers the weight store.

--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -81,7 +81,9 @@
             _ => {}
         }
         let switches = self.state.lock().switches.clone();
-        if switches.outage == Some(true) {
+        let weights = path.strip_prefix("/v1/weights/");
+        let outage = if weights.is_some() { switches.weights_outage } else { switches.outage };
+        if outage == Some(true) {
             self.state.lock().counters.refused += 1;
             self.close(&request);
             return Ok(());
@@ -93,7 +95,7 @@
         if let Some(name) = path.strip_prefix("/v1/objects/") {
             return self.object(request, name);
         }
-        if let Some(weights) = path.strip_prefix("/v1/weights/") {
+        if let Some(weights) = weights {
             return self.weights(request, weights);
         }
         if path == "/v1/hosts" || path.starts_with("/v1/hosts/") {
--- a/crates/standins/src/platform/switches.rs
+++ b/crates/standins/src/platform/switches.rs
@@ -6,9 +6,12 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Switches {
-    /// Connections are closed without an answer.
+    /// Connections are closed without an answer, but for those of the weight store.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub outage: Option<bool>,
+    /// Connections of the weight store are closed without an answer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weights_outage: Option<bool>,
     /// Delay of each answer.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub slow_ms: Option<u64>,
@@ -27,6 +30,7 @@
     /// Takes over the fields that are given.
     pub fn merge(&mut self, given: Self) {
         self.outage = given.outage.or(self.outage);
+        self.weights_outage = given.weights_outage.or(self.weights_outage);
         self.slow_ms = given.slow_ms.or(self.slow_ms);
         self.lose_replies = given.lose_replies.or(self.lose_replies);
         if given.lose_prefix.is_some() {
