--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod request;
 pub mod route;
 pub mod table;
+pub mod worker;
--- /dev/null
+++ b/crates/domain/src/worker/eviction.rs
@@ -0,0 +1,41 @@
+//! Value of loaded adapters.
+
+use super::{Decayed, Slot};
+
+/// Value of keeping a loaded adapter; the lowest is evicted first.
+pub trait EvictionValue {
+    /// Returns the value of keeping a slot's adapter, given the adapter's decayed demand.
+    fn value(&self, slot: &Slot, demand: &Decayed, now_ms: u64) -> f64;
+
+    /// Returns how long a new instance stays at least.
+    fn min_residence_ms(&self) -> u64;
+}
+
+/// Keeps the adapters with the highest decayed demand.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DecayedDemand;
+
+impl EvictionValue for DecayedDemand {
+    fn value(&self, _slot: &Slot, demand: &Decayed, now_ms: u64) -> f64 {
+        demand.value(now_ms)
+    }
+
+    /// Two adapters that compete for one slot would otherwise evict each other with every request.
+    fn min_residence_ms(&self) -> u64 {
+        2_000
+    }
+}
+
+/// Baseline: keeps the adapters that were used last.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeastRecentlyUsed;
+
+impl EvictionValue for LeastRecentlyUsed {
+    fn value(&self, slot: &Slot, _demand: &Decayed, _now_ms: u64) -> f64 {
+        slot.last_used_ms() as f64
+    }
+
+    fn min_residence_ms(&self) -> u64 {
+        0
+    }
+}
--- /dev/null
+++ b/crates/domain/src/worker/mod.rs
@@ -0,0 +1,34 @@
+//! One owned model engine: its queue, slots, pins and requests in flight.
+//!
+//! `Worker` decides; the caller carries out what it returns and reports back:
+//! `submit` admits a request, `start_ready` and `plan` say what to send to the engine, and `finish`,
+//! `load_done` and the like take in what the engine did.
+
+mod admission;
+mod decayed;
+mod discipline;
+mod eviction;
+mod history;
+mod inheritance;
+mod job;
+mod limits;
+mod pace;
+mod plan;
+mod planner;
+mod queue;
+mod running;
+mod slot;
+mod slots;
+#[allow(clippy::module_inception)]
+mod worker;
+
+pub use admission::{Refusal, RefusalReason, RefusedJob};
+pub use decayed::Decayed;
+pub use discipline::{Discipline, FirstInFirstOut, WeightedFair};
+pub use eviction::{DecayedDemand, EvictionValue, LeastRecentlyUsed};
+pub use inheritance::{Adopted, Listing, LoadReport};
+pub use job::Job;
+pub use limits::Limits;
+pub use plan::{LoadFailure, LoadOrder, Plan, Start, UnloadOrder};
+pub use slot::{Slot, SlotState};
+pub use worker::Worker;
