--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -12,6 +12,8 @@
 use crate::clock;
 use crate::control;
 use crate::journal;
+use crate::metrics;
+use crate::ops;
 use crate::platform;
 use crate::settings;
 use crate::snapshot;
@@ -34,7 +36,7 @@
         /// Cause.
         source: std::io::Error,
     },
-    /// The callers' port is not available.
+    /// A port is not available.
     #[snafu(display("cannot listen on {address}: {source}"))]
     Listen {
         /// Address of the port.
@@ -54,9 +56,19 @@
     let settings = Arc::new(settings);
     let clock = clock::Clock::start();
     let snapshot = Arc::new(ArcSwap::from_pointee(snapshot::Snapshot::default()));
+    let metrics = Arc::new(metrics::Metrics::new());
+    let journal = Arc::new(journal::Journal::new(settings.explain_requests));
+    let ops = ops::Ops {
+        host: settings.host.clone(),
+        clock,
+        snapshot: Arc::clone(&snapshot),
+        metrics: Arc::clone(&metrics),
+        journal: Arc::clone(&journal),
+    };
+    ops.start(settings.ops_address).context(ListenSnafu { address: settings.ops_address })?;
     let (control_sender, control_receiver) = crossbeam_channel::unbounded();
     let worker_events = control_sender.clone();
-    let platform = platform::Client::start(&settings, control_sender)
+    let platform = platform::Client::start(&settings, control_sender, &metrics)
         .context(ThreadSnafu { part: "the platform threads" })?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -66,7 +78,7 @@
     let dispatcher = Arc::new(traffic::Dispatcher::new(
         &settings,
         clock,
-        Arc::new(journal::Journal::new(settings.explain_requests)),
+        Arc::clone(&journal),
         worker_events,
         runtime.handle().clone(),
     ));
@@ -79,6 +91,7 @@
     let address = settings.callers_address;
     let batch_places = u32::try_from(settings.engine_batch).unwrap_or(u32::MAX);
     let router = traffic::Router::new(route::Scored::new(batch_places), rand::random());
-    let server = traffic::Server::new(settings, snapshot, clock, dispatcher, router);
+    let server =
+        traffic::Server::new(settings, snapshot, clock, dispatcher, router, metrics, journal);
     runtime.block_on(server.serve()).context(ListenSnafu { address })
 }
--- a/crates/entry/src/traffic/model_call.rs
+++ b/crates/entry/src/traffic/model_call.rs
@@ -20,6 +20,7 @@
 use super::dispatcher::Dispatcher;
 use super::model_order::ModelOrder;
 use super::router::Router;
+use crate::journal;
 use crate::settings;
 use crate::snapshot;
 
@@ -32,6 +33,7 @@
     pub snapshot: &'a snapshot::Snapshot,
     pub dispatcher: &'a Arc<Dispatcher>,
     pub router: &'a Router<RoutePolicy>,
+    pub journal: &'a journal::Journal,
     pub request_id: &'a name::RequestId,
     pub team: name::TeamName,
 }
@@ -104,6 +106,11 @@
             considered = considered.as_str(),
             reason = decision.reason,
         });
+        let text = format!(
+            "route adapter={adapter} worker={} cost_ms={} considered={considered} reason={:?}",
+            decision.worker, decision.cost_ms, decision.reason,
+        );
+        self.journal.record(self.request_id, now_ms, text);
         Ok(decision.worker)
     }
 }
