Serve owned workers through the worker aggregate

Cause: the dispatcher loaded on demand for each request and neither queued, pinned, cancelled nor resumed. The engine client presents the fencing number, checks the answering instance, resumes at the token offset, cancels, and reads role, load and listing; a driver task probes each worker.

--- a/crates/domain/src/adapter/instance_name.rs
+++ b/crates/domain/src/adapter/instance_name.rs
@@ -26,6 +26,12 @@
         Self(Arc::from(format!("{adapter}.f{fencing}")))
     }
 
+    /// Wraps a name that an engine reported.
+    #[must_use]
+    pub fn listed(name: &str) -> Self {
+        Self(Arc::from(name))
+    }
+
     /// Returns the name as the engine knows it.
     #[must_use]
     pub fn as_str(&self) -> &str {
--- a/crates/domain/src/worker/slots.rs
+++ b/crates/domain/src/worker/slots.rs
@@ -40,6 +40,13 @@
         self.is_listed
     }
 
+    /// Returns whether the engine has not answered a load or unload order yet.
+    pub fn awaits_orders(&self) -> bool {
+        let awaits =
+            |slot: &Slot| matches!(slot.state(), SlotState::Loading | SlotState::Unloading);
+        self.slots.iter().any(awaits)
+    }
+
     pub fn usable(&self, adapter: &adapter::AdapterRef) -> Option<&Slot> {
         self.slots.iter().find(|slot| slot.is_usable() && slot.adapter() == adapter)
     }
--- a/crates/domain/src/worker/worker.rs
+++ b/crates/domain/src/worker/worker.rs
@@ -314,10 +314,10 @@
         self.refuse_all()
     }
 
-    /// Returns whether the ownership ended and nothing runs any more.
+    /// Returns whether the ownership ended, nothing runs any more and no order is in flight.
     #[must_use]
     pub fn is_drained(&self) -> bool {
-        self.is_closed && self.running.is_empty()
+        self.is_closed && self.running.is_empty() && !self.slots.awaits_orders()
     }
 
     /// Returns whether the worker takes requests.
--- /dev/null
+++ b/crates/entry/src/traffic/owner_driver.rs
@@ -0,0 +1,146 @@
+//! Task that drives one owned worker: take-over, probes and decisions that are due by time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jasminetack_domain::adapter;
+use jasminetack_domain::worker;
+use jasminetack_wire::engine;
+use tokio::time;
+
+use super::engine_client::EngineError;
+use super::owned::{Owned, is_fenced};
+use super::worker_event::WorkerEventKind;
+
+/// Failed probes in a row after which a worker gets no new work.
+const MAX_FAILED_PROBES: u32 = 3;
+/// State that an engine answers when it takes no new work.
+const LEAVING_ROLE: &str = "leaving";
+
+/// Drives one owned worker until its ownership ends.
+#[derive(Debug)]
+pub struct OwnerDriver {
+    owned: Arc<Owned>,
+    probe_interval: Duration,
+    failed_probes: u32,
+    is_taken_over: bool,
+    is_leaving: bool,
+    incarnation: Option<u64>,
+}
+
+impl OwnerDriver {
+    /// Creates the driver of a worker.
+    pub fn new(owned: Arc<Owned>, probe_interval: Duration) -> Self {
+        Self {
+            owned,
+            probe_interval,
+            failed_probes: 0,
+            is_taken_over: false,
+            is_leaving: false,
+            incarnation: None,
+        }
+    }
+
+    /// Runs until the ownership ended and nothing of it runs any more.
+    pub async fn run(mut self) {
+        let mut probes = time::interval(self.probe_interval);
+        probes.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        while !self.owned.is_drained() {
+            let now_ms = self.owned.shared.clock.now_ms();
+            let due_ms = self.owned.next_decision_ms();
+            let pause = due_ms.map(|due_ms| Duration::from_millis(due_ms.saturating_sub(now_ms)));
+            tokio::select! {
+                _ = probes.tick() => self.probe().await,
+                () = self.owned.wake.notified() => {}
+                () = self.owned.shared.loads.freed(), if due_ms.is_some() => {}
+                () = time::sleep(pause.unwrap_or_default()), if pause.is_some() => {}
+            }
+            self.owned.step();
+        }
+    }
+
+    async fn probe(&mut self) {
+        let result = self.look().await;
+        if let Err(error) = result {
+            self.failed_probes += 1;
+            let worker = self.owned.grant.worker.as_str();
+            let failed = self.failed_probes;
+            spdlog::warn!("probe-failed", kv: { worker, failed, error = error.message.as_str() });
+            if is_fenced(&error) {
+                self.owned.superseded();
+            } else if self.failed_probes == MAX_FAILED_PROBES {
+                self.owned.set_available(false);
+                self.owned.tell(WorkerEventKind::Unavailable);
+            }
+            return;
+        }
+        if self.failed_probes >= MAX_FAILED_PROBES {
+            self.owned.tell(WorkerEventKind::Available);
+        }
+        self.failed_probes = 0;
+        self.owned.set_available(!self.is_leaving);
+    }
+
+    /// Looks at the engine once: state, load and instances.
+    async fn look(&mut self) -> Result<(), EngineError> {
+        let engines = self.owned.shared.engines.clone();
+        let engine = self.owned.engine;
+        let role = if self.is_taken_over {
+            engines.role(engine).await?
+        } else {
+            let role = engines.take_over(engine).await?;
+            self.owned.update(|worker, now_ms| worker.order_acknowledged(now_ms));
+            self.is_taken_over = true;
+            role
+        };
+        self.apply_role(&role);
+        let asked_ms = self.owned.shared.clock.now_ms();
+        let report = engines.report(engine).await?;
+        let in_use = report.in_use.keys().map(|name| adapter::InstanceName::listed(name));
+        // The engine answered after it was asked, so the report is at most this old.
+        let taken_ms = asked_ms.saturating_sub(report.age_ms);
+        let report = worker::LoadReport { taken_ms, in_use: in_use.collect() };
+        let generation = self.owned.generation();
+        let names = engines.instances(engine).await?;
+        let listing = worker::Listing { names, generation };
+        let adopted = self.owned.update(|worker, now_ms| {
+            let adopted = worker.adopt(&listing, now_ms);
+            worker.apply_report(&report);
+            adopted
+        });
+        self.log_adopted(adopted);
+        if adopted.is_superseded {
+            self.owned.superseded();
+        }
+        Ok(())
+    }
+
+    fn apply_role(&mut self, role: &engine::RoleReport) {
+        self.owned.update(|worker, _| worker.set_capacity(role.slots, role.batch_places));
+        let restarted = self.incarnation.is_some_and(|incarnation| incarnation != role.incarnation);
+        self.incarnation = Some(role.incarnation);
+        if restarted {
+            let worker = self.owned.grant.worker.as_str();
+            spdlog::warn!("engine-restarted", kv: { worker, incarnation = role.incarnation });
+            // The new process has not seen the fencing number.
+            self.is_taken_over = false;
+        }
+        let was_leaving = self.is_leaving;
+        self.is_leaving = role.role == LEAVING_ROLE;
+        if self.is_leaving && !was_leaving {
+            self.owned.tell(WorkerEventKind::Leaving);
+        }
+    }
+
+    fn log_adopted(&self, adopted: worker::Adopted) {
+        if adopted.added == 0 && adopted.removed == 0 {
+            return;
+        }
+        spdlog::info!("adopt", kv: {
+            worker = self.owned.grant.worker.as_str(),
+            fencing = self.owned.grant.fencing.value(),
+            added = adopted.added,
+            removed = adopted.removed,
+        });
+    }
+}
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -130,3 +130,39 @@
     /// Whether the entry was stored; otherwise it was removed.
     pub stored: bool,
 }
+
+/// Instances that an engine holds, answered by `/v1/models`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelList {
+    /// The instances.
+    pub data: Vec<Model>,
+}
+
+/// One entry of [`ModelList`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Model {
+    /// Name of the instance.
+    pub id: String,
+}
+
+/// What is read of an answer: of one streamed event or of the whole body.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct AnswerPart {
+    /// Instance that answered.
+    pub model: Option<String>,
+    /// Output; each choice of a streamed event carries one token.
+    pub choices: Vec<serde::de::IgnoredAny>,
+    /// Token counts, at the end of an answer.
+    pub usage: Option<Usage>,
+    /// Failure after the answer began.
+    pub error: Option<serde_json::Value>,
+}
+
+/// Token counts of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Usage {
+    /// Tokens generated.
+    pub completion_tokens: u64,
+}
