--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod adapter;
 pub mod claim;
 pub mod lease;
+pub mod member;
 pub mod name;
 pub mod place;
 pub mod quota;
--- /dev/null
+++ b/crates/entry/src/control/gossip.rs
@@ -0,0 +1,146 @@
+//! Spread of events from daemon to daemon.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use jasminetack_domain::member;
+use jasminetack_domain::name;
+use jasminetack_wire::peer;
+use jasminetack_wire::spread;
+use rand::seq::IteratorRandom;
+
+use super::Context;
+
+/// Daemons to which a new event is passed on.
+const FANOUT: usize = 3;
+
+/// Passes events on and repairs gaps.
+#[derive(Default)]
+pub struct Gossip {
+    rumors: member::Rumors<Bytes>,
+}
+
+impl Gossip {
+    /// Spreads an event that this daemon learned first hand; `also` hear it directly.
+    pub fn spread(
+        &mut self,
+        context: &mut Context,
+        members: &member::Membership,
+        event: peer::Event,
+        also: &[name::HostName],
+    ) {
+        if self.learn(&event) == member::Learned::Known {
+            return;
+        }
+        let mut receivers = random_peers(members, FANOUT);
+        for host in also {
+            if !receivers.contains(host) {
+                receivers.push(host.clone());
+            }
+        }
+        send_events(context, members, &receivers, vec![event]);
+    }
+
+    /// Records the complete state of a subject that spreads in parts.
+    pub fn learn(&mut self, event: &peer::Event) -> member::Learned {
+        self.rumors.learn(member::Rumor {
+            subject: Arc::from(event.subject.as_str()),
+            version: event.version,
+            state: event.state.clone(),
+        })
+    }
+
+    /// Returns the version of a subject's state.
+    pub fn version(&self, subject: &str) -> u64 {
+        self.rumors.version(subject).unwrap_or(0)
+    }
+
+    /// Passes new events on.
+    pub fn forward(
+        &self,
+        context: &mut Context,
+        members: &member::Membership,
+        from: &name::HostName,
+        events: Vec<peer::Event>,
+    ) {
+        if events.is_empty() {
+            return;
+        }
+        let mut receivers = random_peers(members, FANOUT + 1);
+        receivers.retain(|host| host != from);
+        receivers.truncate(FANOUT);
+        send_events(context, members, &receivers, events);
+    }
+
+    /// Answers with the events of some buckets that the sender does not have.
+    pub fn complete(
+        &self,
+        context: &mut Context,
+        members: &member::Membership,
+        to: &name::HostName,
+        buckets: &[u32],
+        theirs: &IndexMap<String, u64>,
+    ) {
+        let buckets: Vec<usize> = buckets.iter().map(|bucket| *bucket as usize).collect();
+        let mut events = self.events_of(&buckets);
+        events.retain(|event| {
+            theirs.get(&event.subject).is_none_or(|version| *version < event.version)
+        });
+        if !events.is_empty() {
+            send_events(context, members, std::slice::from_ref(to), events);
+        }
+    }
+
+    /// Compares all events with one random daemon.
+    pub fn compare(&self, context: &mut Context, members: &member::Membership) {
+        for host in random_peers(members, 1) {
+            let digest = spread::Digest { hashes: self.rumors.digest().to_vec() };
+            context.send(members, &host, peer::Body::Digest(digest));
+        }
+    }
+
+    /// Answers a comparison with all events of the buckets that differ.
+    pub fn compared(
+        &self,
+        context: &mut Context,
+        members: &member::Membership,
+        from: &name::HostName,
+        digest: &spread::Digest,
+    ) {
+        let buckets = self.rumors.differing(&digest.hashes);
+        if buckets.is_empty() {
+            return;
+        }
+        let events = self.events_of(&buckets);
+        let wanted_buckets = buckets.into_iter().filter_map(|bucket| bucket.try_into().ok());
+        let gossip = peer::Gossip { events, wanted_buckets: wanted_buckets.collect() };
+        context.send(members, from, peer::Body::Gossip(gossip));
+    }
+
+    fn events_of(&self, buckets: &[usize]) -> Vec<peer::Event> {
+        let rumors = self.rumors.in_buckets(buckets).into_iter();
+        let events = rumors.map(|rumor| peer::Event {
+            subject: rumor.subject.to_string(),
+            version: rumor.version,
+            state: rumor.state,
+        });
+        events.collect()
+    }
+}
+
+fn random_peers(members: &member::Membership, count: usize) -> Vec<name::HostName> {
+    members.peers().map(|(host, _)| host.clone()).sample(&mut rand::rng(), count)
+}
+
+fn send_events(
+    context: &mut Context,
+    members: &member::Membership,
+    receivers: &[name::HostName],
+    events: Vec<peer::Event>,
+) {
+    for host in receivers {
+        let gossip = peer::Gossip { events: events.clone(), wanted_buckets: Vec::new() };
+        context.send(members, host, peer::Body::Gossip(gossip));
+    }
+}
