--- a/crates/domain/src/route/fleet.rs
+++ b/crates/domain/src/route/fleet.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxBuildHasher, FxHashMap};
 
 use super::WorkerView;
 use crate::adapter;
@@ -15,7 +15,7 @@
 /// views of the workers.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
-    workers: IndexMap<name::WorkerName, Arc<WorkerView>>,
+    workers: IndexMap<name::WorkerName, Arc<WorkerView>, FxBuildHasher>,
     holders: FxHashMap<adapter::AdapterRef, Vec<name::WorkerName>>,
     by_region: FxHashMap<(name::BaseModelName, name::RegionName), Vec<name::WorkerName>>,
 }
--- a/crates/domain/src/route/least_outstanding.rs
+++ b/crates/domain/src/route/least_outstanding.rs
@@ -22,12 +22,12 @@
         let region = request.from.region();
         let near = fleet.in_region(request.base_model, region);
         // The order is random, so that equal workers get equal work.
-        let mut candidates = sample::usable(near, near.len(), request, fleet, random);
+        let mut candidates = sample::usable(near, &[], near.len(), request, fleet, random);
         for far in fleet.outside_region(request.base_model, region) {
             if !candidates.is_empty() {
                 break;
             }
-            candidates = sample::usable(far, far.len(), request, fleet, random);
+            candidates = sample::usable(far, &[], far.len(), request, fleet, random);
         }
         let mut best = None;
         for worker in candidates {
--- a/crates/domain/src/route/observations.rs
+++ b/crates/domain/src/route/observations.rs
@@ -1,6 +1,6 @@
 //! What a daemon observes of workers from its own requests.
 
-use indexmap::IndexMap;
+use rustc_hash::FxHashMap;
 
 use super::Speeds;
 use crate::name;
@@ -11,7 +11,7 @@
 /// What a daemon observes of workers from its own requests and the replies to them.
 #[derive(Clone, Debug, Default)]
 pub struct Observations {
-    workers: IndexMap<name::WorkerName, Observed>,
+    workers: FxHashMap<name::WorkerName, Observed>,
     speeds: Speeds,
 }
 
@@ -64,7 +64,7 @@
 
     /// Forgets a worker that is gone.
     pub fn forget(&mut self, worker: &name::WorkerName) {
-        self.workers.swap_remove(worker);
+        self.workers.remove(worker);
         self.speeds.forget(worker);
     }
 }
--- a/crates/domain/src/route/random.rs
+++ b/crates/domain/src/route/random.rs
@@ -21,12 +21,12 @@
     {
         let region = request.from.region();
         let near = fleet.in_region(request.base_model, region);
-        let mut chosen = sample::usable(near, 1, request, fleet, random);
+        let mut chosen = sample::usable(near, &[], 1, request, fleet, random);
         for far in fleet.outside_region(request.base_model, region) {
             if !chosen.is_empty() {
                 break;
             }
-            chosen = sample::usable(far, 1, request, fleet, random);
+            chosen = sample::usable(far, &[], 1, request, fleet, random);
         }
         let worker = chosen.pop()?;
         Some(Decision { worker, cost_ms: 0, considered: Vec::new(), reason: "random" })
--- a/crates/domain/src/route/sample.rs
+++ b/crates/domain/src/route/sample.rs
@@ -14,12 +14,13 @@
         && !request.excluded.contains(worker)
 }
 
-/// Returns up to `count` distinct usable workers, starting at a random position.
+/// Returns up to `count` distinct usable workers other than `skipped`, from a random position on.
 ///
-/// The walk from a random position ends at the first `count` usable workers, so it is short as long
-/// as most workers are usable, and complete when few are.
+/// The walk ends at the first `count` usable workers, so it is short as long as most workers are
+/// usable, and complete when few are.
 pub(super) fn usable<Random>(
     workers: &[name::WorkerName],
+    skipped: &[name::WorkerName],
     count: usize,
     request: &RouteRequest<'_>,
     fleet: &Fleet,
@@ -41,7 +42,7 @@
             break;
         }
         let worker = &workers[position];
-        if is_usable(worker, request, fleet) {
+        if !skipped.contains(worker) && is_usable(worker, request, fleet) {
             chosen.push(worker.clone());
         }
         position = (position + stride) % workers.len();
--- a/crates/domain/src/route/scored.rs
+++ b/crates/domain/src/route/scored.rs
@@ -63,7 +63,9 @@
         }
     }
 
+    /// Samples workers beyond the holders that are scored already.
     fn alternatives<Random>(
+        holders: &[name::WorkerName],
         request: &RouteRequest<'_>,
         fleet: &Fleet,
         best_ms: f64,
@@ -77,13 +79,13 @@
         // The own region is left only when that is predicted to pay off.
         let near_count =
             if best_ms > OTHER_REGION_COST_MS { MAX_ALTERNATIVES - 1 } else { MAX_ALTERNATIVES };
-        let mut chosen = sample::usable(near, near_count, request, fleet, random);
+        let mut chosen = sample::usable(near, holders, near_count, request, fleet, random);
         for far in fleet.outside_region(request.base_model, region) {
             let missing = MAX_ALTERNATIVES.saturating_sub(chosen.len());
             if missing == 0 {
                 break;
             }
-            chosen.extend(sample::usable(far, missing, request, fleet, random));
+            chosen.extend(sample::usable(far, holders, missing, request, fleet, random));
         }
         chosen
     }
@@ -102,13 +104,11 @@
         Random: rand::Rng,
     {
         let holders = fleet.holders(request.adapter);
-        let mut names = sample::usable(holders, MAX_HOLDERS, request, fleet, random);
+        let names = sample::usable(holders, &[], MAX_HOLDERS, request, fleet, random);
         let mut scored = Vec::with_capacity(names.len() + MAX_ALTERNATIVES);
         self.score_all(&names, request, fleet, observations, now_ms, &mut scored);
         let best_ms = scored.iter().map(|(_, score)| score.cost_ms).fold(f64::INFINITY, f64::min);
-        let alternatives = Self::alternatives(request, fleet, best_ms, random);
-        names.retain(|name| !alternatives.contains(name));
-        scored.retain(|(name, _)| !alternatives.contains(name));
+        let alternatives = Self::alternatives(&names, request, fleet, best_ms, random);
         self.score_all(&alternatives, request, fleet, observations, now_ms, &mut scored);
         let mut reason = "lowest predicted time to first token";
         let mut best = None;
--- a/crates/domain/src/route/speeds.rs
+++ b/crates/domain/src/route/speeds.rs
@@ -1,6 +1,6 @@
 //! Speeds of workers compared with each other.
 
-use indexmap::IndexMap;
+use rustc_hash::FxHashMap;
 
 use super::Speed;
 use crate::name;
@@ -21,8 +21,8 @@
 /// Speeds of all workers and the medians of their base models.
 #[derive(Clone, Debug, Default)]
 pub struct Speeds {
-    workers: IndexMap<name::WorkerName, (name::BaseModelName, Speed)>,
-    medians: IndexMap<name::BaseModelName, Medians>,
+    workers: FxHashMap<name::WorkerName, (name::BaseModelName, Speed)>,
+    medians: FxHashMap<name::BaseModelName, Medians>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -82,7 +82,7 @@
 
     /// Forgets a worker that is gone.
     pub fn forget(&mut self, worker: &name::WorkerName) {
-        self.workers.swap_remove(worker);
+        self.workers.remove(worker);
     }
 
     fn speed_mut(
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -5,7 +5,6 @@
 use std::thread;
 
 use arc_swap::ArcSwap;
-use jasminetack_domain::route;
 use jasminetack_program::log;
 use jasminetack_wire::peer;
 use snafu::ResultExt;
@@ -103,8 +102,8 @@
     let listener = runtime.block_on(TcpListener::bind(address)).context(ListenSnafu { address })?;
     runtime.spawn(peer_server.serve(listener));
     let address = settings.callers_address;
-    let batch_places = u32::try_from(settings.engine_batch).unwrap_or(u32::MAX);
-    let router = traffic::Router::new(route::Scored::new(batch_places), rand::random());
+    let routing = traffic::Routing::for_policy(&settings.policy, settings.engine_batch);
+    let router = traffic::Router::new(routing, rand::random());
     let server = traffic::Server::new(settings, snapshot, clock, owners, router, metrics, journal);
     runtime.block_on(server.serve()).context(ListenSnafu { address })
 }
--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -9,6 +9,10 @@
 use jasminetack_domain::place;
 use jasminetack_program::settings;
 
+/// Values of `--policy`.
+const POLICIES: [&str; 4] = ["scored", "random", "least-outstanding", "fifo"];
+const ALLOWED_POLICIES: &str = "scored, random, least-outstanding or fifo";
+
 /// Settings of the daemon, checked.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -290,12 +294,7 @@
                 "a number of tokens",
             ),
             fleet_loads: reader.value("--fleet-loads", flags.fleet_loads, 8, "a number of loads"),
-            policy: reader.value(
-                "--policy",
-                flags.policy,
-                "scored".to_owned(),
-                "scored, random, least-outstanding or fifo",
-            ),
+            policy: reader.value("--policy", flags.policy, "scored".to_owned(), ALLOWED_POLICIES),
             retry_percent: reader.value("--retry-percent", flags.retry_percent, 10, "a percentage"),
             hedge_percent: reader.value("--hedge-percent", flags.hedge_percent, 5, "a percentage"),
             claim_group_ms: reader.value(
@@ -331,6 +330,9 @@
     }
 
     fn check(&self, reader: &mut settings::Reader) {
+        if !POLICIES.contains(&self.policy.as_str()) {
+            reader.problem("--policy", Some(self.policy.clone()), ALLOWED_POLICIES);
+        }
         if self.lease_ttl_ms <= self.lease_renew_ms {
             let value = Some(self.lease_ttl_ms.to_string());
             reader.problem("--lease-ttl-ms", value, "a number above --lease-renew-ms");
--- a/crates/entry/src/traffic/scheduling.rs
+++ b/crates/entry/src/traffic/scheduling.rs
@@ -1,4 +1,4 @@
-//! Scheduling policies that can be chosen at start.
+//! Scheduling policies of owners that can be chosen at start.
 
 use jasminetack_domain::name;
 use jasminetack_domain::request;
