--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod request;
 pub mod route;
 pub mod table;
+pub mod worker;
