--- a/crates/entry/src/ops.rs
+++ b/crates/entry/src/ops.rs
@@ -95,8 +95,7 @@
     fn encode_metrics(&self) -> Answer {
         let snapshot = self.snapshot.load();
         let version = i64::try_from(snapshot.table.head_version()).unwrap_or(i64::MAX);
-        let owned =
-            snapshot.workers.values().filter(|view| view.owner.as_ref() == Some(&self.host));
+        let owned = snapshot.fleet.iter().filter(|view| view.owner.as_ref() == Some(&self.host));
         let owned = i64::try_from(owned.count()).unwrap_or(i64::MAX);
         self.metrics.table_version.set(version);
         self.metrics.owned_workers.set(owned);
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -8,9 +8,12 @@
 mod engine_client;
 mod model_call;
 mod model_order;
+mod router;
 mod server;
+mod worker_event;
 
 pub use control_link::ControlLinks;
 pub use dispatcher::Dispatcher;
-pub use engine_client::EngineClient;
+pub use router::Router;
 pub use server::Server;
+pub use worker_event::WorkerEvent;
--- a/crates/entry/src/traffic/model_call.rs
+++ b/crates/entry/src/traffic/model_call.rs
@@ -19,6 +19,7 @@
 use super::caller_error::CallerError;
 use super::dispatcher::Dispatcher;
 use super::model_order::ModelOrder;
+use super::router::Router;
 use crate::journal;
 use crate::settings;
 use crate::snapshot;
@@ -31,8 +32,8 @@
     pub settings: &'a settings::Settings,
     pub snapshot: &'a snapshot::Snapshot,
     pub dispatcher: &'a Arc<Dispatcher>,
-    pub policy: &'a RoutePolicy,
     pub journal: &'a journal::Journal,
+    pub router: &'a Router<RoutePolicy>,
     pub request_id: &'a name::RequestId,
     pub team: name::TeamName,
 }
@@ -83,7 +84,7 @@
         let request =
             route::RouteRequest { adapter, base_model, from: &self.settings.place, excluded: &[] };
         let decision =
-            self.policy.choose(&request, &self.snapshot.workers, now_ms).ok_or_else(|| {
+            self.router.choose(&request, &self.snapshot.fleet, now_ms).ok_or_else(|| {
                 CallerError::not_run(
                     StatusCode::SERVICE_UNAVAILABLE,
                     "no_worker",
--- a/crates/entry/src/traffic/server.rs
+++ b/crates/entry/src/traffic/server.rs
@@ -26,6 +26,7 @@
 use super::caller_error::CallerError;
 use super::dispatcher::Dispatcher;
 use super::model_call::ModelCall;
+use super::router::Router;
 use crate::clock;
 use crate::journal;
 use crate::metrics;
@@ -38,9 +39,9 @@
     snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
     clock: clock::Clock,
     dispatcher: Arc<Dispatcher>,
-    policy: RoutePolicy,
     metrics: Arc<metrics::Metrics>,
     journal: Arc<journal::Journal>,
+    router: Router<RoutePolicy>,
     connections: Arc<Semaphore>,
     next_request: AtomicU64,
 }
@@ -55,7 +56,7 @@
         snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
         clock: clock::Clock,
         dispatcher: Arc<Dispatcher>,
-        policy: RoutePolicy,
+        router: Router<RoutePolicy>,
         metrics: Arc<metrics::Metrics>,
         journal: Arc<journal::Journal>,
     ) -> Self {
@@ -66,7 +67,7 @@
             snapshot,
             clock,
             dispatcher,
-            policy,
+            router,
             metrics,
             journal,
             connections,
@@ -151,8 +152,8 @@
             settings: &self.settings,
             snapshot: &snapshot,
             dispatcher: &self.dispatcher,
-            policy: &self.policy,
             journal: &self.journal,
+            router: &self.router,
             request_id,
             team,
         };
