Run leases, ownership, membership and gossip on the control thread

Cause: the control thread granted every listed worker to every daemon. Change: the control state is split into one part a file: session renewal, table feed, host list, watch, owners, grants, gossip, loads, publisher and shutdown phases. Outgoing control frames use one connection for each peer. Platform reads and writes have a thread each. The daemon ends on SIGTERM.

--- a/crates/domain/src/lease/mod.rs
+++ b/crates/domain/src/lease/mod.rs
@@ -24,7 +24,7 @@
 pub use incarnation::Incarnation;
 pub use observer::Observer;
 pub use owner_row::OwnerRow;
-pub use ownership::Ownership;
+pub use ownership::{MAX_FORMER, Ownership};
 pub use released_row::ReleasedRow;
 pub use session::{Refusal, Session, SessionWrite};
 pub use session_row::{SessionRow, SessionState};
--- a/crates/domain/src/lease/ownership.rs
+++ b/crates/domain/src/lease/ownership.rs
@@ -9,7 +9,7 @@
 /// Former owners kept in an owner row.
 ///
 /// Beyond this number the oldest is dropped; its instances are then never unloaded by a successor.
-const MAX_FORMER: usize = 32;
+pub const MAX_FORMER: usize = 32;
 
 /// What is known of the ownership of one worker.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/crates/domain/src/member/detector.rs
+++ b/crates/domain/src/member/detector.rs
@@ -2,6 +2,10 @@
 
 /// Decides from the arrival times of heartbeats whether their sender is suspected.
 pub trait Detector {
+    /// Returns a detector with the same settings whose silence starts now.
+    #[must_use]
+    fn restarted(&self, now_ms: u64) -> Self;
+
     /// Records a heartbeat.
     fn arrived(&mut self, now_ms: u64);
 
--- a/crates/domain/src/member/fixed_timeout.rs
+++ b/crates/domain/src/member/fixed_timeout.rs
@@ -18,6 +18,10 @@
 }
 
 impl Detector for FixedTimeout {
+    fn restarted(&self, now_ms: u64) -> Self {
+        Self::new(self.timeout_ms, now_ms)
+    }
+
     fn arrived(&mut self, now_ms: u64) {
         self.last_ms = now_ms;
     }
--- a/crates/domain/src/member/grey_prediction.rs
+++ b/crates/domain/src/member/grey_prediction.rs
@@ -73,6 +73,10 @@
 }
 
 impl Detector for GreyPrediction {
+    fn restarted(&self, now_ms: u64) -> Self {
+        Self::new(self.margin_ms, self.first_timeout_ms, now_ms)
+    }
+
     fn arrived(&mut self, now_ms: u64) {
         self.intervals.arrived(now_ms);
     }
--- a/crates/domain/src/member/mean_deviation.rs
+++ b/crates/domain/src/member/mean_deviation.rs
@@ -28,6 +28,10 @@
 }
 
 impl Detector for MeanDeviation {
+    fn restarted(&self, now_ms: u64) -> Self {
+        Self::new(self.deviations, self.margin_ms, self.first_timeout_ms, now_ms)
+    }
+
     fn arrived(&mut self, now_ms: u64) {
         self.intervals.arrived(now_ms);
     }
--- a/crates/domain/src/table/mod.rs
+++ b/crates/domain/src/table/mod.rs
@@ -1,11 +1,11 @@
 //! The operators' table: rows, versions and the rules for applying changes.
 
 mod adapter_row;
-mod freshness;
 mod difference;
 mod edit;
 mod edit_problem;
 mod edit_rules;
+mod freshness;
 mod key_hash;
 mod limits;
 mod resolve_error;
@@ -17,10 +17,10 @@
 mod team_row;
 
 pub use adapter_row::AdapterRow;
-pub use freshness::{Freshness, Standing};
 pub use difference::{Change, Difference};
 pub use edit::{Edit, check_edits};
 pub use edit_problem::{EditProblem, EditRule};
+pub use freshness::{Freshness, Standing};
 pub use key_hash::KeyHash;
 pub use limits::Limits;
 pub use resolve_error::ResolveError;
--- a/crates/entry/src/control/context.rs
+++ b/crates/entry/src/control/context.rs
@@ -73,7 +73,12 @@
     }
 
     /// Sends a control frame to a daemon at an address from the host list.
-    pub fn send_to(&mut self, host: &name::HostName, address: std::net::SocketAddr, body: peer::Body) {
+    pub fn send_to(
+        &mut self,
+        host: &name::HostName,
+        address: std::net::SocketAddr,
+        body: peer::Body,
+    ) {
         self.links.send(host, address, body);
     }
 
--- a/crates/entry/src/control/control.rs
+++ b/crates/entry/src/control/control.rs
@@ -1,146 +1,128 @@
-//! The actor that owns the daemon's view of the fleet.
+//! The actor that runs the control state at its timers and messages.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
-use indexmap::IndexSet;
-use jasminetack_domain::adapter;
-use jasminetack_domain::lease;
-use jasminetack_domain::name;
-use jasminetack_domain::place;
-use jasminetack_domain::route;
-use jasminetack_domain::table;
-use jasminetack_wire::platform as wire;
-use jasminetack_wire::row;
-use stakker::{CX, call};
-
-use super::Message;
-use crate::platform;
+use stakker::{CX, StopCause, after, call};
+use tokio::sync::watch;
+
+use super::core::Core;
+use super::shutdown::Shutdown;
+use super::{Message, frames, replies, worker_events};
 use crate::settings;
-use crate::snapshot;
-use crate::traffic;
 
-/// Owner of the daemon's view of the fleet.
+/// Interval of judging other daemons.
+///
+/// Detection is late by at most this time; a new owner must serve within 3 s of a failure.
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+const HANDOVER_INTERVAL: Duration = Duration::from_secs(2);
+const COMPARISON_INTERVAL: Duration = Duration::from_secs(10);
+
+/// How far the daemon is, for the traffic side.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stage {
+    /// Connections are accepted.
+    #[default]
+    Serving,
+    /// No more connections are accepted; open ones are finished.
+    Finishing,
+    /// The process exits.
+    Done,
+}
+
+/// Owner of the control state.
 pub struct Control {
-    host: name::HostName,
-    platform: platform::Client,
-    dispatcher: Arc<traffic::Dispatcher>,
-    published: Arc<ArcSwap<snapshot::Snapshot>>,
-    table_poll: Duration,
-    view: snapshot::Snapshot,
+    core: Core,
+    settings: Arc<settings::Settings>,
+    stage: watch::Sender<Stage>,
 }
 
 impl Control {
     /// Creates the state that the actor starts with.
-    pub fn new(
-        settings: &settings::Settings,
-        platform: platform::Client,
-        dispatcher: Arc<traffic::Dispatcher>,
-        published: Arc<ArcSwap<snapshot::Snapshot>>,
-    ) -> Self {
-        Self {
-            host: settings.host.clone(),
-            platform,
-            dispatcher,
-            published,
-            table_poll: Duration::from_millis(settings.table_poll_ms),
-            view: snapshot::Snapshot::default(),
-        }
+    pub fn new(core: Core, settings: Arc<settings::Settings>, stage: watch::Sender<Stage>) -> Self {
+        Self { core, settings, stage }
     }
 
     /// Starts the actor.
-    pub fn init(cx: CX![], control: Self) -> Option<Self> {
-        call!([cx], poll());
+    pub fn init(cx: CX![], mut control: Self) -> Option<Self> {
+        // The first renewal and the first reads go out together.
+        control.core.poll_hosts();
+        control.core.poll_rows();
+        control.core.renew();
+        call!([cx], start());
         Some(control)
     }
 
-    fn poll(&mut self, cx: CX![]) {
-        let after = self.view.table.head_version();
-        self.platform.submit(platform::Job::Rows { prefix: row::ROW_PREFIX, after });
-        self.platform.submit(platform::Job::Hosts);
-        stakker::after!(self.table_poll, [cx], poll());
+    fn start(&mut self, cx: CX![]) {
+        after!(self.renew_interval(), [cx], renew());
+        after!(Duration::from_millis(self.settings.heartbeat_ms), [cx], beat());
+        after!(Duration::from_millis(self.settings.table_poll_ms), [cx], poll_rows());
+        after!(Duration::from_millis(self.settings.host_list_poll_ms), [cx], poll_hosts());
+        after!(WATCH_INTERVAL, [cx], watch());
+        after!(HANDOVER_INTERVAL, [cx], hand_over());
+        after!(COMPARISON_INTERVAL, [cx], compare_events());
     }
 
-    /// Handles a message from another thread.
-    pub fn receive(&mut self, _cx: CX![], message: Message) {
-        match message {
-            Message::Peer { .. } | Message::Worker(_) | Message::Terminate => {}
-            Message::Platform(platform::Reply::Rows(Ok(page))) => self.apply_rows(page),
-            Message::Platform(platform::Reply::Hosts(Ok(hosts))) => self.apply_hosts(hosts),
-            Message::Platform(platform::Reply::Rows(Err(error))) => log_failed("rows", &error),
-            Message::Platform(platform::Reply::Hosts(Err(error))) => log_failed("hosts", &error),
-            Message::Platform(platform::Reply::Read { .. } | platform::Reply::Transact { .. }) => {}
-        }
+    fn renew_interval(&self) -> Duration {
+        Duration::from_millis(self.settings.lease_renew_ms)
     }
 
-    fn apply_rows(&mut self, page: wire::RowsPage) {
-        let mut table = table::Table::clone(&self.view.table);
-        for stored in page.rows {
-            let Some(key) = stored.key.strip_prefix(row::ROW_PREFIX).and_then(table::RowKey::parse)
-            else {
-                continue;
-            };
-            let parsed = match stored.value.map(parse_row).transpose() {
-                Ok(parsed) => parsed,
-                Err(error) => {
-                    let key = key.to_string();
-                    spdlog::error!("row-invalid", kv: { key = key.as_str(), error = error.as_str() });
-                    continue;
-                }
-            };
-            if table.apply(key.clone(), stored.version, parsed) == table::Applied::Newer {
-                let key = key.to_string();
-                spdlog::info!("row-applied", kv: { key = key.as_str(), version = stored.version });
-            }
-        }
-        table.confirm_head(page.head_version);
-        self.view.table = Arc::new(table);
-        self.view.ready = true;
-        self.publish();
+    fn renew(&mut self, cx: CX![]) {
+        after!(self.renew_interval(), [cx], renew());
+        self.core.renew();
+        self.core.settle();
     }
 
-    fn apply_hosts(&mut self, list: wire::HostList) {
-        let mut fleet = route::Fleet::default();
-        for host in list.hosts {
-            let wire::HostRole::Engine { base_model, refuses_old_fencing } = host.role else {
-                continue;
-            };
-            let Ok(address) = host.address.parse() else {
-                continue;
-            };
-            let name = name::WorkerName::from(host.name);
-            let fencing = adapter::FencingNumber::new(1);
-            let worker = name.clone();
-            self.dispatcher.grant(lease::Grant { worker, fencing, refuses_old_fencing }, address);
-            fleet.insert(route::WorkerView {
-                name,
-                place: place::Place::new(
-                    name::RegionName::from(host.region),
-                    name::FailureDomainName::from(host.failure_domain),
-                ),
-                base_model: name::BaseModelName::from(base_model),
-                owner: Some(self.host.clone()),
-                loaded: IndexSet::new(),
-                outstanding: 0,
-                leaving: host.leaving,
-            });
+    fn beat(&mut self, cx: CX![]) {
+        after!(Duration::from_millis(self.settings.heartbeat_ms), [cx], beat());
+        self.core.beat();
+    }
+
+    fn poll_rows(&mut self, cx: CX![]) {
+        after!(Duration::from_millis(self.settings.table_poll_ms), [cx], poll_rows());
+        self.core.poll_rows();
+    }
+
+    fn poll_hosts(&mut self, cx: CX![]) {
+        after!(Duration::from_millis(self.settings.host_list_poll_ms), [cx], poll_hosts());
+        self.core.poll_hosts();
+    }
+
+    fn hand_over(&mut self, cx: CX![]) {
+        after!(HANDOVER_INTERVAL, [cx], hand_over());
+        if !self.core.shutdown().is_leaving() {
+            self.core.hand_over();
         }
-        self.view.fleet = Arc::new(fleet);
-        self.publish();
     }
 
-    fn publish(&self) {
-        self.published.store(Arc::new(self.view.clone()));
+    fn compare_events(&mut self, cx: CX![]) {
+        after!(COMPARISON_INTERVAL, [cx], compare_events());
+        self.core.compare_events();
     }
-}
 
-fn parse_row(value: serde_json::Value) -> Result<table::Row, String> {
-    let wire: row::WireRow = serde_json::from_value(value).map_err(|error| error.to_string())?;
-    table::Row::try_from(wire).map_err(|error| error.to_string())
-}
+    fn watch(&mut self, cx: CX![]) {
+        after!(WATCH_INTERVAL, [cx], watch());
+        self.core.watch();
+        self.core.settle();
+        let stage = match self.core.shutdown() {
+            Shutdown::Finishing { .. } | Shutdown::Ending { .. } => Stage::Finishing,
+            Shutdown::Done => Stage::Done,
+            _ => Stage::Serving,
+        };
+        self.stage.send_if_modified(|known| std::mem::replace(known, stage) != stage);
+        if stage == Stage::Done {
+            cx.shutdown(StopCause::Stopped);
+        }
+    }
 
-fn log_failed(call: &str, error: &platform::CallError) {
-    let error = error.to_string();
-    spdlog::warn!("platform-call-failed", kv: { call, error = error.as_str() });
+    /// Handles a message from another thread.
+    pub fn receive(&mut self, _cx: CX![], message: Message) {
+        match message {
+            Message::Platform(reply) => replies::handle(&mut self.core, reply),
+            Message::Peer { from, body } => frames::handle(&mut self.core, &from, body),
+            Message::Worker(event) => worker_events::handle(&mut self.core, event),
+            Message::Terminate => self.core.terminate(),
+        }
+        self.core.settle();
+    }
 }
--- /dev/null
+++ b/crates/entry/src/control/events.rs
@@ -0,0 +1,104 @@
+//! Events that daemons spread, by subject.
+
+use bytes::Bytes;
+use jasminetack_domain::lease;
+use jasminetack_domain::name;
+use jasminetack_wire::peer;
+use jasminetack_wire::spread;
+use prost::Message;
+
+use super::loads;
+
+const SESSION_SUBJECT: &str = "session/";
+const OWNER_SUBJECT: &str = "owner/";
+const SUSPECT_SUBJECT: &str = "suspect/";
+const TABLE_SUBJECT: &str = "table";
+
+/// What an event says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Known {
+    /// A session changed its state.
+    Session(lease::Stored<lease::SessionRow>),
+    /// A worker changed its owner.
+    Owner(lease::Stored<lease::OwnerRow>),
+    /// A monitor changed its verdict on a daemon.
+    Suspicion {
+        /// The daemon.
+        accused: lease::Holder,
+        /// The monitor.
+        monitor: name::HostName,
+        /// Whether the monitor suspects it.
+        suspects: bool,
+    },
+    /// A worker loaded or unloaded adapters.
+    Load,
+    /// The table has a new head.
+    TableHead(u64),
+}
+
+/// Tells that a session changed its state.
+pub fn session(stored: &lease::Stored<lease::SessionRow>) -> peer::Event {
+    peer::Event {
+        subject: format!("{SESSION_SUBJECT}{}", stored.row.host),
+        version: stored.version,
+        state: Bytes::from(spread::SessionState::from(&stored.row).encode_to_vec()),
+    }
+}
+
+/// Tells that a worker changed its owner.
+pub fn owner(stored: &lease::Stored<lease::OwnerRow>) -> peer::Event {
+    peer::Event {
+        subject: format!("{OWNER_SUBJECT}{}", stored.row.worker),
+        version: stored.version,
+        state: Bytes::from(spread::OwnerState::from(&stored.row).encode_to_vec()),
+    }
+}
+
+/// Tells that the table has a new head.
+pub fn table_head(version: u64) -> peer::Event {
+    peer::Event { subject: TABLE_SUBJECT.to_owned(), version, state: Bytes::new() }
+}
+
+/// Tells that a monitor changed its verdict; `sequence` rises with each verdict of an incarnation.
+pub fn suspicion(
+    monitor: &lease::Holder,
+    accused: &lease::Holder,
+    suspects: bool,
+    sequence: u64,
+) -> peer::Event {
+    let state = spread::Suspicion { incarnation: accused.incarnation.value(), suspects };
+    peer::Event {
+        subject: format!("{SUSPECT_SUBJECT}{}/{}", accused.host, monitor.host),
+        // Verdicts of a later incarnation of the monitor are newer than all of a former one's.
+        version: (monitor.incarnation.value() << 16) + sequence.min(0xffff),
+        state: Bytes::from(state.encode_to_vec()),
+    }
+}
+
+/// Reads an event; `None` when its subject or state is not known here.
+pub fn read(event: &peer::Event) -> Option<Known> {
+    if event.subject.starts_with(loads::WORKER_SUBJECT) {
+        return Some(Known::Load);
+    }
+    if event.subject == TABLE_SUBJECT {
+        return Some(Known::TableHead(event.version));
+    }
+    let version = event.version;
+    if event.subject.starts_with(SESSION_SUBJECT) {
+        let state = spread::SessionState::decode(event.state.clone()).ok()?;
+        let row = lease::SessionRow::try_from(state).ok()?;
+        return Some(Known::Session(lease::Stored::new(version, row)));
+    }
+    if event.subject.starts_with(OWNER_SUBJECT) {
+        let state = spread::OwnerState::decode(event.state.clone()).ok()?;
+        return Some(Known::Owner(lease::Stored::new(version, lease::OwnerRow::from(state))));
+    }
+    let (accused, monitor) = event.subject.strip_prefix(SUSPECT_SUBJECT)?.split_once('/')?;
+    let state = spread::Suspicion::decode(event.state.clone()).ok()?;
+    let accused = lease::Holder {
+        host: name::HostName::from(accused),
+        incarnation: lease::Incarnation::new(state.incarnation),
+    };
+    let monitor = name::HostName::from(monitor);
+    Some(Known::Suspicion { accused, monitor, suspects: state.suspects })
+}
--- /dev/null
+++ b/crates/entry/src/control/frames.rs
@@ -0,0 +1,118 @@
+//! What control frames of other daemons change.
+
+use indexmap::IndexMap;
+use jasminetack_domain::lease;
+use jasminetack_domain::member;
+use jasminetack_domain::name;
+use jasminetack_wire::peer;
+
+use super::core::Core;
+use super::events;
+use super::replies;
+
+/// Handles a control frame.
+pub fn handle(core: &mut Core, from: &name::HostName, body: peer::Body) {
+    match body {
+        peer::Body::Heartbeat(heartbeat) => handle_heartbeat(core, from, &heartbeat),
+        peer::Body::Gossip(gossip) => handle_gossip(core, from, gossip),
+        peer::Body::Digest(digest) => {
+            core.gossip.compared(&mut core.context, &core.members, from, &digest);
+        }
+        peer::Body::StatusRequest(_) => {
+            let Some(own) = core.own() else { return };
+            let body = core.heartbeats.body(&core.context, &core.table, &own);
+            reply(core, from, body);
+        }
+        peer::Body::RowsRequest(request) => {
+            let rows = core.table.rows_after(request.after);
+            reply(core, from, peer::Body::Rows(rows));
+        }
+        peer::Body::Rows(rows) => {
+            let changed = core.table.received(rows);
+            replies::table_received(core, changed);
+        }
+        // Frames of requests stay with traffic.
+        _ => {}
+    }
+}
+
+/// Sends to a daemon that may be known from the host list only.
+fn reply(core: &mut Core, to: &name::HostName, body: peer::Body) {
+    if core.members.get(to).is_some() {
+        core.context.send(&core.members, to, body);
+        return;
+    }
+    let Some(daemon) = core.hosts.daemons().get(to) else { return };
+    core.context.send_to(to, daemon.address, body);
+}
+
+fn handle_heartbeat(core: &mut Core, from: &name::HostName, heartbeat: &peer::Heartbeat) {
+    let now_ms = core.context.now_ms();
+    let incarnation = lease::Incarnation::new(heartbeat.incarnation);
+    let sender = lease::Holder { host: from.clone(), incarnation };
+    core.shutdown.confirmed(from);
+    let known = core.members.session(from).map(|session| session.row.incarnation);
+    if known.is_none_or(|known| known < incarnation) {
+        core.sessions.read(&mut core.context, from);
+    }
+    core.members.heard(&sender, heartbeat.session_version, now_ms);
+    core.watch.heard(&sender, heartbeat.sequence, now_ms);
+    core.table.heard(&mut core.context, &core.members, from, heartbeat);
+}
+
+fn handle_gossip(core: &mut Core, from: &name::HostName, gossip: peer::Gossip) {
+    let mut theirs = IndexMap::with_capacity(gossip.events.len());
+    let mut forwarded = Vec::new();
+    for event in gossip.events {
+        theirs.insert(event.subject.clone(), event.version);
+        if learn(core, &event) {
+            forwarded.push(event);
+        }
+    }
+    core.gossip.forward(&mut core.context, &core.members, from, forwarded);
+    if !gossip.wanted_buckets.is_empty() {
+        let buckets = &gossip.wanted_buckets;
+        core.gossip.complete(&mut core.context, &core.members, from, buckets, &theirs);
+    }
+}
+
+/// Takes in an event; returns whether it is new and must be passed on.
+fn learn(core: &mut Core, event: &peer::Event) -> bool {
+    let Some(known) = events::read(event) else { return false };
+    if known == events::Known::Load {
+        let Some(change) = core.loads.apply(event) else { return false };
+        core.publisher.touch_loads();
+        return core.gossip.learn(&change.complete) == member::Learned::New;
+    }
+    if core.gossip.learn(event) == member::Learned::Known {
+        return false;
+    }
+    let now_ms = core.context.now_ms();
+    match known {
+        events::Known::Session(stored) => {
+            let is_own = stored.row.host == core.context.settings.host;
+            let is_over = !stored.row.state.holds();
+            // Only the own renewals say what the own session is.
+            if !is_own {
+                core.changes.members |= core.members.observe(stored, now_ms);
+            } else if is_over && !core.shutdown.is_leaving() {
+                core.renewal.tick(&mut core.context, core.table.table().head_version());
+            }
+        }
+        events::Known::Owner(stored) => {
+            core.changes.owners |= core.owners.observe(stored, now_ms);
+        }
+        events::Known::Suspicion { accused, monitor, suspects } => {
+            if core.members.accuse(&accused, &monitor, suspects) {
+                core.publisher.touch();
+            }
+        }
+        events::Known::TableHead(version) => {
+            if version > core.table.table().head_version() {
+                core.table.poll(&core.context);
+            }
+        }
+        events::Known::Load => {}
+    }
+    true
+}
--- a/crates/entry/src/control/grants.rs
+++ b/crates/entry/src/control/grants.rs
@@ -54,6 +54,11 @@
         self.granted.is_empty() && self.draining.is_empty() && self.unwritten.is_empty()
     }
 
+    /// Returns the fencing number of a worker that this daemon serves.
+    pub fn fencing(&self, worker: &name::WorkerName) -> Option<adapter::FencingNumber> {
+        self.granted.get(worker).map(|granted| granted.fencing)
+    }
+
     /// Grants and revokes workers after the owner rows or hosts changed.
     pub fn reconcile(&mut self, owners: &Owners, hosts: &HostList, own: Option<&lease::Holder>) {
         self.revoke(owners, hosts, own);
@@ -73,6 +78,9 @@
                 refuses_old_fencing: at.refuses_old_fencing,
             };
             self.dispatcher.grant(grant, at.address);
+            for ended in ended_before(owner) {
+                self.dispatcher.former_owner_gone(&worker, ended);
+            }
             log_ownership("granted", &worker, fencing, own);
             let granted = Granted { fencing, holder: own.clone(), address: at.address };
             self.granted.insert(worker, granted);
@@ -183,6 +191,7 @@
                     || hosts.proves_end_of(former)
             });
             for fencing in ended {
+                self.dispatcher.former_owner_gone(worker, fencing);
                 let (worker, fencing) = (worker.as_str(), fencing.value());
                 spdlog::info!("former-owner-ended", kv: { worker, fencing });
             }
@@ -190,6 +199,17 @@
     }
 }
 
+/// Lists the fencing numbers whose owners were known to have finished when the worker was claimed.
+fn ended_before(owner: &lease::OwnerRow) -> Vec<adapter::FencingNumber> {
+    // Numbers before the oldest of a full list may have been dropped from it without evidence.
+    let first = match owner.former.first() {
+        Some(oldest) if owner.former.len() >= lease::MAX_FORMER => oldest.fencing.value(),
+        _ => 1,
+    };
+    let numbers = (first..owner.fencing.value()).map(adapter::FencingNumber::new);
+    numbers.filter(|number| owner.former.iter().all(|former| former.fencing != *number)).collect()
+}
+
 fn log_ownership(
     event: &str,
     worker: &name::WorkerName,
--- /dev/null
+++ b/crates/entry/src/control/heartbeats.rs
@@ -0,0 +1,106 @@
+//! Heartbeats of this daemon.
+
+use jasminetack_domain::lease;
+use jasminetack_domain::member;
+use jasminetack_domain::name;
+use jasminetack_wire::peer;
+use jasminetack_wire::spread;
+
+use super::{Context, HostList, TableFeed};
+
+/// Requests for the state of all peers are spread over this time for each daemon.
+///
+/// They are sent only while the own table is not confirmed; at 400 daemons that is 1.6 KB/s.
+const STATUS_PER_DAEMON_MS: u64 = 25;
+const MIN_STATUS_INTERVAL_MS: u64 = 2_000;
+
+/// Sends heartbeats, and asks for those of others.
+#[derive(Default)]
+pub struct Heartbeats {
+    sequence: u64,
+    status_asked_ms: u64,
+}
+
+impl Heartbeats {
+    /// Starts the next heartbeat.
+    pub fn advance(&mut self) {
+        self.sequence += 1;
+    }
+
+    /// Returns the number of heartbeats.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Sends the present heartbeat to the own monitors.
+    pub fn send(
+        &self,
+        context: &mut Context,
+        members: &member::Membership,
+        table: &TableFeed,
+        own: &lease::Stored<lease::Holder>,
+    ) {
+        let body = self.body(context, table, own);
+        let monitors: Vec<_> = members.monitors_of(&own.row.host).into_iter().cloned().collect();
+        for monitor in monitors {
+            context.send(members, &monitor, body.clone());
+        }
+    }
+
+    /// Returns the present heartbeat; `own` has the version of the own session row.
+    pub fn body(
+        &self,
+        context: &Context,
+        table: &TableFeed,
+        own: &lease::Stored<lease::Holder>,
+    ) -> peer::Body {
+        peer::Body::Heartbeat(peer::Heartbeat {
+            host: own.row.host.to_string(),
+            incarnation: own.row.incarnation.value(),
+            sequence: self.sequence,
+            table_version: table.table().head_version(),
+            table_age_ms: table.freshness().age_ms(context.now_ms()),
+            session_version: own.version,
+        })
+    }
+
+    /// Asks all daemons for a heartbeat while the own table is not confirmed.
+    pub fn ask_for_confirmation(
+        &mut self,
+        context: &mut Context,
+        members: &member::Membership,
+        hosts: &HostList,
+        table: &TableFeed,
+    ) {
+        let now_ms = context.now_ms();
+        let age_ms = table.freshness().age_ms(now_ms);
+        if age_ms.is_some_and(|age_ms| 2 * age_ms < context.settings.table_stale_ms) {
+            return;
+        }
+        let count = members.peers().count() as u64;
+        let interval_ms = MIN_STATUS_INTERVAL_MS.max(count * STATUS_PER_DAEMON_MS);
+        if now_ms < self.status_asked_ms + interval_ms {
+            return;
+        }
+        self.status_asked_ms = now_ms;
+        ask_peers(context, members);
+        // A daemon that starts during an outage knows the others from the host list at most.
+        for (host, daemon) in hosts.daemons() {
+            if *host == context.settings.host || members.get(host).is_some() {
+                continue;
+            }
+            let request = peer::Body::StatusRequest(spread::StatusRequest {});
+            context.send_to(host, daemon.address, request);
+        }
+    }
+}
+
+/// Asks all peers for a heartbeat; returns them.
+pub fn ask_peers(context: &mut Context, members: &member::Membership) -> Vec<name::HostName> {
+    let peers: Vec<_> = members.peers().map(|(host, _)| host.clone()).collect();
+    for host in &peers {
+        let request = peer::Body::StatusRequest(spread::StatusRequest {});
+        context.send(members, host, request);
+    }
+    peers
+}
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -1,20 +1,54 @@
 //! The control thread: one stakker runtime that sleeps until a message or its next timer.
 
+mod call;
+mod context;
 #[allow(clippy::module_inception)]
 mod control;
+mod core;
+mod events;
+mod frames;
+mod gossip;
+mod grants;
+mod heartbeats;
+mod host_list;
+mod loads;
 mod message;
+mod owners;
+mod publisher;
+mod renewal;
+mod replies;
+mod sessions;
+mod shutdown;
+mod table_feed;
+mod watch;
+mod worker_events;
 
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use stakker::{Stakker, actor, call, ret_nop};
 
-pub use control::Control;
+use call::Call;
+use gossip::Gossip;
+use grants::Grants;
+use heartbeats::Heartbeats;
+use host_list::HostList;
+use loads::Loads;
+use owners::Owners;
+use publisher::Publisher;
+use sessions::Sessions;
+use shutdown::Shutdown;
+use table_feed::TableFeed;
+use watch::Watch;
+
+pub use self::core::Core;
+pub use context::Context;
+pub use control::{Control, Stage};
 pub use message::Message;
 
 const LONGEST_SLEEP: Duration = Duration::from_secs(60);
 
-/// Runs the control thread until every sender of messages is gone.
+/// Runs the control thread until the daemon has shut down.
 pub fn run(control: Control, messages: &Receiver<Message>) {
     let mut stakker = Stakker::new(Instant::now());
     let actor = actor!(stakker, Control::init(control), ret_nop!());
--- a/crates/entry/src/control/owners.rs
+++ b/crates/entry/src/control/owners.rs
@@ -98,10 +98,8 @@
     pub fn observe(&mut self, stored: lease::Stored<lease::OwnerRow>, now_ms: u64) -> bool {
         let worker = stored.row.worker.clone();
         let host = stored.row.holder.host.clone();
-        let ownership = self
-            .ownerships
-            .entry(worker.clone())
-            .or_insert_with(|| lease::Ownership::new(worker));
+        let ownership =
+            self.ownerships.entry(worker.clone()).or_insert_with(|| lease::Ownership::new(worker));
         if !ownership.observe(stored) {
             return false;
         }
--- a/crates/entry/src/control/renewal.rs
+++ b/crates/entry/src/control/renewal.rs
@@ -14,6 +14,7 @@
     /// Whether a call about the own session is outstanding; there is at most one.
     busy: bool,
     renewed_once: bool,
+    end_written: bool,
 }
 
 /// What a finished call means for the session.
@@ -30,7 +31,7 @@
 impl Renewal {
     /// Creates a session that is not written yet.
     pub fn new(template: lease::SessionRow) -> Self {
-        Self { template, session: None, busy: false, renewed_once: false }
+        Self { template, session: None, busy: false, renewed_once: false, end_written: false }
     }
 
     /// Returns the present incarnation once its row was written.
@@ -43,6 +44,11 @@
         self.session.as_ref().map(lease::Session::row)
     }
 
+    /// Tells whether the row says that the daemon ended.
+    pub fn has_written_end(&self) -> bool {
+        self.end_written
+    }
+
     /// Returns the version of the row; 0 before the first write.
     pub fn version(&self) -> u64 {
         self.session.as_ref().and_then(lease::Session::version).unwrap_or(0)
@@ -97,6 +103,7 @@
             Ok(wire::TransactionReply::Committed { version }) => {
                 session.committed(version);
                 self.renewed_once = true;
+                self.end_written |= row.state == lease::SessionState::Ended;
                 Renewed::Written(lease::Stored::new(version, row))
             }
             Ok(wire::TransactionReply::Conflict { rows }) => {
@@ -120,10 +127,7 @@
 }
 
 /// Finds a session row in a reply; `None` when there is none that can be read.
-pub fn find_row(
-    rows: &[wire::StoredRow],
-    key: &str,
-) -> Option<lease::Stored<lease::SessionRow>> {
+pub fn find_row(rows: &[wire::StoredRow], key: &str) -> Option<lease::Stored<lease::SessionRow>> {
     let row = rows.iter().find(|row| row.key == key && row.value.is_some())?;
     lease::Stored::try_from(row.clone()).ok()
 }
--- /dev/null
+++ b/crates/entry/src/control/replies.rs
@@ -0,0 +1,195 @@
+//! What results of platform calls change.
+
+use jasminetack_domain::lease;
+use jasminetack_wire::lease_row;
+use jasminetack_wire::platform as wire;
+use jasminetack_wire::row;
+
+use super::core::Core;
+use super::renewal::{Renewed, find_row};
+use super::{Call, events};
+use crate::platform;
+
+/// Handles the result of a platform call.
+pub fn handle(core: &mut Core, reply: platform::Reply) {
+    let now_ms = core.context.now_ms();
+    match reply {
+        platform::Reply::Rows { prefix: row::ROW_PREFIX, result } => {
+            log_failure("table", &result);
+            let changed = core.table.polled(&core.context, result);
+            table_received(core, changed);
+        }
+        platform::Reply::Rows { prefix: lease_row::OWNER_PREFIX, result } => {
+            core.changes.owners |= core.owners.polled(result, now_ms);
+        }
+        platform::Reply::Rows { prefix: lease_row::RELEASED_PREFIX, result } => {
+            core.changes.evidence |= core.grants.polled(result);
+        }
+        platform::Reply::Rows { result, .. } => match core.sessions.polled(result) {
+            Some(sessions) => {
+                for stored in sessions {
+                    observe_session(core, stored);
+                }
+                core.watch.sessions_read(&core.members, now_ms);
+            }
+            None => core.watch.sessions_unread(),
+        },
+        platform::Reply::Hosts(result) => {
+            log_failure("hosts", &result);
+            if let Ok(list) = result {
+                core.changes.hosts |= core.hosts.apply(list);
+            }
+        }
+        platform::Reply::Read { tag, result } => {
+            let Some(call) = core.context.finish(tag) else { return };
+            handle_read(core, call, result);
+        }
+        platform::Reply::Transact { tag, result } => {
+            let Some(call) = core.context.finish(tag) else { return };
+            handle_transaction(core, call, result);
+        }
+    }
+}
+
+fn handle_read(core: &mut Core, call: Call, result: Result<wire::RowsPage, platform::CallError>) {
+    match call {
+        Call::FindSession => {
+            if core.renewal.found(&result) {
+                core.renewal.tick(&mut core.context, core.table.table().head_version());
+            }
+        }
+        Call::ReadOwner(worker) => {
+            let now_ms = core.context.now_ms();
+            core.owners.read(worker, result, now_ms);
+            core.changes.owners = true;
+        }
+        Call::ReadSession(host) => {
+            for stored in core.sessions.read_ended(&host, result) {
+                observe_session(core, stored);
+            }
+        }
+        Call::Renew(_) | Call::Lapse(_) | Call::Claim(_) | Call::Release(_) => {}
+    }
+}
+
+fn handle_transaction(
+    core: &mut Core,
+    call: Call,
+    result: Result<wire::TransactionReply, platform::CallError>,
+) {
+    match call {
+        Call::Renew(row) => handle_renewal(core, row, result),
+        Call::Lapse(row) => handle_lapse(core, row, result),
+        Call::Claim(claim) => {
+            core.changes.owners |= matches!(result, Ok(wire::TransactionReply::Conflict { .. }));
+            let Some(stored) = core.owners.changed(&mut core.context, claim, result) else {
+                return;
+            };
+            core.changes.owners = true;
+            let row = &stored.row;
+            let (worker, fencing) = (row.worker.as_str(), row.fencing.value());
+            let (host, incarnation) = (row.holder.host.as_str(), row.holder.incarnation.value());
+            let is_own = row.holder.host == core.context.settings.host;
+            let event = if is_own { "claim" } else { "handover" };
+            spdlog::info!("owner-changed", kv: { event, worker, fencing, host, incarnation });
+            let receiver = [row.holder.host.clone()];
+            let event = events::owner(&stored);
+            core.gossip.spread(&mut core.context, &core.members, event, &receiver);
+        }
+        Call::Release(row) => core.grants.written(&row, &result),
+        Call::FindSession | Call::ReadOwner(_) | Call::ReadSession(_) => {}
+    }
+}
+
+fn handle_renewal(
+    core: &mut Core,
+    row: lease::SessionRow,
+    result: Result<wire::TransactionReply, platform::CallError>,
+) {
+    match core.renewal.renewed(row, result) {
+        Renewed::Written(stored) => {
+            let state = stored.row.state;
+            let was_known = core.members.session(&stored.row.host).is_some();
+            observe_session(core, stored);
+            // Monitors measure the lease from here on.
+            core.send_heartbeats();
+            if !was_known {
+                // The first events of a new daemon: everything that others know.
+                core.compare_events();
+            }
+            if state == lease::SessionState::Leaving {
+                core.announce();
+            }
+        }
+        Renewed::Superseded(holder) => {
+            let incarnation = holder.incarnation.value();
+            spdlog::warn!("session-superseded", kv: { incarnation });
+            core.changes.owners = true;
+            core.renewal.tick(&mut core.context, core.table.table().head_version());
+        }
+        Renewed::Unknown => {}
+    }
+}
+
+fn handle_lapse(
+    core: &mut Core,
+    row: lease::SessionRow,
+    result: Result<wire::TransactionReply, platform::CallError>,
+) {
+    core.watch.lapse_ended(&row.host);
+    match result {
+        Ok(wire::TransactionReply::Committed { version }) => {
+            let (host, incarnation) = (row.host.as_str(), row.incarnation.value());
+            spdlog::info!("lapse", kv: { host, incarnation, version });
+            observe_session(core, lease::Stored::new(version, row));
+        }
+        Ok(wire::TransactionReply::Conflict { rows }) => {
+            let key = lease_row::session_key(&row.host);
+            if let Some(stored) = find_row(&rows, &key) {
+                observe_session(core, stored);
+            }
+        }
+        // The next attempt conflicts if this one took effect, and shows the row.
+        Err(_) => {}
+    }
+}
+
+/// Takes in a session row that was read or written, and spreads a change of its state.
+pub fn observe_session(core: &mut Core, stored: lease::Stored<lease::SessionRow>) {
+    let now_ms = core.context.now_ms();
+    let event = events::session(&stored);
+    let (host, state) = (stored.row.host.clone(), stored.row.state);
+    if !core.members.observe(stored, now_ms) {
+        return;
+    }
+    core.changes.members = true;
+    let (host_name, state_name) = (host.as_str(), state.as_str());
+    spdlog::info!("session", kv: { host = host_name, state = state_name });
+    // Those who take over or must stop choosing the daemon hear of it at once.
+    let also: Vec<_> = match state {
+        lease::SessionState::Live => Vec::new(),
+        _ => core.members.peers().map(|(peer, _)| peer.clone()).collect(),
+    };
+    core.gossip.spread(&mut core.context, &core.members, event, &also);
+    if host == core.context.settings.host && !state.holds() && !core.shutdown.is_leaving() {
+        // The next renewal is refused and starts a new incarnation.
+        core.renewal.tick(&mut core.context, core.table.table().head_version());
+    }
+}
+
+/// Publishes and spreads a new head of the table, if rows changed it.
+pub fn table_received(core: &mut Core, changed: bool) {
+    if !changed {
+        return;
+    }
+    core.publisher.touch();
+    let event = events::table_head(core.table.table().head_version());
+    core.gossip.spread(&mut core.context, &core.members, event, &[]);
+}
+
+fn log_failure<Content>(call: &str, result: &Result<Content, platform::CallError>) {
+    if let Err(error) = result {
+        let error = error.to_string();
+        spdlog::warn!("platform-call-failed", kv: { call, error = error.as_str() });
+    }
+}
--- a/crates/entry/src/control/watch.rs
+++ b/crates/entry/src/control/watch.rs
@@ -7,7 +7,7 @@
 
 /// Watches other daemons with one kind of detector.
 pub struct Watch<Detector> {
-    create: fn(u64) -> Detector,
+    prototype: Detector,
     monitored: IndexMap<name::HostName, Monitored<Detector>>,
     /// Sessions whose lapse is being written.
     lapsing: IndexSet<name::HostName>,
@@ -26,10 +26,10 @@
 where
     Detector: member::Detector,
 {
-    /// Creates a watch over nobody; `create` makes a detector whose silence starts at a time.
-    pub fn new(create: fn(u64) -> Detector) -> Self {
+    /// Creates a watch over nobody, with the detector whose settings all others get.
+    pub fn new(prototype: Detector) -> Self {
         Self {
-            create,
+            prototype,
             monitored: IndexMap::new(),
             lapsing: IndexSet::new(),
             unchanged: IndexMap::new(),
@@ -46,7 +46,7 @@
             if self.monitored.get(&host).is_some_and(|known| known.incarnation == incarnation) {
                 continue;
             }
-            let detector = (self.create)(now_ms);
+            let detector = self.prototype.restarted(now_ms);
             let monitored = Monitored { detector, incarnation, sequence: 0, suspected: false };
             self.monitored.insert(host, monitored);
         }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,16 +1,23 @@
 //! Start and end of the daemon.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 
 use arc_swap::ArcSwap;
+use crossbeam_channel::Sender;
 use jasminetack_domain::route;
 use jasminetack_program::log;
+use jasminetack_wire::peer;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use snafu::ResultExt;
+use tokio::sync::watch;
 
 use crate::clock;
 use crate::control;
+use crate::in_flight;
 use crate::journal;
 use crate::metrics;
 use crate::ops;
@@ -68,7 +75,7 @@
     ops.start(settings.ops_address).context(ListenSnafu { address: settings.ops_address })?;
     let (control_sender, control_receiver) = crossbeam_channel::unbounded();
     let worker_events = control_sender.clone();
-    let platform = platform::Client::start(&settings, control_sender, &metrics)
+    let platform = platform::Client::start(&settings, &control_sender, &metrics)
         .context(ThreadSnafu { part: "the platform threads" })?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -82,16 +89,50 @@
         worker_events,
         runtime.handle().clone(),
     ));
-    let control =
-        control::Control::new(&settings, platform, Arc::clone(&dispatcher), Arc::clone(&snapshot));
+    let hello = peer::Hello {
+        host: settings.host.to_string(),
+        incarnation: 0,
+        secret: settings.peer_secret.clone(),
+    };
+    let links = traffic::ControlLinks::new(runtime.handle().clone(), hello);
+    let context = control::Context::new(Arc::clone(&settings), clock, platform, links);
+    let in_flight = in_flight::InFlight::default();
+    let core = control::Core::new(
+        context,
+        Arc::clone(&dispatcher),
+        Arc::clone(&snapshot),
+        in_flight.clone(),
+    );
+    let (stage, mut stages) = watch::channel(control::Stage::Serving);
+    let control = control::Control::new(core, Arc::clone(&settings), stage);
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || control::run(control, &control_receiver))
         .context(ThreadSnafu { part: "the control thread" })?;
+    forward_signals(control_sender).context(ThreadSnafu { part: "the signal thread" })?;
     let address = settings.callers_address;
     let batch_places = u32::try_from(settings.engine_batch).unwrap_or(u32::MAX);
     let router = traffic::Router::new(route::Scored::new(batch_places), rand::random());
     let server =
         traffic::Server::new(settings, snapshot, clock, dispatcher, router, metrics, journal);
-    runtime.block_on(server.serve()).context(ListenSnafu { address })
+    runtime.block_on(async {
+        tokio::select! {
+            result = server.serve() => result.context(ListenSnafu { address }),
+            // An error means that the control thread is gone, which ends the daemon too.
+            _ = stages.wait_for(|stage| *stage == control::Stage::Done) => Ok(()),
+        }
+    })
+}
+
+/// Starts a thread that turns signals into messages.
+fn forward_signals(control: Sender<control::Message>) -> io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        for _ in signals.forever() {
+            if control.send(control::Message::Terminate).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(())
 }
--- a/crates/entry/src/platform/client.rs
+++ b/crates/entry/src/platform/client.rs
@@ -11,43 +11,43 @@
 use crate::metrics;
 use crate::settings;
 
-/// Two threads, so that one slow call does not hold up the lease renewal.
-const THREAD_COUNT: usize = 2;
-
 /// Sends jobs to the platform threads; results arrive as control messages.
 #[derive(Clone, Debug)]
 pub struct Client {
-    jobs: Sender<Job>,
+    reads: Sender<Job>,
+    writes: Sender<Job>,
 }
 
 impl Client {
-    /// Starts the threads.
+    /// Starts one thread for reads and one for writes, so that a slow read does not hold up the
+    /// renewal of the lease.
     ///
     /// # Errors
     ///
     /// Fails when a thread cannot be started.
     pub fn start(
         settings: &settings::Settings,
-        results: Sender<control::Message>,
+        results: &Sender<control::Message>,
         metrics: &Arc<metrics::Metrics>,
     ) -> io::Result<Self> {
-        let (jobs, receiver) = crossbeam_channel::unbounded();
-        for index in 0..THREAD_COUNT {
+        let start = |name: &str| {
+            let (jobs, receiver) = crossbeam_channel::unbounded();
             let caller = Caller::new(settings);
-            let receiver = receiver.clone();
             let results = results.clone();
             let metrics = Arc::clone(metrics);
             thread::Builder::new()
-                .name(format!("platform-{index}"))
+                .name(name.to_owned())
                 .spawn(move || run(&caller, &receiver, &results, &metrics))?;
-        }
-        Ok(Self { jobs })
+            io::Result::Ok(jobs)
+        };
+        Ok(Self { reads: start("platform-reads")?, writes: start("platform-writes")? })
     }
 
     /// Queues a call.
     pub fn submit(&self, job: Job) {
+        let jobs = if matches!(job, Job::Transact { .. }) { &self.writes } else { &self.reads };
         // The receivers live as long as the process, so the send cannot fail before shutdown.
-        let _ = self.jobs.send(job);
+        let _ = jobs.send(job);
     }
 }
 
@@ -59,7 +59,9 @@
 ) {
     for job in jobs {
         let reply = match job {
-            Job::Rows { prefix, after } => Reply::Rows(caller.rows(prefix, after)),
+            Job::Rows { prefix, after } => {
+                Reply::Rows { prefix, result: caller.rows(prefix, after) }
+            }
             Job::Hosts => Reply::Hosts(caller.hosts()),
             Job::Read { tag, request } => Reply::Read { tag, result: caller.read(&request) },
             Job::Transact { tag, transaction } => {
--- a/crates/entry/src/platform/job.rs
+++ b/crates/entry/src/platform/job.rs
@@ -39,7 +39,12 @@
 #[derive(Clone, Debug)]
 pub enum Reply {
     /// Changed rows.
-    Rows(Result<platform::RowsPage, CallError>),
+    Rows {
+        /// Prefix that was asked for.
+        prefix: &'static str,
+        /// The rows.
+        result: Result<platform::RowsPage, CallError>,
+    },
     /// The host list.
     Hosts(Result<platform::HostList, CallError>),
     /// Rows by key.
@@ -62,7 +67,7 @@
     /// Returns the name of the call, for metrics.
     pub fn call(&self) -> &'static str {
         match self {
-            Self::Rows(_) => "rows",
+            Self::Rows { .. } => "rows",
             Self::Hosts(_) => "hosts",
             Self::Read { .. } => "read",
             Self::Transact { .. } => "transact",
@@ -72,7 +77,7 @@
     /// Tells whether the platform answered the call.
     pub fn succeeded(&self) -> bool {
         match self {
-            Self::Rows(result) | Self::Read { result, .. } => result.is_ok(),
+            Self::Rows { result, .. } | Self::Read { result, .. } => result.is_ok(),
             Self::Hosts(result) => result.is_ok(),
             Self::Transact { result, .. } => result.is_ok(),
         }
--- a/crates/entry/src/platform/mod.rs
+++ b/crates/entry/src/platform/mod.rs
@@ -6,4 +6,4 @@
 
 pub use caller::{CallError, Caller};
 pub use client::Client;
-pub use job::{Job, Reply};
+pub use job::{Job, Reply, Tag};
--- a/crates/entry/src/settings/flags.rs
+++ b/crates/entry/src/settings/flags.rs
@@ -13,6 +13,8 @@
     cmd jasminetack-entry {
         /// Name of this host.
         optional --host value: String
+        /// Incarnation of this host in the platform's host list; 0 when unknown.
+        optional --host-incarnation number: String
         /// Region of this host.
         optional --region value: String
         /// Failure domain of this host.
@@ -103,6 +105,7 @@
 #[derive(Debug)]
 pub struct JasminetackEntry {
     pub host: Option<String>,
+    pub host_incarnation: Option<String>,
     pub region: Option<String>,
     pub failure_domain: Option<String>,
     pub callers_address: Option<String>,
--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -14,6 +14,8 @@
 pub struct Settings {
     /// Name of this host.
     pub host: name::HostName,
+    /// Incarnation of this host in the platform's host list; 0 when unknown.
+    pub host_incarnation: u64,
     /// Region and failure domain of this host.
     pub place: place::Place,
     /// Address of the callers' port.
@@ -121,6 +123,12 @@
                 String::new(),
                 "a host name",
             )),
+            host_incarnation: reader.value(
+                "--host-incarnation",
+                flags.host_incarnation,
+                0,
+                "a number",
+            ),
             place: place::Place::new(
                 name::RegionName::from(reader.required(
                     "--region",
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -21,6 +21,36 @@
     pub services: IndexMap<name::ServiceName, Vec<SocketAddr>>,
     /// Whether the daemon may accept requests.
     pub ready: bool,
+    /// Why it may or may not.
+    pub readiness: Readiness,
+}
+
+/// Whether a daemon may accept requests, with the reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Readiness {
+    /// The daemon has just started.
+    #[default]
+    Starting,
+    /// The table decides.
+    Table(table::Standing),
+    /// The daemon shuts down.
+    Leaving,
+}
+
+impl Readiness {
+    /// Tells whether requests may be accepted.
+    pub fn is_ready(self) -> bool {
+        matches!(self, Self::Table(standing) if standing.may_serve())
+    }
+
+    /// Returns the reason for logs and the readiness page.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Starting => "starting",
+            Self::Table(standing) => standing.as_str(),
+            Self::Leaving => "leaving",
+        }
+    }
 }
 
 /// Another daemon.
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -16,4 +16,4 @@
 pub use dispatcher::Dispatcher;
 pub use router::Router;
 pub use server::Server;
-pub use worker_event::WorkerEvent;
+pub use worker_event::{WorkerEvent, WorkerEventKind};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,8 +12,8 @@
 pub mod codec;
 pub mod engine;
 pub mod failure;
-pub mod lease_row;
 pub mod history;
+pub mod lease_row;
 pub mod operations;
 pub mod peer;
 pub mod platform;
