--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -13,6 +13,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use snafu::ResultExt;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::clock;
@@ -89,12 +90,15 @@
         worker_events,
         runtime.handle().clone(),
     ));
+    // Bound before the session starts, so that a second process on the host does not take it over.
+    let address = settings.peers_address;
+    let listener = runtime.block_on(TcpListener::bind(address)).context(ListenSnafu { address })?;
     let hello = peer::Hello {
         host: settings.host.to_string(),
         incarnation: 0,
         secret: settings.peer_secret.clone(),
     };
-    let links = traffic::ControlLinks::new(runtime.handle().clone(), hello);
+    let links = traffic::ControlLinks::new(runtime.handle().clone(), hello.clone());
     let context = control::Context::new(Arc::clone(&settings), clock, platform, links);
     let in_flight = in_flight::InFlight::default();
     let core = control::Core::new(
@@ -109,12 +113,16 @@
         .name("control".to_owned())
         .spawn(move || control::run(control, &control_receiver))
         .context(ThreadSnafu { part: "the control thread" })?;
+    let peers = traffic::PeerClient::new(hello);
+    let owners = traffic::Owners::new(settings.host.clone(), Arc::clone(&dispatcher), peers);
+    let peer_server =
+        traffic::PeerServer::new(settings.peer_secret.clone(), control_sender.clone(), dispatcher);
+    runtime.spawn(peer_server.serve(listener));
     forward_signals(control_sender).context(ThreadSnafu { part: "the signal thread" })?;
     let address = settings.callers_address;
     let batch_places = u32::try_from(settings.engine_batch).unwrap_or(u32::MAX);
     let router = traffic::Router::new(route::Scored::new(batch_places), rand::random());
-    let server =
-        traffic::Server::new(settings, snapshot, clock, dispatcher, router, metrics, journal);
+    let server = traffic::Server::new(settings, snapshot, clock, owners, router, metrics, journal);
     runtime.block_on(async {
         tokio::select! {
             result = server.serve() => result.context(ListenSnafu { address }),
