Test take-over, resumption and shutdown against the real programs

A daemon that was paused itself no longer suspects others for heartbeats that still wait to be read, and withdraws suspicions of daemons that it no longer monitors.

--- a/crates/entry/src/control/watch.rs
+++ b/crates/entry/src/control/watch.rs
@@ -5,10 +5,16 @@
 use jasminetack_domain::member;
 use jasminetack_domain::name;
 
+/// Gap between two judgements that shows that this daemon itself was paused.
+const OWN_PAUSE_MS: u64 = 1_000;
+
 /// Watches other daemons with one kind of detector.
 pub struct Watch<Detector> {
     prototype: Detector,
     monitored: IndexMap<name::HostName, Monitored<Detector>>,
+    /// Suspicions of daemons that are no longer monitored, to be withdrawn.
+    withdrawn: Vec<lease::Holder>,
+    judged_ms: u64,
     /// Sessions whose lapse is being written.
     lapsing: IndexSet<name::HostName>,
     /// Version of each session and since when successful reads have shown it unchanged.
@@ -31,6 +37,8 @@
         Self {
             prototype,
             monitored: IndexMap::new(),
+            withdrawn: Vec::new(),
+            judged_ms: 0,
             lapsing: IndexSet::new(),
             unchanged: IndexMap::new(),
         }
@@ -39,6 +47,12 @@
     /// Follows a change of the membership.
     pub fn follow(&mut self, members: &member::Membership, now_ms: u64) {
         let hosts = members.monitored();
+        for (host, monitored) in &self.monitored {
+            if monitored.suspected && !hosts.contains(host) {
+                let incarnation = monitored.incarnation;
+                self.withdrawn.push(lease::Holder { host: host.clone(), incarnation });
+            }
+        }
         self.monitored.retain(|host, _| hosts.contains(host));
         for host in hosts {
             let Some(member) = members.get(&host) else { continue };
@@ -63,7 +77,15 @@
 
     /// Lists the daemons of which the own verdict changed, with the new verdict.
     pub fn verdicts(&mut self, now_ms: u64) -> Vec<(lease::Holder, bool)> {
-        let mut changes = Vec::new();
+        if now_ms > self.judged_ms + OWN_PAUSE_MS {
+            // The heartbeats of the meantime still wait to be read.
+            for monitored in self.monitored.values_mut() {
+                monitored.detector = monitored.detector.restarted(now_ms);
+            }
+        }
+        self.judged_ms = now_ms;
+        let withdrawn = std::mem::take(&mut self.withdrawn).into_iter();
+        let mut changes: Vec<_> = withdrawn.map(|accused| (accused, false)).collect();
         for (host, monitored) in &mut self.monitored {
             let suspected = monitored.detector.suspects(now_ms);
             if suspected == monitored.suspected {
--- /dev/null
+++ b/crates/proofs/tests/control.rs
@@ -0,0 +1,97 @@
+//! Tests of leases, ownership and shutdown against the real programs.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use jasminetack_proofs::caller;
+use jasminetack_proofs::fleet::{Fleet, Plan};
+use jasminetack_proofs::wait;
+
+/// Bound of the design for new work after an owner's death.
+const TAKE_OVER: Duration = Duration::from_secs(3);
+const SHUTDOWN: Duration = Duration::from_secs(20);
+
+fn one_engine(daemons: usize) -> Plan {
+    Plan { daemons, engines: 1, ..Plan::default() }
+}
+
+/// Guards against a worker that stays without owner after its owner died.
+#[test]
+fn worker_of_a_dead_owner_serves_again_within_the_bound() {
+    let mut fleet = Fleet::start(one_engine(3)).unwrap();
+    let (owner, fencing) = fleet.owner("engine0").unwrap();
+    let other = (owner + 1) % 3;
+    let ask = caller::Ask { timeout_ms: 2_000, ..caller::Ask::default() };
+    assert!(fleet.daemons[other].ask(&ask).is_right("offers", 1, &ask));
+    fleet.daemons[owner].program.kill().unwrap();
+    let died = Instant::now();
+    wait::until("the worker serves again", wait::LONG, || {
+        fleet.daemons[other].ask(&ask).is_right("offers", 1, &ask)
+    })
+    .unwrap();
+    let served_ms = died.elapsed().as_millis();
+    println!("new work after {served_ms} ms");
+    assert!(died.elapsed() <= TAKE_OVER, "new work after {served_ms} ms");
+    let (new_owner, new_fencing) = fleet.owner("engine0").unwrap();
+    assert_ne!(new_owner, owner);
+    assert_eq!(new_fencing, fencing + 1);
+    assert_eq!(fleet.violations(), Vec::<String>::new());
+}
+
+/// Guards against a paused owner that goes on under its old ownership.
+#[test]
+fn paused_owner_resumes_under_a_new_incarnation() {
+    let fleet = Fleet::start(one_engine(3)).unwrap();
+    let (owner, fencing) = fleet.owner("engine0").unwrap();
+    let name = fleet.daemons[owner].host.name.clone();
+    let session = |field: &str| {
+        let value = fleet.platform.read(&format!("session/{name}")).unwrap().value.unwrap();
+        value[field].clone()
+    };
+    let incarnation = session("incarnation").as_u64().unwrap();
+    fleet.daemons[owner].program.freeze().unwrap();
+    wait::until("another owner", wait::LONG, || {
+        fleet.owner("engine0").is_some_and(|(_, now)| now > fencing)
+    })
+    .unwrap();
+    fleet.daemons[owner].program.thaw().unwrap();
+    wait::until("a new incarnation", wait::LONG, || {
+        session("incarnation").as_u64() > Some(incarnation) && session("state") == "live"
+    })
+    .unwrap();
+    assert_eq!(fleet.violations(), Vec::<String>::new());
+}
+
+/// Guards against a shutdown that cuts off a stream or leaves workers without owner.
+#[test]
+fn shutdown_finishes_streams_and_hands_workers_over() {
+    let mut fleet = Fleet::start(one_engine(3)).unwrap();
+    let (owner, fencing) = fleet.owner("engine0").unwrap();
+    let other = (owner + 1) % 3;
+    let ask = caller::Ask { max_tokens: 200, stream: true, ..caller::Ask::default() };
+    let addresses =
+        [fleet.daemons[owner].callers_address(), fleet.daemons[other].callers_address()];
+    let streams = addresses.map(|address| {
+        let ask = ask.clone();
+        thread::spawn(move || caller::ask(address, &ask))
+    });
+    wait::until("both streams run", wait::LONG, || {
+        let audit = fleet.engines[0].engine_audit();
+        audit.is_ok_and(|audit| audit.runs.len() >= 2)
+    })
+    .unwrap();
+    fleet.daemons[owner].program.terminate().unwrap();
+    let status = fleet.daemons[owner].program.wait_end(SHUTDOWN).unwrap();
+    assert!(status.success(), "{status}");
+    for stream in streams {
+        let answer = stream.join().unwrap();
+        assert!(answer.is_right("offers", 1, &ask), "{answer:?}");
+    }
+    let (new_owner, new_fencing) = fleet.owner("engine0").unwrap();
+    assert_ne!(new_owner, owner);
+    assert_eq!(new_fencing, fencing + 1);
+    let name = &fleet.daemons[owner].host.name;
+    let session = fleet.platform.read(&format!("session/{name}")).unwrap().value.unwrap();
+    assert_eq!(session["state"], "ended");
+    assert_eq!(fleet.violations(), Vec::<String>::new());
+}
