--- a/crates/entry/src/control/message.rs
+++ b/crates/entry/src/control/message.rs
@@ -22,6 +22,4 @@
     Worker(traffic::WorkerEvent),
     /// The process was told to stop.
     Terminate,
-    /// No request is in flight any more; sent only while stopping.
-    Idle,
 }
--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -18,6 +18,8 @@
 pub struct Settings {
     /// Name of this host.
     pub host: name::HostName,
+    /// Incarnation of this host in the platform's host list; 0 when unknown.
+    pub host_incarnation: u64,
     /// Region and failure domain of this host.
     pub place: place::Place,
     /// Address of the callers' port.
@@ -125,6 +127,12 @@
                 String::new(),
                 "a host name",
             )),
+            host_incarnation: reader.value(
+                "--host-incarnation",
+                flags.host_incarnation,
+                0,
+                "a number",
+            ),
             place: place::Place::new(
                 name::RegionName::from(reader.required(
                     "--region",
