Serve callers within limits, retry, hedge, and call app services

Cause: the callers' port had no limits with clear errors, gave up at the first refusal, ended broken answers cleanly, and knew no app services. Change: limits on head, body, time and connections, each answered with an outcome; class and deadline from headers; retries through the policy with excluded workers; hedged requests; error events and aborted connections for broken answers; cancellation on disconnect; request ids that are unique over restarts; ceilings at this daemon; calls to app services, with claims where they may not be repeated. hyper discards unwritten data when a body fails, so a body is pending once before it fails.

--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod quota;
 pub mod request;
 pub mod route;
+pub mod service;
 pub mod table;
--- a/crates/domain/tests/request.rs
+++ b/crates/domain/tests/request.rs
@@ -28,3 +28,24 @@
     assert!((100..=110).contains(&extra), "{extra}");
     assert!(!request::RetryBudget::new(0).take());
 }
+
+/// Guards against `not-run` after one of several attempts may have run.
+#[test]
+fn one_unknown_attempt_makes_the_request_unknown() {
+    let mut budget = request::RetryBudget::new(10);
+    let mut request = request::Request::new(1_000);
+    let unknown = request.attempt_failed(request::Outcome::Unknown, 0, &mut budget);
+    assert_eq!(unknown, request::Next::Retry);
+    let not_run = request.attempt_failed(request::Outcome::NotRun, 0, &mut budget);
+    assert_eq!(not_run, request::Next::Retry);
+    assert_eq!(request.outcome(), request::Outcome::Unknown);
+}
+
+/// Guards against unlimited retries of requests that may have run.
+#[test]
+fn unknown_attempts_need_budget() {
+    let mut budget = request::RetryBudget::new(0);
+    let mut request = request::Request::new(1_000);
+    let next = request.attempt_failed(request::Outcome::Unknown, 0, &mut budget);
+    assert_eq!(next, request::Next::Fail);
+}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -8,6 +8,7 @@
 use jasminetack_domain::route;
 use jasminetack_program::log;
 use jasminetack_wire::peer;
+use parking_lot::Mutex;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 
@@ -102,9 +103,37 @@
     let address = settings.peers_address;
     let listener = runtime.block_on(TcpListener::bind(address)).context(ListenSnafu { address })?;
     runtime.spawn(peer_server.serve(listener));
-    let address = settings.callers_address;
     let batch_places = u32::try_from(settings.engine_batch).unwrap_or(u32::MAX);
     let router = traffic::Router::new(route::Scored::new(batch_places), rand::random());
-    let server = traffic::Server::new(settings, snapshot, clock, owners, router, metrics, journal);
-    runtime.block_on(server.serve()).context(ListenSnafu { address })
+    let extra = traffic::Extra::new(&settings);
+    let caller = platform::Caller::new(&settings);
+    let (group_ms, retention_ms) = (settings.claim_group_ms, settings.claim_retention_ms);
+    let claims = platform::Claims::start(&caller, group_ms, retention_ms)
+        .context(ThreadSnafu { part: "the claim threads" })?;
+    let ceilings = traffic::Ceilings::default();
+    let services = traffic::Services::new(
+        Arc::clone(&settings),
+        Arc::clone(&snapshot),
+        clock,
+        Arc::clone(&journal),
+        claims,
+        ceilings.clone(),
+    );
+    let address = settings.callers_address;
+    let models = traffic::Models {
+        settings,
+        snapshot,
+        clock,
+        owners,
+        router: Arc::new(router),
+        metrics,
+        journal,
+        extra: Mutex::new(extra),
+    };
+    let server = traffic::Server::new(Arc::new(models), Arc::new(services), ceilings);
+    let listener = runtime.block_on(TcpListener::bind(address)).context(ListenSnafu { address })?;
+    let listening = listener.local_addr().unwrap_or(address).to_string();
+    spdlog::info!("listening", kv: { port = "callers", address = listening.as_str() });
+    runtime.block_on(server.serve(listener));
+    Ok(())
 }
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -41,6 +41,18 @@
         }
     }
 
+    /// Records a decision about a request and logs it; `detail` is a list of key=value pairs.
+    pub fn note(
+        &self,
+        request_id: &name::RequestId,
+        now_ms: u64,
+        event: &'static str,
+        detail: &str,
+    ) {
+        spdlog::info!("{event} request_id={request_id} {detail}");
+        self.record(request_id, now_ms, format!("{event} {detail}"));
+    }
+
     /// Returns the decisions about a request, oldest first.
     pub fn entries(&self, request_id: &name::RequestId) -> Vec<Entry> {
         self.requests.lock().get(request_id).cloned().unwrap_or_default()
--- a/crates/entry/src/traffic/caller_error.rs
+++ b/crates/entry/src/traffic/caller_error.rs
@@ -6,7 +6,8 @@
 use jasminetack_domain::request;
 use jasminetack_wire::failure;
 
-use super::body;
+use super::answer_event::Refusal;
+use super::body::Body;
 
 /// A failure to report to a caller.
 #[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
@@ -30,12 +31,11 @@
     where
         Message: Into<String>,
     {
-        let outcome = request::Outcome::NotRun;
         Self {
             status,
             code: code.to_owned(),
             message: message.into(),
-            outcome,
+            outcome: request::Outcome::NotRun,
             retry_after_ms: None,
         }
     }
@@ -45,30 +45,30 @@
     where
         Message: Into<String>,
     {
-        let outcome = request::Outcome::Unknown;
-        Self {
-            status,
-            code: code.to_owned(),
-            message: message.into(),
-            outcome,
-            retry_after_ms: None,
-        }
+        Self { outcome: request::Outcome::Unknown, ..Self::not_run(status, code, message) }
     }
 
-    /// Encodes the failure as an HTTP response.
-    pub fn into_response(self, request_id: &name::RequestId) -> Response<body::Body> {
+    /// Encodes the failure as the JSON of an answer or of an SSE event.
+    #[must_use]
+    pub fn to_json(&self, request_id: &name::RequestId) -> String {
         let kind =
             if self.status.is_client_error() { "invalid_request_error" } else { "server_error" };
         let failure = failure::FailureBody {
             error: failure::Failure {
-                message: self.message,
+                message: self.message.clone(),
                 kind: kind.to_owned(),
-                code: self.code,
+                code: self.code.clone(),
                 outcome: self.outcome.as_str().to_owned(),
                 request_id: request_id.to_string(),
             },
         };
-        let text = serde_json::to_vec(&failure).unwrap_or_default();
+        serde_json::to_string(&failure).unwrap_or_default()
+    }
+
+    /// Encodes the failure as an HTTP response.
+    #[must_use]
+    pub fn into_response(self, request_id: &name::RequestId) -> Response<Body> {
+        let text = self.to_json(request_id);
         let mut builder = Response::builder()
             .status(self.status)
             .header(header::CONTENT_TYPE, "application/json")
@@ -77,6 +77,34 @@
         if let Some(retry_after_ms) = self.retry_after_ms {
             builder = builder.header(header::RETRY_AFTER, retry_after_ms.div_ceil(1_000));
         }
-        builder.body(body::full(text)).unwrap_or_else(|_| Response::new(body::full("")))
+        builder.body(Body::full(text)).unwrap_or_else(|_| Response::new(Body::full("")))
+    }
+
+    /// Encodes the failure as the text of a response that ends its connection.
+    #[must_use]
+    pub fn into_text(self, request_id: &name::RequestId) -> String {
+        let body = self.to_json(request_id);
+        let reason = self.status.canonical_reason().unwrap_or_default();
+        format!(
+            "HTTP/1.1 {} {reason}\r\ncontent-type: application/json\r\n{}: {}\r\n{}: {request_id}\r\n\
+             content-length: {}\r\nconnection: close\r\n\r\n{body}",
+            self.status.as_u16(),
+            failure::OUTCOME_HEADER,
+            self.outcome.as_str(),
+            failure::REQUEST_ID_HEADER,
+            body.len(),
+        )
+    }
+}
+
+impl From<Refusal> for CallerError {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            status: StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::BAD_GATEWAY),
+            code: refusal.code,
+            message: refusal.message,
+            outcome: refusal.outcome,
+            retry_after_ms: refusal.retry_after_ms,
+        }
     }
 }
--- a/crates/entry/src/traffic/model_call.rs
+++ b/crates/entry/src/traffic/model_call.rs
@@ -1,173 +1,275 @@
-//! Entry side of one model request, from admission to the end of its answer.
+//! Entry side of one model request, from admission to its first token.
+
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{Either, channel};
-use hyper::header;
 use hyper::{Response, StatusCode};
 use jasminetack_domain::adapter;
 use jasminetack_domain::name;
 use jasminetack_domain::request;
 use jasminetack_domain::route;
+use jasminetack_domain::table;
 use jasminetack_wire::engine;
-use jasminetack_wire::failure;
-use tokio::sync::mpsc;
+use tokio::time;
 
-use super::answer_event::{AnswerEvent, Refusal};
-use super::body;
+use super::admission::Admitted;
+use super::answer_event::Refusal;
+use super::body::Body;
 use super::caller_error::CallerError;
+use super::model_attempt::{ModelAttempt, StartedAnswer};
 use super::model_order::ModelOrder;
-use super::owners::Owners;
-use super::router::Router;
+use super::model_relay::ModelRelay;
+use super::models::Models;
 use super::start_order::StartOrder;
-use crate::journal;
-use crate::settings;
+use crate::metrics;
 use crate::snapshot;
 
-/// Chunks that may wait for a slow caller before the upstream is read no further.
-const BODY_BUFFER_CHUNKS: usize = 16;
-
-/// What a model request needs besides its own content.
-pub struct ModelCall<'a, RoutePolicy, Local> {
-    pub settings: &'a settings::Settings,
-    pub snapshot: &'a snapshot::Snapshot,
-    pub owners: &'a Owners<Local>,
-    pub journal: &'a journal::Journal,
-    pub router: &'a Router<RoutePolicy>,
-    pub request_id: &'a name::RequestId,
-    pub team: name::TeamName,
+/// Pause before workers that refused a request are asked again; it doubles with each round.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Rounds over all workers. Their pauses add up to 3.1 s, in which a lost owner is replaced.
+const MAX_ROUNDS: u32 = 5;
+
+/// One model request.
+pub struct ModelCall<RoutePolicy, Local> {
+    models: Arc<Models<RoutePolicy, Local>>,
+    admitted: Admitted,
+    adapter: adapter::AdapterRef,
+    base_model: name::BaseModelName,
+    order: ModelOrder,
+    request: request::Request,
+    excluded: Vec<name::WorkerName>,
 }
 
-impl<RoutePolicy, Local> ModelCall<'_, RoutePolicy, Local>
+impl<RoutePolicy, Local> ModelCall<RoutePolicy, Local>
 where
-    RoutePolicy: route::Policy,
-    Local: StartOrder,
+    RoutePolicy: route::Policy + Send + Sync + 'static,
+    Local: StartOrder + Send + Sync + 'static,
 {
-    /// Serves the request at the present time.
+    /// Reads a request; its adapter version does not change any more.
     ///
     /// # Errors
     ///
-    /// Fails when the request is malformed, names no adapter, or no worker serves it.
-    pub async fn run(
-        self,
+    /// Fails when the request is malformed, names no adapter or one of another team.
+    pub fn new(
+        models: Arc<Models<RoutePolicy, Local>>,
+        table: &table::Table,
+        admitted: Admitted,
         path: String,
         body: Bytes,
-        now_ms: u64,
-    ) -> Result<Response<body::Body>, CallerError> {
+    ) -> Result<Self, CallerError> {
         let completion: engine::Completion = serde_json::from_slice(&body).map_err(|error| {
             CallerError::not_run(StatusCode::BAD_REQUEST, "bad_json", error.to_string())
         })?;
-        let (adapter, row) = self.snapshot.table.resolve(&completion.model).map_err(|error| {
+        let (adapter, row) = table.resolve(&completion.model).map_err(|error| {
             CallerError::not_run(StatusCode::NOT_FOUND, "unknown_adapter", error.to_string())
         })?;
+        if row.team != admitted.team {
+            let message = format!("adapter {} belongs to another team", adapter.name());
+            return Err(CallerError::not_run(StatusCode::FORBIDDEN, "not_your_adapter", message));
+        }
+        let team_limits = table.team(&admitted.team).map(|row| row.limits.clone());
+        let team_limits = team_limits.unwrap_or_default();
         let order = ModelOrder {
-            request_id: self.request_id.clone(),
-            worker: self.route(&adapter, &row.base_model, now_ms)?,
+            request_id: admitted.request_id.clone(),
+            // Each attempt sets the worker and the remaining time.
+            worker: name::WorkerName::from(""),
             adapter: adapter.clone(),
-            team: self.team.clone(),
-            weight: row.limits.weight,
-            share: row.limits.share,
-            class: request::Class::Normal.limited_to(row.limits.class),
-            remaining_ms: self.settings.default_timeout_ms,
+            team: admitted.team.clone(),
+            weight: team_limits.weight,
+            share: team_limits.share,
+            class: admitted.class.limited_to(row.limits.class),
+            remaining_ms: 0,
             path,
             body,
         };
-        let events = self.owners.start(self.snapshot, order).map_err(CallerError::from)?;
-        relay(events, self.request_id, &adapter).await
+        Ok(Self {
+            request: request::Request::new(admitted.deadline_ms),
+            base_model: row.base_model.clone(),
+            models,
+            admitted,
+            adapter,
+            order,
+            excluded: Vec::new(),
+        })
     }
 
-    fn route(
-        &self,
-        adapter: &adapter::AdapterRef,
-        base_model: &name::BaseModelName,
-        now_ms: u64,
-    ) -> Result<name::WorkerName, CallerError> {
-        let request =
-            route::RouteRequest { adapter, base_model, from: &self.settings.place, excluded: &[] };
-        let decision =
-            self.router.choose(&request, &self.snapshot.fleet, now_ms).ok_or_else(|| {
-                CallerError::not_run(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "no_worker",
-                    format!("no worker serves base model {base_model}"),
-                )
-            })?;
-        let considered = decision
-            .considered
-            .iter()
-            .map(|(worker, cost_ms)| format!("{worker}:{cost_ms}"))
-            .collect::<Vec<_>>()
-            .join(",");
-        let adapter = adapter.to_string();
-        spdlog::info!("route", kv: {
-            request_id = self.request_id.as_str(),
-            adapter = adapter.as_str(),
-            worker = decision.worker.as_str(),
-            cost_ms = decision.cost_ms,
-            considered = considered.as_str(),
-            reason = decision.reason,
-        });
-        let text = format!(
-            "route adapter={adapter} worker={} cost_ms={} considered={considered} reason={:?}",
-            decision.worker, decision.cost_ms, decision.reason,
-        );
-        self.journal.record(self.request_id, now_ms, text);
-        Ok(decision.worker)
+    /// Returns the adapter version that must answer.
+    pub fn adapter(&self) -> &adapter::AdapterRef {
+        &self.adapter
     }
-}
 
-async fn relay(
-    mut events: mpsc::Receiver<AnswerEvent>,
-    request_id: &name::RequestId,
-    adapter: &adapter::AdapterRef,
-) -> Result<Response<body::Body>, CallerError> {
-    let (status, content_type) = loop {
-        match events.recv().await {
-            Some(AnswerEvent::Progress { .. }) => {}
-            Some(AnswerEvent::Head { status, content_type, .. }) => break (status, content_type),
-            Some(AnswerEvent::Refused(refusal)) => return Err(CallerError::from(refusal)),
-            Some(AnswerEvent::Chunk(_) | AnswerEvent::End) | None => {
-                return Err(CallerError::unknown(
-                    StatusCode::BAD_GATEWAY,
-                    "owner_lost",
-                    "the owner of the worker ended without an answer",
-                ));
+    /// Serves the request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no worker answers before the deadline.
+    pub async fn run(mut self) -> Result<Response<Body>, CallerError> {
+        self.models.extra.lock().count_request();
+        let remaining = self.admitted.remaining(self.models.clock.now_ms());
+        let Ok(result) = time::timeout(remaining, self.first_answer()).await else {
+            let message = "no token arrived before the deadline";
+            let status = StatusCode::GATEWAY_TIMEOUT;
+            // An attempt was running, or the pause before the next one.
+            self.request.abandoned();
+            return Err(self.report(CallerError::unknown(status, "deadline_passed", message)));
+        };
+        let answer = result.map_err(|refusal| self.report(CallerError::from(refusal)))?;
+        let class = self.order.class;
+        self.models.extra.lock().hedge_delay.record(class, answer.first_token_ms);
+        let first_token_s = answer.first_token_ms as f64 / 1_000.0;
+        let times = &self.models.metrics.first_token;
+        times.get_or_create(&metrics::class(class)).observe(first_token_s);
+        let relay = ModelRelay { models: self.models, admitted: self.admitted, class, answer };
+        relay.start(&self.adapter)
+    }
+
+    /// Sends the request to one worker after the other until a token arrives.
+    async fn first_answer(&mut self) -> Result<StartedAnswer<RoutePolicy>, Refusal> {
+        let mut round = 1;
+        let mut last: Option<Refusal> = None;
+        loop {
+            let snapshot = self.models.snapshot.load_full();
+            let Some(worker) = self.route(&snapshot) else {
+                let is_known = snapshot.fleet.iter().any(|view| view.base_model == self.base_model);
+                let is_busy = last.as_ref().is_some_and(|last| last.retry_after_ms.is_some());
+                if !is_known || is_busy || round >= MAX_ROUNDS {
+                    return Err(last.unwrap_or_else(|| self.no_worker()));
+                }
+                time::sleep(FIRST_PAUSE * 2_u32.pow(round - 1)).await;
+                self.excluded.clear();
+                round += 1;
+                continue;
+            };
+            let refusal = match self.hedged(&snapshot, worker.clone()).await {
+                Ok(answer) => return Ok(answer),
+                Err(refusal) => refusal,
+            };
+            let next = self.request.attempt_failed(
+                refusal.outcome,
+                self.models.clock.now_ms(),
+                &mut self.models.extra.lock().retries,
+            );
+            let is_final = is_final(refusal.status);
+            let detail = format!(
+                "worker={worker} code={} outcome={} retry={}",
+                refusal.code,
+                refusal.outcome.as_str(),
+                next == request::Next::Retry && !is_final,
+            );
+            self.models.note(&self.admitted.request_id, "attempt-failed", &detail);
+            if is_final || next == request::Next::Fail {
+                return Err(refusal);
             }
+            self.models.metrics.retries.inc();
+            self.excluded.push(worker);
+            last = Some(refusal);
         }
-    };
-    let (mut sender, content) = channel::Channel::new(BODY_BUFFER_CHUNKS);
-    tokio::spawn(async move {
-        while let Some(event) = events.recv().await {
-            match event {
-                AnswerEvent::Chunk(data) => {
-                    if sender.send_data(data).await.is_err() {
-                        return;
-                    }
-                }
-                AnswerEvent::End => return,
-                _ => break,
+    }
+
+    /// Sends the request to a worker, and to a second one when no token arrives in the usual time.
+    async fn hedged(
+        &mut self,
+        snapshot: &snapshot::Snapshot,
+        worker: name::WorkerName,
+    ) -> Result<StartedAnswer<RoutePolicy>, Refusal> {
+        let first = self.send(snapshot, worker.clone())?.start();
+        let mut first = std::pin::pin!(first);
+        let delay_ms = self.models.extra.lock().hedge_delay.delay_ms(self.order.class);
+        if let Some(delay_ms) = delay_ms {
+            let delay = Duration::from_millis(delay_ms);
+            if let Ok(result) = time::timeout(delay, first.as_mut()).await {
+                return result;
             }
         }
-        sender.abort(body::Aborted);
-    });
-    Response::builder()
-        .status(status)
-        .header(header::CONTENT_TYPE, content_type)
-        .header(failure::REQUEST_ID_HEADER, request_id.as_str())
-        .header(failure::ADAPTER_HEADER, adapter.to_string())
-        .body(Either::Right(content))
-        .map_err(|error| {
-            CallerError::unknown(StatusCode::BAD_GATEWAY, "bad_answer", error.to_string())
-        })
-}
+        let Some(second) = delay_ms.and_then(|_| self.hedge(snapshot, &worker)) else {
+            return first.await;
+        };
+        let mut second = std::pin::pin!(second.start());
+        // The attempt that is not returned is dropped, which cancels it.
+        let (result, other) = tokio::select! {
+            result = first.as_mut() => (result, second),
+            result = second.as_mut() => (result, first),
+        };
+        let Err(refusal) = result else { return result };
+        if refusal.outcome == request::Outcome::Unknown {
+            self.request.abandoned();
+        }
+        other.await
+    }
 
-impl From<Refusal> for CallerError {
-    fn from(refusal: Refusal) -> Self {
-        Self {
-            status: StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::BAD_GATEWAY),
-            code: refusal.code,
-            message: refusal.message,
-            outcome: refusal.outcome,
-            retry_after_ms: refusal.retry_after_ms,
+    fn hedge(
+        &mut self,
+        snapshot: &snapshot::Snapshot,
+        worker: &name::WorkerName,
+    ) -> Option<ModelAttempt<RoutePolicy>> {
+        if !self.models.extra.lock().hedges.take() {
+            return None;
         }
+        self.excluded.push(worker.clone());
+        let second = self.route(snapshot);
+        self.excluded.pop();
+        let second = second?;
+        self.excluded.push(second.clone());
+        let detail = format!("worker={worker} second={second} reason=\"no token in usual time\"");
+        self.models.note(&self.admitted.request_id, "hedge", &detail);
+        self.models.metrics.hedges.inc();
+        self.send(snapshot, second).ok()
+    }
+
+    fn send(
+        &self,
+        snapshot: &snapshot::Snapshot,
+        worker: name::WorkerName,
+    ) -> Result<ModelAttempt<RoutePolicy>, Refusal> {
+        let Models { clock, owners, router, .. } = &*self.models;
+        let remaining_ms = self.admitted.deadline_ms.saturating_sub(clock.now_ms());
+        let order = ModelOrder { worker: worker.clone(), remaining_ms, ..self.order.clone() };
+        let events = owners.start(snapshot, order)?;
+        let (base_model, router) = (self.base_model.clone(), Arc::clone(router));
+        Ok(ModelAttempt::new(worker, base_model, events, router, *clock))
     }
+
+    fn route(&self, snapshot: &snapshot::Snapshot) -> Option<name::WorkerName> {
+        let now_ms = self.models.clock.now_ms();
+        let request = route::RouteRequest {
+            adapter: &self.adapter,
+            base_model: &self.base_model,
+            from: &self.models.settings.place,
+            excluded: &self.excluded,
+        };
+        let decision = self.models.router.choose(&request, &snapshot.fleet, now_ms)?;
+        let mut considered = String::new();
+        for (worker, cost_ms) in &decision.considered {
+            considered.push_str(&format!(" {worker}:{cost_ms}"));
+        }
+        let detail = format!(
+            "adapter={} worker={} cost_ms={} considered={:?} reason={:?}",
+            self.adapter,
+            decision.worker,
+            decision.cost_ms,
+            considered.trim_start(),
+            decision.reason,
+        );
+        self.models.note(&self.admitted.request_id, "route", &detail);
+        Some(decision.worker)
+    }
+
+    fn no_worker(&self) -> Refusal {
+        let message = format!("no worker serves base model {}", self.base_model);
+        Refusal::not_run(503, "no_worker", message)
+    }
+
+    /// A failure of the last attempt says nothing of the attempts before it.
+    fn report(&self, mut error: CallerError) -> CallerError {
+        if self.request.outcome() == request::Outcome::Unknown {
+            error.outcome = request::Outcome::Unknown;
+        }
+        error
+    }
+}
+
+/// Tells whether another worker would refuse the request for the same reason.
+fn is_final(status: u16) -> bool {
+    (400..500).contains(&status) && status != 429
 }
--- a/crates/entry/src/traffic/server.rs
+++ b/crates/entry/src/traffic/server.rs
@@ -3,48 +3,51 @@
 use std::convert::Infallible;
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use jasminetack_domain::name;
 use jasminetack_domain::request;
 use jasminetack_domain::route;
 use jasminetack_domain::table;
-use sha2::Digest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time;
 
-use super::body;
+use super::admission::{self, Admitted};
+use super::body::Body;
 use super::caller_error::CallerError;
+use super::caller_stream::CallerStream;
+use super::ceilings::Ceilings;
 use super::model_call::ModelCall;
-use super::owners::Owners;
-use super::router::Router;
+use super::models::Models;
+use super::request_guard::RequestGuard;
+use super::request_ids::RequestIds;
+use super::service_call::{SERVICES_PREFIX, ServiceCall};
+use super::services::Services;
 use super::start_order::StartOrder;
-use crate::clock;
-use crate::journal;
-use crate::metrics;
-use crate::settings;
-use crate::snapshot;
+
+/// hyper's smallest limit on its buffer.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Connections beyond the limit that are answered at one time; further ones are only closed.
+const MAX_REFUSALS: usize = 64;
+/// Longest time to write a refusal and to read what the caller sent meanwhile.
+const REFUSAL_TIME: Duration = Duration::from_millis(1_000);
+/// Pause after a failed accept, such as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves callers with one routing policy.
 pub struct Server<RoutePolicy, Local> {
-    settings: Arc<settings::Settings>,
-    snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
-    clock: clock::Clock,
-    owners: Owners<Local>,
-    metrics: Arc<metrics::Metrics>,
-    journal: Arc<journal::Journal>,
-    router: Router<RoutePolicy>,
+    models: Arc<Models<RoutePolicy, Local>>,
+    services: Arc<Services>,
+    ceilings: Ceilings,
     connections: Arc<Semaphore>,
-    next_request: AtomicU64,
+    refusals: Arc<Semaphore>,
+    request_ids: RequestIds,
 }
 
 impl<RoutePolicy, Local> Server<RoutePolicy, Local>
@@ -54,46 +57,34 @@
 {
     /// Creates a server that is not listening yet.
     pub fn new(
-        settings: Arc<settings::Settings>,
-        snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
-        clock: clock::Clock,
-        owners: Owners<Local>,
-        router: Router<RoutePolicy>,
-        metrics: Arc<metrics::Metrics>,
-        journal: Arc<journal::Journal>,
+        models: Arc<Models<RoutePolicy, Local>>,
+        services: Arc<Services>,
+        ceilings: Ceilings,
     ) -> Self {
-        let connections = Arc::new(Semaphore::new(settings.max_connections));
-        let next_request = AtomicU64::new(1);
-        Self {
-            settings,
-            snapshot,
-            clock,
-            owners,
-            router,
-            metrics,
-            journal,
-            connections,
-            next_request,
-        }
+        let connections = Arc::new(Semaphore::new(models.settings.max_connections));
+        let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
+        let request_ids = RequestIds::new(&models.settings.host);
+        Self { models, services, ceilings, connections, refusals, request_ids }
     }
 
-    /// Serves callers until the listener fails.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the port is not available.
-    pub async fn serve(self) -> io::Result<()> {
-        let listener = TcpListener::bind(self.settings.callers_address).await?;
-        let address = listener.local_addr()?.to_string();
-        spdlog::info!("listening", kv: { port = "callers", address = address.as_str() });
+    /// Serves callers for as long as the process lives.
+    pub async fn serve(self, listener: TcpListener) {
         let server = Arc::new(self);
         loop {
-            let (stream, _) = listener.accept().await?;
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    let error = error.to_string();
+                    spdlog::warn!("accept-failed", kv: { port = "callers", error = error.as_str() });
+                    time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            let server = Arc::clone(&server);
             let Ok(permit) = Arc::clone(&server.connections).try_acquire_owned() else {
-                spdlog::warn!("connection-refused", kv: { reason = "too many connections" });
+                server.refuse_connection(stream);
                 continue;
             };
-            let server = Arc::clone(&server);
             tokio::spawn(async move {
                 server.serve_connection(stream).await;
                 drop(permit);
@@ -101,79 +92,128 @@
         }
     }
 
+    fn refuse_connection(&self, stream: TcpStream) {
+        spdlog::warn!("connection-refused", kv: { reason = "too many connections" });
+        let Ok(permit) = Arc::clone(&self.refusals).try_acquire_owned() else { return };
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let error = CallerError::not_run(status, "too_many_connections", "too many connections");
+        let text = error.into_text(&self.request_ids.create());
+        tokio::spawn(async move {
+            let _ = time::timeout(REFUSAL_TIME, answer_and_close(stream, &text)).await;
+            drop(permit);
+        });
+    }
+
     async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
         // Tokens are small and must leave at once.
         let _ = stream.set_nodelay(true);
-        let header_timeout = Duration::from_millis(self.settings.header_timeout_ms);
+        let settings = &self.models.settings;
+        let header_timeout = Duration::from_millis(settings.header_timeout_ms);
         let service = service_fn(|request| {
             let server = Arc::clone(&self);
-            async move { Ok::<_, Infallible>(server.answer(request).await) }
+            Box::pin(async move { Ok::<_, Infallible>(server.answer(request).await) })
         });
-        let connection = http1::Builder::new()
+        let stream = CallerStream::new(stream, self.request_ids.create());
+        let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(header_timeout)
+            .max_header_size(settings.max_header_bytes)
+            .max_buf_size(settings.max_header_bytes.max(MIN_BUFFER_BYTES))
+            .writev(false)
             .serve_connection(TokioIo::new(stream), service);
-        if let Err(error) = connection.await {
-            let error = error.to_string();
-            spdlog::debug!("connection-ended", kv: { error = error.as_str() });
+        let result =
+            std::future::poll_fn(|context| connection.poll_without_shutdown(context)).await;
+        let Err(error) = result else { return };
+        let message = error.to_string();
+        spdlog::debug!("connection-ended", kv: { error = message.as_str() });
+        if !error.is_timeout() {
+            return;
         }
+        // hyper closes the connection of a slow sender without an answer.
+        let milliseconds = settings.header_timeout_ms;
+        let message = format!("the head of the request did not arrive within {milliseconds} ms");
+        let error = CallerError::not_run(StatusCode::REQUEST_TIMEOUT, "slow_head", message);
+        let text = error.into_text(&self.request_ids.create());
+        let stream = connection.into_parts().io.into_inner().into_inner();
+        let _ = time::timeout(REFUSAL_TIME, answer_and_close(stream, &text)).await;
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<body::Body> {
-        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
-        let request_id = name::RequestId::from(format!("{}-{number}", self.settings.host));
-        self.metrics.in_flight.inc();
-        let result = self.route_path(request, &request_id).await;
-        self.metrics.in_flight.dec();
-        let label = result.as_ref().map_or_else(|error| error.outcome.as_str(), |_| "answered");
-        self.metrics.finish_request(request::Class::Normal, label);
-        result.unwrap_or_else(|error| error.into_response(&request_id))
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let request_id = self.request_ids.create();
+        let mut guard = RequestGuard::new(Arc::clone(&self.models.metrics));
+        let admitted = {
+            let snapshot = self.models.snapshot.load();
+            let (table, settings) = (&snapshot.table, &self.models.settings);
+            let now_ms = self.models.clock.now_ms();
+            Admitted::new(request_id.clone(), request.headers(), table, settings, now_ms)
+        };
+        let class = admitted.as_ref().map_or(request::Class::Normal, |admitted| admitted.class);
+        let result = match admitted {
+            Ok(admitted) => self.serve_request(request, admitted, &mut guard).await,
+            Err(error) => Err(error),
+        };
+        let mut response = result.unwrap_or_else(|error| {
+            self.models.metrics.finish_request(class, error.outcome.as_str());
+            let outcome = error.outcome.as_str();
+            let detail = format!("status={} code={} outcome={outcome}", error.status, error.code);
+            self.models.note(&request_id, "refuse", &detail);
+            error.into_response(&request_id)
+        });
+        response.body_mut().hold(guard);
+        response
     }
 
-    async fn route_path(
+    async fn serve_request(
         &self,
         request: Request<Incoming>,
-        request_id: &name::RequestId,
-    ) -> Result<Response<body::Body>, CallerError> {
-        let path = request.uri().path().to_owned();
-        let is_model = matches!(path.as_str(), "/v1/completions" | "/v1/chat/completions");
-        if !is_model || request.method() != Method::POST {
-            return Err(CallerError::not_run(
-                StatusCode::NOT_FOUND,
-                "no_such_path",
-                "no such path",
-            ));
+        admitted: Admitted,
+        guard: &mut RequestGuard,
+    ) -> Result<Response<Body>, CallerError> {
+        if !self.models.snapshot.load().ready {
+            let message = "this daemon cannot confirm its table; try another one";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let mut error = CallerError::not_run(status, "not_ready", message);
+            error.retry_after_ms = Some(1_000);
+            return Err(error);
         }
-        let snapshot = self.snapshot.load_full();
-        let team = authenticate(&snapshot.table, &request)?;
-        let limit = self.settings.max_body_bytes;
-        let body = Limited::new(request.into_body(), limit).collect().await.map_err(|error| {
-            CallerError::not_run(StatusCode::PAYLOAD_TOO_LARGE, "bad_body", error.to_string())
-        })?;
-        let call = ModelCall {
-            settings: &self.settings,
-            snapshot: &snapshot,
-            owners: &self.owners,
-            journal: &self.journal,
-            router: &self.router,
-            request_id,
-            team,
-        };
-        call.run(path, body.to_bytes(), self.clock.now_ms()).await
+        let path = request.uri().path();
+        let is_model = matches!(path, "/v1/completions" | "/v1/chat/completions");
+        if !is_model && !path.starts_with(SERVICES_PREFIX) {
+            let message = "paths: /v1/completions, /v1/chat/completions, /services/NAME/...";
+            return Err(CallerError::not_run(StatusCode::NOT_FOUND, "no_such_path", message));
+        }
+        if is_model && request.method() != Method::POST {
+            let status = StatusCode::METHOD_NOT_ALLOWED;
+            return Err(CallerError::not_run(status, "bad_method", "only POST is allowed"));
+        }
+        let (head, body) = request.into_parts();
+        let body = admission::read_body(body, &head.method, &self.models.settings).await?;
+        let snapshot = self.models.snapshot.load_full();
+        if let Some(team) = snapshot.table.team(&admitted.team) {
+            let row = table::RowKey::new(table::RowKind::Team, admitted.team.as_str());
+            guard.hold(self.ceilings.enter(row, &team.limits)?);
+        }
+        if !is_model {
+            let call = ServiceCall::new(&snapshot.table, admitted, head, body)?;
+            return Arc::clone(&self.services).run(call).await;
+        }
+        let path = head.uri.path().to_owned();
+        let models = Arc::clone(&self.models);
+        let call = ModelCall::new(models, &snapshot.table, admitted, path, body)?;
+        if let Some(adapter) = snapshot.table.adapter(call.adapter().name()) {
+            let row = table::RowKey::new(table::RowKind::Adapter, call.adapter().name().as_str());
+            guard.hold(self.ceilings.enter(row, &adapter.limits)?);
+        }
+        call.run().await
     }
 }
 
-fn authenticate(
-    table: &table::Table,
-    request: &Request<Incoming>,
-) -> Result<name::TeamName, CallerError> {
-    let key = request
-        .headers()
-        .get(header::AUTHORIZATION)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.strip_prefix("Bearer "));
-    let hash = key.map(|key| table::KeyHash::new(sha2::Sha256::digest(key.as_bytes()).into()));
-    hash.and_then(|hash| table.team_by_key(&hash)).cloned().ok_or_else(|| {
-        CallerError::not_run(StatusCode::UNAUTHORIZED, "bad_key", "the bearer key is not valid")
-    })
+/// Writes a refusal and reads on for a moment, since closing a connection with unread data would
+/// discard the refusal.
+async fn answer_and_close(mut stream: TcpStream, text: &str) -> io::Result<()> {
+    stream.write_all(text.as_bytes()).await?;
+    stream.shutdown().await?;
+    let mut discarded = [0; 1_024];
+    while stream.read(&mut discarded).await? > 0 {}
+    Ok(())
 }
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -2,131 +2,16 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
 
 use jasminetack_domain::claim;
 use jasminetack_entry::platform as entry;
-use jasminetack_wire::platform;
 
-const BOUND: Duration = Duration::from_secs(10);
-const DAY_MS: u64 = 86_400_000;
-
-#[derive(Clone, Default)]
-struct MemoryStore(Arc<Mutex<State>>);
-
-#[derive(Default)]
-struct State {
-    version: u64,
-    rows: BTreeMap<String, (u64, Option<serde_json::Value>)>,
-    /// Faults of the next transactions, last first.
-    faults: Vec<Fault>,
-    reads_fail: bool,
-    transactions: usize,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Fault {
-    ReplyLost,
-    RequestLost,
-    Unreachable,
-}
-
-impl MemoryStore {
-    fn with_faults(faults: &[Fault]) -> Self {
-        let store = Self::default();
-        store.0.lock().unwrap().faults = faults.to_vec();
-        store
-    }
+use support::store::{Fault, MemoryStore};
 
-    fn value(&self, key: &str) -> Option<serde_json::Value> {
-        self.0.lock().unwrap().rows.get(key).and_then(|(_, value)| value.clone())
-    }
+mod support;
 
-    fn wait_for<Check>(&self, key: &str, check: Check)
-    where
-        Check: Fn(Option<serde_json::Value>) -> bool,
-    {
-        let start = Instant::now();
-        while !check(self.value(key)) {
-            assert!(start.elapsed() < BOUND, "{key} is {:?}", self.value(key));
-            std::thread::sleep(Duration::from_millis(1));
-        }
-    }
-}
-
-fn failed(may_have_applied: bool) -> entry::CallError {
-    entry::CallError { may_have_applied, message: "injected".to_owned() }
-}
-
-impl entry::Store for MemoryStore {
-    fn rows(&self, prefix: &str, after: u64) -> Result<platform::RowsPage, entry::CallError> {
-        let state = self.0.lock().unwrap();
-        let mut rows = Vec::new();
-        for (key, (version, value)) in &state.rows {
-            if key.starts_with(prefix) && *version > after {
-                let (key, version, value) = (key.clone(), *version, value.clone());
-                rows.push(platform::StoredRow { key, version, value });
-            }
-        }
-        rows.sort_by_key(|row| row.version);
-        Ok(platform::RowsPage { rows, head_version: state.version })
-    }
-
-    fn read(
-        &self,
-        request: &platform::ReadRequest,
-    ) -> Result<platform::RowsPage, entry::CallError> {
-        let state = self.0.lock().unwrap();
-        if state.reads_fail {
-            return Err(failed(false));
-        }
-        let mut rows = Vec::new();
-        for key in &request.keys {
-            let (version, value) = state.rows.get(key).cloned().unwrap_or((0, None));
-            rows.push(platform::StoredRow { key: key.clone(), version, value });
-        }
-        Ok(platform::RowsPage { rows, head_version: state.version })
-    }
-
-    fn transact(
-        &self,
-        transaction: &platform::Transaction,
-    ) -> Result<platform::TransactionReply, entry::CallError> {
-        let mut state = self.0.lock().unwrap();
-        state.transactions += 1;
-        let fault = state.faults.pop();
-        match fault {
-            Some(Fault::Unreachable) => return Err(failed(false)),
-            Some(Fault::RequestLost) => return Err(failed(true)),
-            Some(Fault::ReplyLost) | None => {}
-        }
-        let mut rows = Vec::new();
-        for condition in &transaction.conditions {
-            let (version, value) = state.rows.get(&condition.key).cloned().unwrap_or((0, None));
-            let found = value.is_some().then_some(version);
-            if found != condition.version {
-                rows.push(platform::StoredRow { key: condition.key.clone(), version, value });
-            }
-        }
-        let is_conflict = !rows.is_empty();
-        if !is_conflict {
-            state.version += 1;
-            let version = state.version;
-            for write in &transaction.writes {
-                state.rows.insert(write.key.clone(), (version, write.value.clone()));
-            }
-        }
-        if fault == Some(Fault::ReplyLost) {
-            return Err(failed(true));
-        }
-        if is_conflict {
-            return Ok(platform::TransactionReply::Conflict { rows });
-        }
-        Ok(platform::TransactionReply::Committed { version: state.version })
-    }
-}
+const DAY_MS: u64 = 86_400_000;
 
 fn attempt(token: u128) -> claim::Claim {
     let digest = claim::ContentDigest::new([7; claim::ContentDigest::LEN_BYTES]);
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -3,7 +3,6 @@
 #![allow(clippy::unwrap_used)]
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
 use jasminetack_domain::adapter;
@@ -17,31 +16,19 @@
 use tokio::sync::mpsc;
 use tokio::time;
 
-const BOUND: Duration = Duration::from_secs(10);
-const SECRET: &str = "peer secret of the test";
-
-/// Owner whose answers the test writes.
-#[derive(Clone)]
-struct ScriptedOwner {
-    started: mpsc::UnboundedSender<(traffic::ModelOrder, mpsc::Sender<traffic::AnswerEvent>)>,
-}
+use support::{BOUND, ScriptedOwner, Started};
 
-type Started = mpsc::UnboundedReceiver<(traffic::ModelOrder, mpsc::Sender<traffic::AnswerEvent>)>;
+mod support;
 
-impl traffic::StartOrder for ScriptedOwner {
-    fn start(&self, order: traffic::ModelOrder) -> mpsc::Receiver<traffic::AnswerEvent> {
-        let (sender, receiver) = mpsc::channel(8);
-        self.started.send((order, sender)).unwrap();
-        receiver
-    }
-}
+const SECRET: &str = "peer secret of the test";
 
-async fn serve() -> (SocketAddr, Started, crossbeam_channel::Receiver<control::Message>) {
+async fn serve()
+-> (SocketAddr, mpsc::UnboundedReceiver<Started>, crossbeam_channel::Receiver<control::Message>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let (started, orders) = mpsc::unbounded_channel();
+    let (owner, orders) = ScriptedOwner::new();
     let (control, messages) = crossbeam_channel::unbounded();
-    let server = traffic::PeerServer::new(SECRET.to_owned(), control, ScriptedOwner { started });
+    let server = traffic::PeerServer::new(SECRET.to_owned(), control, owner);
     tokio::spawn(server.serve(listener));
     (address, orders, messages)
 }
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,243 @@
+//! Parts of a daemon in the test's process.
+
+#![allow(clippy::unwrap_used, dead_code)]
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use indexmap::IndexSet;
+use jasminetack_domain::name;
+use jasminetack_domain::place;
+use jasminetack_domain::request;
+use jasminetack_domain::route;
+use jasminetack_domain::table;
+use jasminetack_entry::clock;
+use jasminetack_entry::journal;
+use jasminetack_entry::metrics;
+use jasminetack_entry::platform;
+use jasminetack_entry::settings;
+use jasminetack_entry::snapshot;
+use jasminetack_entry::traffic;
+use jasminetack_wire::peer;
+use parking_lot::Mutex;
+use sha2::Digest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time;
+
+pub mod store;
+
+/// Longest time that a test waits for something that must happen.
+pub const BOUND: Duration = Duration::from_secs(10);
+
+/// A started order and the way to answer it.
+pub type Started = (traffic::ModelOrder, mpsc::Sender<traffic::AnswerEvent>);
+
+/// Owner whose answers the test writes.
+#[derive(Clone, Debug)]
+pub struct ScriptedOwner {
+    started: mpsc::UnboundedSender<Started>,
+}
+
+impl ScriptedOwner {
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<Started>) {
+        let (started, orders) = mpsc::unbounded_channel();
+        (Self { started }, orders)
+    }
+}
+
+impl traffic::StartOrder for ScriptedOwner {
+    fn start(&self, order: traffic::ModelOrder) -> mpsc::Receiver<traffic::AnswerEvent> {
+        let (sender, receiver) = mpsc::channel(8);
+        self.started.send((order, sender)).unwrap();
+        receiver
+    }
+}
+
+/// A callers' port with two workers of one base model, owned by a scripted owner.
+pub struct Daemon {
+    pub address: SocketAddr,
+    pub orders: mpsc::UnboundedReceiver<Started>,
+    pub snapshot: Arc<ArcSwap<snapshot::Snapshot>>,
+    pub journal: Arc<journal::Journal>,
+    pub models: Arc<traffic::Models<route::Scored, ScriptedOwner>>,
+}
+
+impl Daemon {
+    /// Starts with more settings, written `--flag value`.
+    pub async fn start(flags: &str) -> Self {
+        Self::start_with(flags, &store::MemoryStore::default()).await
+    }
+
+    pub async fn start_with(flags: &str, store: &store::MemoryStore) -> Self {
+        let base = "--host e1 --region north --failure-domain a --callers-address 127.0.0.1:0 \
+                    --peers-address 127.0.0.1:0 --ops-address 127.0.0.1:0 \
+                    --platform-url http://127.0.0.1:1 --platform-key p --peer-secret s";
+        let arguments = base.split_whitespace().chain(flags.split_whitespace());
+        let arguments = arguments.map(OsString::from).collect();
+        let settings = Arc::new(settings::Settings::from_arguments(arguments).unwrap());
+        let snapshot = Arc::new(ArcSwap::from_pointee(fleet()));
+        let clock = clock::Clock::start();
+        let journal = Arc::new(journal::Journal::new(100));
+        let (owner, orders) = ScriptedOwner::new();
+        let peers = traffic::PeerClient::new(peer::Hello::default());
+        let claims = platform::Claims::start(store, 1, settings.claim_retention_ms).unwrap();
+        let ceilings = traffic::Ceilings::default();
+        let services = traffic::Services::new(
+            Arc::clone(&settings),
+            Arc::clone(&snapshot),
+            clock,
+            Arc::clone(&journal),
+            claims,
+            ceilings.clone(),
+        );
+        let models = Arc::new(traffic::Models {
+            owners: traffic::Owners::new(settings.host.clone(), owner, peers),
+            router: Arc::new(traffic::Router::new(route::Scored::new(16), 1)),
+            metrics: Arc::new(metrics::Metrics::new()),
+            extra: Mutex::new(traffic::Extra::new(&settings)),
+            snapshot: Arc::clone(&snapshot),
+            journal: Arc::clone(&journal),
+            settings,
+            clock,
+        });
+        let server = traffic::Server::new(Arc::clone(&models), Arc::new(services), ceilings);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(server.serve(listener));
+        Self { address, orders, snapshot, journal, models }
+    }
+
+    /// Changes the published snapshot.
+    pub fn change<Change>(&self, change: Change)
+    where
+        Change: FnOnce(&mut snapshot::Snapshot),
+    {
+        let mut snapshot = snapshot::Snapshot::clone(&self.snapshot.load());
+        change(&mut snapshot);
+        self.snapshot.store(Arc::new(snapshot));
+    }
+
+    /// Returns the next order that reaches the owner.
+    pub async fn order(&mut self) -> Started {
+        time::timeout(BOUND, self.orders.recv()).await.unwrap().unwrap()
+    }
+
+    /// Sends a request and leaves its answer to be read.
+    pub async fn send(&self, head: &str, body: &str) -> Connection {
+        let length = body.len();
+        let text = format!("{head}\r\nhost: test\r\ncontent-length: {length}\r\n\r\n{body}");
+        self.send_text(&text).await
+    }
+
+    /// Sends text as it is.
+    pub async fn send_text(&self, text: &str) -> Connection {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        Connection { stream, text: String::new() }
+    }
+
+    /// Sends a completion request of team `desk`.
+    pub async fn complete(&self, headers: &str, body: &str) -> Connection {
+        let head = format!("POST /v1/completions HTTP/1.1\r\nauthorization: Bearer desk{headers}");
+        self.send(&head, body).await
+    }
+}
+
+/// A caller's side of a connection.
+pub struct Connection {
+    pub stream: TcpStream,
+    /// What has arrived.
+    pub text: String,
+}
+
+impl Connection {
+    /// Reads until some text has arrived.
+    pub async fn read_until(&mut self, text: &str) -> &str {
+        while !self.text.contains(text) {
+            assert!(self.read().await > 0, "closed before {text:?} arrived: {:?}", self.text);
+        }
+        &self.text
+    }
+
+    /// Reads to the end of the connection, which an abort may end with a reset.
+    pub async fn read_to_end(&mut self) -> &str {
+        while self.read().await > 0 {}
+        &self.text
+    }
+
+    async fn read(&mut self) -> usize {
+        let mut buffer = [0; 4_096];
+        let read = time::timeout(BOUND, self.stream.read(&mut buffer)).await.expect("an answer");
+        let count = read.unwrap_or(0);
+        self.text.push_str(std::str::from_utf8(&buffer[..count]).unwrap());
+        count
+    }
+}
+
+/// Checks the status, the code and the outcome header of a failure.
+pub async fn expect_failure(connection: &mut Connection, status: u16, code: &str, outcome: &str) {
+    let text = connection.read_until("request_id\":").await;
+    assert!(text.starts_with(&format!("HTTP/1.1 {status} ")), "{text}");
+    assert!(text.contains(&format!("\"code\":\"{code}\"")), "{text}");
+    assert!(text.contains(&format!("jasminetack-outcome: {outcome}\r\n")), "{text}");
+    assert!(text.contains("jasminetack-request-id: e1-"), "{text}");
+}
+
+pub fn head(content_type: &str) -> traffic::AnswerEvent {
+    let content_type = content_type.to_owned();
+    traffic::AnswerEvent::Head { status: 200, content_type, outstanding: 1 }
+}
+
+pub fn chunk(text: &str) -> traffic::AnswerEvent {
+    traffic::AnswerEvent::Chunk(text.to_owned().into())
+}
+
+fn fleet() -> snapshot::Snapshot {
+    let mut table = table::Table::default();
+    let limits = table::Limits::default();
+    for (version, team) in (1..).zip(["desk", "other"]) {
+        let hash = table::KeyHash::new(sha2::Sha256::digest(team).into());
+        let row = table::TeamRow { key_hashes: vec![hash], limits: limits.clone() };
+        let key = table::RowKey::new(table::RowKind::Team, team);
+        table.apply(key, version, Some(table::Row::Team(row)));
+        let row = table::AdapterRow {
+            team: name::TeamName::from(team),
+            base_model: name::BaseModelName::from("base"),
+            versions: vec![1, 2],
+            limits: table::Limits { class: request::Class::Normal, ..limits.clone() },
+        };
+        let key = table::RowKey::new(table::RowKind::Adapter, &format!("{team}-offer"));
+        table.apply(key, version + 10, Some(table::Row::Adapter(row)));
+    }
+    let repeatable =
+        vec![table::CallPattern { method: "GET".to_owned(), path_prefix: "/calendar".to_owned() }];
+    let row = table::ServiceRow { repeatable, limits };
+    let key = table::RowKey::new(table::RowKind::Service, "slots");
+    table.apply(key, 20, Some(table::Row::Service(row)));
+    let mut fleet = route::Fleet::default();
+    for worker in ["w1", "w2"] {
+        fleet.insert(route::WorkerView {
+            name: name::WorkerName::from(worker),
+            place: place::Place::new(
+                name::RegionName::from("north"),
+                name::FailureDomainName::from("a"),
+            ),
+            base_model: name::BaseModelName::from("base"),
+            owner: Some(name::HostName::from("e1")),
+            loaded: IndexSet::new(),
+            outstanding: 0,
+            leaving: false,
+        });
+    }
+    snapshot::Snapshot {
+        table: Arc::new(table),
+        fleet: Arc::new(fleet),
+        ready: true,
+        ..Default::default()
+    }
+}
