--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -50,7 +50,9 @@
     // The platform is out of reach when the answer arrives.
     store.0.lock().unwrap().faults = vec![Fault::RequestLost, Fault::Unreachable];
     first.record(answer());
-    store.wait_for("claim/k", |value| value.is_some_and(|value| value.get("answer").is_some()));
+    store
+        .wait_for("claim/k", |value| value.is_some_and(|value| value.get("answer").is_some()))
+        .await;
     match other_daemon.claim("claim/k".to_owned(), attempt(3)).await {
         entry::Claimed::Replay(replayed) => assert_eq!(replayed, answer()),
         claimed => panic!("not replayed: {claimed:?}"),
@@ -126,7 +128,7 @@
     first.begin_send(0).unwrap();
     first.unsent();
     drop(first);
-    store.wait_for("claim/k", |value| value.is_none());
+    store.wait_for("claim/k", |value| value.is_none()).await;
     let mut second = held(claims.claim("claim/k".to_owned(), attempt(2)).await);
     second.begin_send(0).unwrap();
     drop(second);
@@ -141,5 +143,5 @@
     let claims = entry::Claims::start(&store, 1, 300).unwrap();
     let mut first = held(claims.claim("claim/k".to_owned(), attempt(1)).await);
     first.begin_send(0).unwrap();
-    store.wait_for("claim/k", |value| value.is_none());
+    store.wait_for("claim/k", |value| value.is_none()).await;
 }
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::time;
 
-use support::{BOUND, ScriptedOwner, Started};
+use support::{BOUND, Refuser, ScriptedOwner, Started};
 
 mod support;
 
@@ -134,11 +134,9 @@
 /// Guards against `unknown` for a request that was never sent.
 #[tokio::test]
 async fn unreachable_owner_is_not_run() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    let refuser = Refuser::bind();
     let client = traffic::PeerClient::new(hello(SECRET));
-    let refusal = refusal(&mut client.start(address, order("r1"))).await;
+    let refusal = refusal(&mut client.start(refuser.address(), order("r1"))).await;
     assert_eq!(refusal.outcome, request::Outcome::NotRun);
 }
 
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -25,7 +25,7 @@
 use parking_lot::Mutex;
 use sha2::Digest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time;
 
@@ -148,6 +148,21 @@
     }
 }
 
+/// A port that refuses connections; it is bound, so that no other test gets it.
+pub struct Refuser(TcpSocket);
+
+impl Refuser {
+    pub fn bind() -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        Self(socket)
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
+}
+
 /// A caller's side of a connection.
 pub struct Connection {
     pub stream: TcpStream,
--- a/crates/entry/tests/support/store.rs
+++ b/crates/entry/tests/support/store.rs
@@ -40,14 +40,14 @@
         self.0.lock().unwrap().rows.get(key).and_then(|(_, value)| value.clone())
     }
 
-    pub fn wait_for<Check>(&self, key: &str, check: Check)
+    pub async fn wait_for<Check>(&self, key: &str, check: Check)
     where
         Check: Fn(Option<serde_json::Value>) -> bool,
     {
         let start = Instant::now();
         while !check(self.value(key)) {
             assert!(start.elapsed() < BOUND, "{key} is {:?}", self.value(key));
-            std::thread::sleep(Duration::from_millis(1));
+            tokio::time::sleep(Duration::from_millis(1)).await;
         }
     }
 }
