--- a/crates/entry/src/control/message.rs
+++ b/crates/entry/src/control/message.rs
@@ -20,4 +20,8 @@
     },
     /// Report of an owned worker.
     Worker(traffic::WorkerEvent),
+    /// The process was told to stop.
+    Terminate,
+    /// No request is in flight any more; sent only while stopping.
+    Idle,
 }
