--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -19,9 +19,7 @@
     pub peers: IndexMap<name::HostName, Peer>,
     /// Addresses of app services by service name, leaving ones left out.
     pub services: IndexMap<name::ServiceName, Vec<SocketAddr>>,
-    /// Whether the daemon may accept requests.
-    pub ready: bool,
-    /// Why it may or may not.
+    /// Whether the daemon may accept requests, with the reason.
     pub readiness: Readiness,
 }
 
@@ -43,6 +41,12 @@
         matches!(self, Self::Table(standing) if standing.may_serve())
     }
 
+    /// Tells whether a request that arrives is served; a daemon that shuts down still serves what
+    /// arrives on open connections.
+    pub fn serves(self) -> bool {
+        self.is_ready() || self == Self::Leaving
+    }
+
     /// Returns the reason for logs and the readiness page.
     pub fn as_str(self) -> &'static str {
         match self {
