Hold a guard for each request until its answer has left the process

Cause: a stopping daemon must know when the last answer is written and the last claim is closed. Change: caller requests keep an in-flight guard until their connection is flushed or closed, forwarded requests until their last frame is sent, held claims until the platform has confirmed their end.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -14,6 +14,7 @@
 
 use crate::clock;
 use crate::control;
+use crate::in_flight;
 use crate::journal;
 use crate::metrics;
 use crate::ops;
@@ -98,8 +99,13 @@
     };
     let peers = traffic::PeerClient::new(hello);
     let owners = traffic::Owners::new(settings.host.clone(), Arc::clone(&dispatcher), peers);
-    let peer_server =
-        traffic::PeerServer::new(settings.peer_secret.clone(), control_sender, dispatcher);
+    let in_flight = in_flight::InFlight::default();
+    let peer_server = traffic::PeerServer::new(
+        settings.peer_secret.clone(),
+        control_sender,
+        dispatcher,
+        in_flight.clone(),
+    );
     let address = settings.peers_address;
     let listener = runtime.block_on(TcpListener::bind(address)).context(ListenSnafu { address })?;
     runtime.spawn(peer_server.serve(listener));
@@ -108,7 +114,7 @@
     let extra = traffic::Extra::new(&settings);
     let caller = platform::Caller::new(&settings);
     let (group_ms, retention_ms) = (settings.claim_group_ms, settings.claim_retention_ms);
-    let claims = platform::Claims::start(&caller, group_ms, retention_ms)
+    let claims = platform::Claims::start(&caller, group_ms, retention_ms, &in_flight)
         .context(ThreadSnafu { part: "the claim threads" })?;
     let ceilings = traffic::Ceilings::default();
     let services = traffic::Services::new(
@@ -127,6 +133,7 @@
         owners,
         router: Arc::new(router),
         metrics,
+        in_flight,
         journal,
         extra: Mutex::new(extra),
     };
--- a/crates/entry/src/platform/claim_closer.rs
+++ b/crates/entry/src/platform/claim_closer.rs
@@ -9,6 +9,7 @@
 
 use super::Store;
 use crate::clock;
+use crate::in_flight;
 
 /// Most claims in one transaction.
 const MAX_GROUP: usize = 64;
@@ -20,12 +21,14 @@
 const SWEEPS_PER_RETENTION: u64 = 24;
 
 /// End of a claim: its answer, or its removal.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Closing {
     pub(super) key: String,
     pub(super) version: u64,
     /// The claim with its answer; `None` removes the claim.
     pub(super) row: Option<wire::ClaimRow>,
+    /// Keeps a stopping daemon alive until the claim is closed.
+    pub(super) guard: Option<in_flight::Guard>,
 }
 
 /// Closes claims on a thread of its own.
@@ -122,7 +125,8 @@
                 }
                 version = row.version;
                 if row.value.is_some() {
-                    expired.push(Closing { key: row.key, version: row.version, row: None });
+                    let (key, version) = (row.key, row.version);
+                    expired.push(Closing { key, version, row: None, guard: None });
                 }
             }
             let count = expired.len();
--- a/crates/entry/src/platform/claim_writer.rs
+++ b/crates/entry/src/platform/claim_writer.rs
@@ -12,6 +12,7 @@
 use super::claim_closer::Closing;
 use super::{HeldClaim, Store};
 use crate::clock;
+use crate::in_flight;
 
 /// Most claims in one transaction.
 const MAX_GROUP: usize = 64;
@@ -41,6 +42,7 @@
     pub(super) store: Storage,
     pub(super) group_time: Duration,
     pub(super) closings: Sender<Closing>,
+    pub(super) in_flight: in_flight::InFlight,
 }
 
 impl<Storage> ClaimWriter<Storage>
@@ -173,6 +175,7 @@
                 claimed_unix_ms,
                 attempt: insert.attempt,
                 closings: self.closings.clone(),
+                guard: Some(self.in_flight.enter()),
             }),
             claim::Step::Replay(answer) => Claimed::Replay(answer),
             claim::Step::Refuse(refusal) => Claimed::Refused(refusal),
--- a/crates/entry/src/platform/claims.rs
+++ b/crates/entry/src/platform/claims.rs
@@ -11,6 +11,7 @@
 use super::Store;
 use super::claim_closer::ClaimCloser;
 use super::claim_writer::{ClaimWriter, Claimed, Insert};
+use crate::in_flight;
 
 /// Threads that write claims, so that one slow transaction does not hold up all others.
 const WRITER_COUNT: usize = 2;
@@ -29,7 +30,12 @@
     /// # Errors
     ///
     /// Fails when a thread cannot be started.
-    pub fn start<Storage>(store: &Storage, group_ms: u64, retention_ms: u64) -> io::Result<Self>
+    pub fn start<Storage>(
+        store: &Storage,
+        group_ms: u64,
+        retention_ms: u64,
+        in_flight: &in_flight::InFlight,
+    ) -> io::Result<Self>
     where
         Storage: Store + Clone + Send + 'static,
     {
@@ -37,8 +43,8 @@
         let (inserts, receiver) = crossbeam_channel::bounded(MAX_WAITING);
         let (closings, closing_receiver) = crossbeam_channel::unbounded();
         for index in 0..WRITER_COUNT {
-            let closings = closings.clone();
-            let writer = ClaimWriter { store: store.clone(), group_time, closings };
+            let (closings, in_flight) = (closings.clone(), in_flight.clone());
+            let writer = ClaimWriter { store: store.clone(), group_time, closings, in_flight };
             let receiver = receiver.clone();
             thread::Builder::new()
                 .name(format!("claims-{index}"))
--- a/crates/entry/src/platform/held_claim.rs
+++ b/crates/entry/src/platform/held_claim.rs
@@ -5,6 +5,7 @@
 use jasminetack_wire::claim as wire;
 
 use super::claim_closer::Closing;
+use crate::in_flight;
 
 /// A stored claim of this daemon; dropping it removes the claim if no byte of the call was sent.
 #[derive(Debug)]
@@ -14,6 +15,8 @@
     pub(super) claimed_unix_ms: u64,
     pub(super) attempt: claim::Claim,
     pub(super) closings: Sender<Closing>,
+    /// Keeps a stopping daemon alive until the claim is closed.
+    pub(super) guard: Option<in_flight::Guard>,
 }
 
 impl HeldClaim {
@@ -32,14 +35,15 @@
     }
 
     /// Records the answer of the call in the background, with retries.
-    pub fn record(self, answer: claim::Answer) {
+    pub fn record(mut self, answer: claim::Answer) {
         let record = self.attempt.done_record(answer);
         self.close(Some(wire::ClaimRow::new(&record, self.claimed_unix_ms)));
     }
 
-    fn close(&self, row: Option<wire::ClaimRow>) {
+    fn close(&mut self, row: Option<wire::ClaimRow>) {
+        let (key, guard) = (self.key.clone(), self.guard.take());
         // The receiver lives as long as the process.
-        let _ = self.closings.send(Closing { key: self.key.clone(), version: self.version, row });
+        let _ = self.closings.send(Closing { key, version: self.version, row, guard });
     }
 }
 
--- a/crates/entry/src/traffic/body.rs
+++ b/crates/entry/src/traffic/body.rs
@@ -10,7 +10,7 @@
 use hyper::body;
 use tokio::sync::mpsc;
 
-use super::request_guard::RequestGuard;
+use super::request_guard::{AnsweredRequests, RequestGuard};
 
 /// Chunks that may wait for a slow caller before the upstream is read no further.
 const BUFFER_CHUNKS: usize = 16;
@@ -20,7 +20,7 @@
 pub struct Body {
     content: Content,
     /// Counts the request as in flight until the body is written or the caller is gone.
-    guard: Option<RequestGuard>,
+    guard: Option<(RequestGuard, AnsweredRequests)>,
 }
 
 #[derive(Debug)]
@@ -95,9 +95,16 @@
         (BodySender { parts }, Self { content: Content::Stream(receiver), guard: None })
     }
 
-    /// Keeps a guard until the body ends.
-    pub fn hold(&mut self, guard: RequestGuard) {
-        self.guard = Some(guard);
+    /// Keeps a guard until the body has left the process or its connection is closed.
+    pub fn hold(&mut self, guard: RequestGuard, answered: AnsweredRequests) {
+        self.guard = Some((guard, answered));
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        let Some((guard, answered)) = self.guard.take() else { return };
+        answered.keep(guard);
     }
 }
 
--- a/crates/entry/src/traffic/caller_stream.rs
+++ b/crates/entry/src/traffic/caller_stream.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 
 use super::caller_error::CallerError;
+use super::request_guard::AnsweredRequests;
 
 /// A caller's connection, on which hyper's own answers to bad heads carry an outcome.
 ///
@@ -19,6 +20,7 @@
 pub struct CallerStream {
     stream: TcpStream,
     request_id: name::RequestId,
+    answered: AnsweredRequests,
     /// Rest of a replaced answer that is not written yet, and what hyper was promised to have
     /// written.
     replacement: Option<Replacement>,
@@ -34,8 +36,8 @@
 impl CallerStream {
     /// Wraps a connection; the id stands for requests whose heads cannot be read.
     #[must_use]
-    pub fn new(stream: TcpStream, request_id: name::RequestId) -> Self {
-        Self { stream, request_id, replacement: None }
+    pub fn new(stream: TcpStream, request_id: name::RequestId, answered: AnsweredRequests) -> Self {
+        Self { stream, request_id, answered, replacement: None }
     }
 
     /// Returns the connection without the replacement of answers.
@@ -89,7 +91,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let result = std::task::ready!(Pin::new(&mut self.stream).poll_flush(context));
+        self.answered.flushed();
+        Poll::Ready(result)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/entry/src/traffic/models.rs
+++ b/crates/entry/src/traffic/models.rs
@@ -10,6 +10,7 @@
 use super::owners::Owners;
 use super::router::Router;
 use crate::clock;
+use crate::in_flight;
 use crate::journal;
 use crate::metrics;
 use crate::settings;
@@ -30,6 +31,8 @@
     pub router: Arc<Router<RoutePolicy>>,
     /// Metrics of the daemon.
     pub metrics: Arc<metrics::Metrics>,
+    /// Requests that the daemon still has to finish.
+    pub in_flight: in_flight::InFlight,
     /// Decisions by request.
     pub journal: Arc<journal::Journal>,
     /// Limits on extra requests.
--- a/crates/entry/src/traffic/peer_server.rs
+++ b/crates/entry/src/traffic/peer_server.rs
@@ -21,6 +21,7 @@
 use super::peer_connection::PeerStream;
 use super::start_order::StartOrder;
 use crate::control;
+use crate::in_flight;
 
 /// Longest time until the first frame.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -43,6 +44,7 @@
     secret: String,
     control: Sender<control::Message>,
     local: Local,
+    in_flight: in_flight::InFlight,
     unauthenticated: Arc<Semaphore>,
 }
 
@@ -52,9 +54,14 @@
 {
     /// Creates a server that is not listening yet.
     #[must_use]
-    pub fn new(secret: String, control: Sender<control::Message>, local: Local) -> Self {
+    pub fn new(
+        secret: String,
+        control: Sender<control::Message>,
+        local: Local,
+        in_flight: in_flight::InFlight,
+    ) -> Self {
         let unauthenticated = Arc::new(Semaphore::new(MAX_UNAUTHENTICATED));
-        Self { secret, control, local, unauthenticated }
+        Self { secret, control, local, in_flight, unauthenticated }
     }
 
     /// Serves other daemons for as long as the process lives.
@@ -147,6 +154,7 @@
         connection: &mut PeerStream,
         forward: peer::Forward,
     ) -> io::Result<()> {
+        let _guard = self.in_flight.enter();
         let mut encoder = AnswerEncoder::new(forward.request_id.clone());
         let order = match ModelOrder::try_from(forward) {
             Ok(order) => order,
--- a/crates/entry/src/traffic/request_guard.rs
+++ b/crates/entry/src/traffic/request_guard.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
+use parking_lot::Mutex;
+
 use super::ceilings::CeilingGuard;
+use crate::in_flight;
 use crate::metrics;
 
 /// Counts a request as in flight until it is dropped.
@@ -10,14 +13,24 @@
 pub struct RequestGuard {
     metrics: Arc<metrics::Metrics>,
     ceilings: Vec<CeilingGuard>,
+    _in_flight: in_flight::Guard,
+}
+
+/// Guards of requests whose answers are complete but may not have left the process.
+///
+/// A process that stops when no request is in flight would otherwise cut off the end of an answer
+/// that waits for a slow caller.
+#[derive(Clone, Debug, Default)]
+pub struct AnsweredRequests {
+    guards: Arc<Mutex<Vec<RequestGuard>>>,
 }
 
 impl RequestGuard {
     /// Counts a request.
     #[must_use]
-    pub fn new(metrics: Arc<metrics::Metrics>) -> Self {
+    pub fn new(metrics: Arc<metrics::Metrics>, in_flight: &in_flight::InFlight) -> Self {
         metrics.in_flight.inc();
-        Self { metrics, ceilings: Vec::new() }
+        Self { metrics, ceilings: Vec::new(), _in_flight: in_flight.enter() }
     }
 
     /// Counts the request towards a ceiling for the same time.
@@ -31,3 +44,15 @@
         self.metrics.in_flight.dec();
     }
 }
+
+impl AnsweredRequests {
+    /// Keeps the guard of a request until its connection is flushed or closed.
+    pub fn keep(&self, guard: RequestGuard) {
+        self.guards.lock().push(guard);
+    }
+
+    /// Everything that was written to the connection has left the process.
+    pub fn flushed(&self) {
+        self.guards.lock().clear();
+    }
+}
--- a/crates/entry/src/traffic/server.rs
+++ b/crates/entry/src/traffic/server.rs
@@ -25,7 +25,7 @@
 use super::ceilings::Ceilings;
 use super::model_call::ModelCall;
 use super::models::Models;
-use super::request_guard::RequestGuard;
+use super::request_guard::{AnsweredRequests, RequestGuard};
 use super::request_ids::RequestIds;
 use super::service_call::{SERVICES_PREFIX, ServiceCall};
 use super::services::Services;
@@ -109,11 +109,12 @@
         let _ = stream.set_nodelay(true);
         let settings = &self.models.settings;
         let header_timeout = Duration::from_millis(settings.header_timeout_ms);
+        let answered = AnsweredRequests::default();
+        let stream = CallerStream::new(stream, self.request_ids.create(), answered.clone());
         let service = service_fn(|request| {
-            let server = Arc::clone(&self);
-            Box::pin(async move { Ok::<_, Infallible>(server.answer(request).await) })
+            let (server, answered) = (Arc::clone(&self), answered.clone());
+            Box::pin(async move { Ok::<_, Infallible>(server.answer(request, answered).await) })
         });
-        let stream = CallerStream::new(stream, self.request_ids.create());
         let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(header_timeout)
@@ -138,9 +139,13 @@
         let _ = time::timeout(REFUSAL_TIME, answer_and_close(stream, &text)).await;
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        answered: AnsweredRequests,
+    ) -> Response<Body> {
         let request_id = self.request_ids.create();
-        let mut guard = RequestGuard::new(Arc::clone(&self.models.metrics));
+        let mut guard = RequestGuard::new(Arc::clone(&self.models.metrics), &self.models.in_flight);
         let admitted = {
             let snapshot = self.models.snapshot.load();
             let (table, settings) = (&snapshot.table, &self.models.settings);
@@ -159,7 +164,7 @@
             self.models.note(&request_id, "refuse", &detail);
             error.into_response(&request_id)
         });
-        response.body_mut().hold(guard);
+        response.body_mut().hold(guard, answered);
         response
     }
 
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -41,8 +41,8 @@
 #[tokio::test]
 async fn second_call_waits_for_the_record_and_replays_it() {
     let store = MemoryStore::default();
-    let claims = entry::Claims::start(&store, 1, DAY_MS).unwrap();
-    let other_daemon = entry::Claims::start(&store, 1, DAY_MS).unwrap();
+    let claims = entry::Claims::start(&store, 1, DAY_MS, &Default::default()).unwrap();
+    let other_daemon = entry::Claims::start(&store, 1, DAY_MS, &Default::default()).unwrap();
     let mut first = held(claims.claim("claim/k".to_owned(), attempt(1)).await);
     first.begin_send(0).unwrap();
     let second = other_daemon.claim("claim/k".to_owned(), attempt(2)).await;
@@ -66,7 +66,7 @@
         [&[Fault::ReplyLost][..], &[Fault::RequestLost], &[Fault::ReplyLost, Fault::RequestLost]]
     {
         let store = MemoryStore::with_faults(faults);
-        let claims = entry::Claims::start(&store, 1, DAY_MS).unwrap();
+        let claims = entry::Claims::start(&store, 1, DAY_MS, &Default::default()).unwrap();
         let mut first = held(claims.claim("claim/k".to_owned(), attempt(1)).await);
         first.begin_send(0).unwrap();
         store.0.lock().unwrap().faults = faults.to_vec();
@@ -81,7 +81,7 @@
     for fault in [Fault::ReplyLost, Fault::RequestLost, Fault::Unreachable] {
         let store = MemoryStore::with_faults(&[fault]);
         store.0.lock().unwrap().reads_fail = true;
-        let claims = entry::Claims::start(&store, 1, DAY_MS).unwrap();
+        let claims = entry::Claims::start(&store, 1, DAY_MS, &Default::default()).unwrap();
         let claimed = claims.claim("claim/k".to_owned(), attempt(1)).await;
         assert_eq!(refused(claimed), claim::Refusal::NotClaimed);
     }
@@ -91,7 +91,7 @@
 #[tokio::test]
 async fn conflict_on_one_key_does_not_fail_the_group() {
     let store = MemoryStore::default();
-    let claims = entry::Claims::start(&store, 200, DAY_MS).unwrap();
+    let claims = entry::Claims::start(&store, 200, DAY_MS, &Default::default()).unwrap();
     let mut first = held(claims.claim("claim/k0".to_owned(), attempt(1)).await);
     first.begin_send(0).unwrap();
     let before = store.0.lock().unwrap().transactions;
@@ -123,7 +123,7 @@
 #[tokio::test]
 async fn claim_is_removed_when_nothing_was_sent() {
     let store = MemoryStore::default();
-    let claims = entry::Claims::start(&store, 1, DAY_MS).unwrap();
+    let claims = entry::Claims::start(&store, 1, DAY_MS, &Default::default()).unwrap();
     let mut first = held(claims.claim("claim/k".to_owned(), attempt(1)).await);
     first.begin_send(0).unwrap();
     first.unsent();
@@ -140,7 +140,7 @@
 #[tokio::test]
 async fn old_claims_are_swept() {
     let store = MemoryStore::default();
-    let claims = entry::Claims::start(&store, 1, 300).unwrap();
+    let claims = entry::Claims::start(&store, 1, 300, &Default::default()).unwrap();
     let mut first = held(claims.claim("claim/k".to_owned(), attempt(1)).await);
     first.begin_send(0).unwrap();
     store.wait_for("claim/k", |value| value.is_none()).await;
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -28,7 +28,7 @@
     let address = listener.local_addr().unwrap();
     let (owner, orders) = ScriptedOwner::new();
     let (control, messages) = crossbeam_channel::unbounded();
-    let server = traffic::PeerServer::new(SECRET.to_owned(), control, owner);
+    let server = traffic::PeerServer::new(SECRET.to_owned(), control, owner, Default::default());
     tokio::spawn(server.serve(listener));
     (address, orders, messages)
 }
--- a/crates/entry/tests/services.rs
+++ b/crates/entry/tests/services.rs
@@ -199,9 +199,12 @@
     let caller = confirm(&daemon, KEY, "{}").await;
     let (_, mut stream) = app.call().await;
     drop(caller);
+    let in_flight = &daemon.models.in_flight;
+    assert!(in_flight.count() > 0, "a stopping daemon waits for the record");
     stream.write_all(ANSWER.as_bytes()).await.unwrap();
-    let key = "claim/desk/slots/k1";
-    store.wait_for(key, |value| value.is_some_and(|value| value.get("answer").is_some())).await;
+    time::timeout(BOUND, in_flight.idle()).await.unwrap();
+    let row = store.value("claim/desk/slots/k1").unwrap();
+    assert!(row.get("answer").is_some(), "{row}");
 }
 
 /// Guards against recording an answer that is cut off, and against a clean end for its caller.
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -15,6 +15,7 @@
 use jasminetack_domain::route;
 use jasminetack_domain::table;
 use jasminetack_entry::clock;
+use jasminetack_entry::in_flight;
 use jasminetack_entry::journal;
 use jasminetack_entry::metrics;
 use jasminetack_entry::platform;
@@ -85,7 +86,9 @@
         let journal = Arc::new(journal::Journal::new(100));
         let (owner, orders) = ScriptedOwner::new();
         let peers = traffic::PeerClient::new(peer::Hello::default());
-        let claims = platform::Claims::start(store, 1, settings.claim_retention_ms).unwrap();
+        let in_flight = in_flight::InFlight::default();
+        let retention_ms = settings.claim_retention_ms;
+        let claims = platform::Claims::start(store, 1, retention_ms, &in_flight).unwrap();
         let ceilings = traffic::Ceilings::default();
         let services = traffic::Services::new(
             Arc::clone(&settings),
@@ -102,6 +105,7 @@
             extra: Mutex::new(traffic::Extra::new(&settings)),
             snapshot: Arc::clone(&snapshot),
             journal: Arc::clone(&journal),
+            in_flight,
             settings,
             clock,
         });
@@ -174,7 +178,10 @@
     /// Reads until some text has arrived.
     pub async fn read_until(&mut self, text: &str) -> &str {
         while !self.text.contains(text) {
-            assert!(self.read().await > 0, "closed before {text:?} arrived: {:?}", self.text);
+            let count = self.read().await;
+            // A long answer would fill the report of a failed test.
+            let start: String = self.text.chars().take(1_000).collect();
+            assert!(count > 0, "closed before {text:?} arrived: {start:?}");
         }
         &self.text
     }
