--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod route;
 pub mod service;
 pub mod table;
+pub mod worker;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,16 +1,20 @@
 //! Start and end of the daemon.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 
 use arc_swap::ArcSwap;
-use jasminetack_domain::route;
+use crossbeam_channel::Sender;
 use jasminetack_program::log;
 use jasminetack_wire::peer;
 use parking_lot::Mutex;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use crate::clock;
 use crate::control;
@@ -72,7 +76,7 @@
     ops.start(settings.ops_address).context(ListenSnafu { address: settings.ops_address })?;
     let (control_sender, control_receiver) = crossbeam_channel::unbounded();
     let worker_events = control_sender.clone();
-    let platform = platform::Client::start(&settings, control_sender.clone(), &metrics)
+    let platform = platform::Client::start(&settings, &control_sender, &metrics)
         .context(ThreadSnafu { part: "the platform threads" })?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -86,31 +90,41 @@
         worker_events,
         runtime.handle().clone(),
     ));
-    let control =
-        control::Control::new(&settings, platform, Arc::clone(&dispatcher), Arc::clone(&snapshot));
-    thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || control::run(control, &control_receiver))
-        .context(ThreadSnafu { part: "the control thread" })?;
+    // Bound before the session starts, so that a second process on the host does not take it over.
+    let address = settings.peers_address;
+    let listener = runtime.block_on(TcpListener::bind(address)).context(ListenSnafu { address })?;
     let hello = peer::Hello {
         host: settings.host.to_string(),
         incarnation: 0,
         secret: settings.peer_secret.clone(),
     };
+    let links = traffic::ControlLinks::new(runtime.handle().clone(), hello.clone());
+    let context = control::Context::new(Arc::clone(&settings), clock, platform, links);
+    let in_flight = in_flight::InFlight::default();
+    let core = control::Core::new(
+        context,
+        Arc::clone(&dispatcher),
+        Arc::clone(&snapshot),
+        in_flight.clone(),
+    );
+    let (stage, mut stages) = watch::channel(control::Stage::Serving);
+    let control = control::Control::new(core, Arc::clone(&settings), stage);
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || control::run(control, &control_receiver))
+        .context(ThreadSnafu { part: "the control thread" })?;
     let peers = traffic::PeerClient::new(hello);
     let owners = traffic::Owners::new(settings.host.clone(), Arc::clone(&dispatcher), peers);
-    let in_flight = in_flight::InFlight::default();
     let peer_server = traffic::PeerServer::new(
         settings.peer_secret.clone(),
-        control_sender,
+        control_sender.clone(),
         dispatcher,
         in_flight.clone(),
     );
-    let address = settings.peers_address;
-    let listener = runtime.block_on(TcpListener::bind(address)).context(ListenSnafu { address })?;
     runtime.spawn(peer_server.serve(listener));
-    let batch_places = u32::try_from(settings.engine_batch).unwrap_or(u32::MAX);
-    let router = traffic::Router::new(route::Scored::new(batch_places), rand::random());
+    forward_signals(control_sender).context(ThreadSnafu { part: "the signal thread" })?;
+    let routing = traffic::Routing::for_policy(&settings.policy, settings.engine_batch);
+    let router = traffic::Router::new(routing, rand::random());
     let extra = traffic::Extra::new(&settings);
     let caller = platform::Caller::new(&settings);
     let (group_ms, retention_ms) = (settings.claim_group_ms, settings.claim_retention_ms);
@@ -141,6 +155,25 @@
     let listener = runtime.block_on(TcpListener::bind(address)).context(ListenSnafu { address })?;
     let listening = listener.local_addr().unwrap_or(address).to_string();
     spdlog::info!("listening", kv: { port = "callers", address = listening.as_str() });
-    runtime.block_on(server.serve(listener));
+    runtime.block_on(async {
+        tokio::select! {
+            () = server.serve(listener) => {}
+            // An error means that the control thread is gone, which ends the daemon too.
+            _ = stages.wait_for(|stage| *stage == control::Stage::Done) => {}
+        }
+    });
+    Ok(())
+}
+
+/// Starts a thread that turns signals into messages.
+fn forward_signals(control: Sender<control::Message>) -> io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        for _ in signals.forever() {
+            if control.send(control::Message::Terminate).is_err() {
+                return;
+            }
+        }
+    })?;
     Ok(())
 }
--- a/crates/entry/src/platform/mod.rs
+++ b/crates/entry/src/platform/mod.rs
@@ -14,5 +14,5 @@
 pub use claims::Claims;
 pub use client::Client;
 pub use held_claim::HeldClaim;
-pub use job::{Job, Reply};
+pub use job::{Job, Reply, Tag};
 pub use store::Store;
--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -10,11 +10,17 @@
 use jasminetack_domain::place;
 use jasminetack_program::settings;
 
+/// Values of `--policy`.
+const POLICIES: [&str; 4] = ["scored", "random", "least-outstanding", "fifo"];
+const ALLOWED_POLICIES: &str = "scored, random, least-outstanding or fifo";
+
 /// Settings of the daemon, checked.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Name of this host.
     pub host: name::HostName,
+    /// Incarnation of this host in the platform's host list; 0 when unknown.
+    pub host_incarnation: u64,
     /// Region and failure domain of this host.
     pub place: place::Place,
     /// Address of the callers' port.
@@ -133,6 +139,12 @@
                 String::new(),
                 "a host name",
             )),
+            host_incarnation: reader.value(
+                "--host-incarnation",
+                flags.host_incarnation,
+                0,
+                "a number",
+            ),
             place: place::Place::new(
                 name::RegionName::from(reader.required(
                     "--region",
@@ -302,12 +314,7 @@
                 "a number of tokens",
             ),
             fleet_loads: reader.value("--fleet-loads", flags.fleet_loads, 8, "a number of loads"),
-            policy: reader.value(
-                "--policy",
-                flags.policy,
-                "scored".to_owned(),
-                "scored, random, least-outstanding or fifo",
-            ),
+            policy: reader.value("--policy", flags.policy, "scored".to_owned(), ALLOWED_POLICIES),
             retry_percent: reader.value("--retry-percent", flags.retry_percent, 10, "a percentage"),
             hedge_percent: reader.value("--hedge-percent", flags.hedge_percent, 5, "a percentage"),
             claim_group_ms: reader.value(
@@ -343,6 +350,9 @@
     }
 
     fn check(&self, reader: &mut settings::Reader) {
+        if !POLICIES.contains(&self.policy.as_str()) {
+            reader.problem("--policy", Some(self.policy.clone()), ALLOWED_POLICIES);
+        }
         if self.lease_ttl_ms <= self.lease_renew_ms {
             let value = Some(self.lease_ttl_ms.to_string());
             reader.problem("--lease-ttl-ms", value, "a number above --lease-renew-ms");
