Ask workers that refused a request again after 100 ms

Cause: pauses that doubled up to 1.6 s added to the time in which a lost owner is replaced: new work came 3.1 s after an owner's death, above the bound of 3 s. Change: a constant pause of 100 ms, for at most 4 s.

--- a/crates/entry/src/traffic/model_call.rs
+++ b/crates/entry/src/traffic/model_call.rs
@@ -25,10 +25,11 @@
 use crate::metrics;
 use crate::snapshot;
 
-/// Pause before workers that refused a request are asked again; it doubles with each round.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Rounds over all workers. Their pauses add up to 3.1 s, in which a lost owner is replaced.
-const MAX_ROUNDS: u32 = 5;
+/// Pause before workers that refused a request are asked again. A longer one would add to the time
+/// in which a lost owner is replaced.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Rounds over all workers. Their pauses add up to 4 s, in which a lost owner is replaced.
+const MAX_ROUNDS: u32 = 40;
 
 /// One model request.
 pub struct ModelCall<RoutePolicy, Local> {
@@ -136,7 +137,7 @@
                 if !is_known || is_busy || round >= MAX_ROUNDS {
                     return Err(last.unwrap_or_else(|| self.no_worker()));
                 }
-                time::sleep(FIRST_PAUSE * 2_u32.pow(round - 1)).await;
+                time::sleep(PAUSE).await;
                 self.excluded.clear();
                 round += 1;
                 continue;
