--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -128,7 +128,7 @@
     let extra = traffic::Extra::new(&settings);
     let caller = platform::Caller::new(&settings);
     let (group_ms, retention_ms) = (settings.claim_group_ms, settings.claim_retention_ms);
-    let claims = platform::Claims::start(&caller, group_ms, retention_ms)
+    let claims = platform::Claims::start(&caller, group_ms, retention_ms, &in_flight)
         .context(ThreadSnafu { part: "the claim threads" })?;
     let ceilings = traffic::Ceilings::default();
     let services = traffic::Services::new(
@@ -147,11 +147,11 @@
         owners,
         router: Arc::new(router),
         metrics,
+        in_flight,
         journal,
         extra: Mutex::new(extra),
     };
-    let server =
-        traffic::Server::new(Arc::new(models), Arc::new(services), ceilings, in_flight.clone());
+    let server = traffic::Server::new(Arc::new(models), Arc::new(services), ceilings);
     let listener = runtime.block_on(TcpListener::bind(address)).context(ListenSnafu { address })?;
     let listening = listener.local_addr().unwrap_or(address).to_string();
     spdlog::info!("listening", kv: { port = "callers", address = listening.as_str() });
--- a/crates/entry/src/traffic/peer_server.rs
+++ b/crates/entry/src/traffic/peer_server.rs
@@ -154,7 +154,7 @@
         connection: &mut PeerStream,
         forward: peer::Forward,
     ) -> io::Result<()> {
-        let _in_flight = self.in_flight.enter();
+        let _guard = self.in_flight.enter();
         let mut encoder = AnswerEncoder::new(forward.request_id.clone());
         let order = match ModelOrder::try_from(forward) {
             Ok(order) => order,
--- a/crates/entry/src/traffic/request_guard.rs
+++ b/crates/entry/src/traffic/request_guard.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use parking_lot::Mutex;
+
 use super::ceilings::CeilingGuard;
 use crate::in_flight;
 use crate::metrics;
@@ -14,6 +16,15 @@
     _in_flight: in_flight::Guard,
 }
 
+/// Guards of requests whose answers are complete but may not have left the process.
+///
+/// A process that stops when no request is in flight would otherwise cut off the end of an answer
+/// that waits for a slow caller.
+#[derive(Clone, Debug, Default)]
+pub struct AnsweredRequests {
+    guards: Arc<Mutex<Vec<RequestGuard>>>,
+}
+
 impl RequestGuard {
     /// Counts a request.
     #[must_use]
@@ -33,3 +44,15 @@
         self.metrics.in_flight.dec();
     }
 }
+
+impl AnsweredRequests {
+    /// Keeps the guard of a request until its connection is flushed or closed.
+    pub fn keep(&self, guard: RequestGuard) {
+        self.guards.lock().push(guard);
+    }
+
+    /// Everything that was written to the connection has left the process.
+    pub fn flushed(&self) {
+        self.guards.lock().clear();
+    }
+}
--- a/crates/entry/src/traffic/server.rs
+++ b/crates/entry/src/traffic/server.rs
@@ -26,12 +26,11 @@
 use super::ceilings::Ceilings;
 use super::model_call::ModelCall;
 use super::models::Models;
-use super::request_guard::RequestGuard;
+use super::request_guard::{AnsweredRequests, RequestGuard};
 use super::request_ids::RequestIds;
 use super::service_call::{SERVICES_PREFIX, ServiceCall};
 use super::services::Services;
 use super::start_order::StartOrder;
-use crate::in_flight;
 use crate::snapshot;
 
 /// hyper's smallest limit on its buffer.
@@ -48,7 +47,6 @@
     models: Arc<Models<RoutePolicy, Local>>,
     services: Arc<Services>,
     ceilings: Ceilings,
-    in_flight: in_flight::InFlight,
     connections: Arc<Semaphore>,
     refusals: Arc<Semaphore>,
     request_ids: RequestIds,
@@ -64,12 +62,11 @@
         models: Arc<Models<RoutePolicy, Local>>,
         services: Arc<Services>,
         ceilings: Ceilings,
-        in_flight: in_flight::InFlight,
     ) -> Self {
         let connections = Arc::new(Semaphore::new(models.settings.max_connections));
         let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
         let request_ids = RequestIds::new(&models.settings.host);
-        Self { models, services, ceilings, in_flight, connections, refusals, request_ids }
+        Self { models, services, ceilings, connections, refusals, request_ids }
     }
 
     /// Serves callers for as long as the process lives.
@@ -114,11 +111,12 @@
         let _ = stream.set_nodelay(true);
         let settings = &self.models.settings;
         let header_timeout = Duration::from_millis(settings.header_timeout_ms);
+        let answered = AnsweredRequests::default();
+        let stream = CallerStream::new(stream, self.request_ids.create(), answered.clone());
         let service = service_fn(|request| {
-            let server = Arc::clone(&self);
-            Box::pin(async move { Ok::<_, Infallible>(server.answer(request).await) })
+            let (server, answered) = (Arc::clone(&self), answered.clone());
+            Box::pin(async move { Ok::<_, Infallible>(server.answer(request, answered).await) })
         });
-        let stream = CallerStream::new(stream, self.request_ids.create());
         let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(header_timeout)
@@ -143,9 +141,13 @@
         let _ = time::timeout(REFUSAL_TIME, answer_and_close(stream, &text)).await;
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        answered: AnsweredRequests,
+    ) -> Response<Body> {
         let request_id = self.request_ids.create();
-        let mut guard = RequestGuard::new(Arc::clone(&self.models.metrics), &self.in_flight);
+        let mut guard = RequestGuard::new(Arc::clone(&self.models.metrics), &self.models.in_flight);
         let admitted = {
             let snapshot = self.models.snapshot.load();
             let (table, settings) = (&snapshot.table, &self.models.settings);
@@ -169,7 +171,7 @@
             let close = header::HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
-        response.body_mut().hold(guard);
+        response.body_mut().hold(guard, answered);
         response
     }
 
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -9,7 +9,6 @@
 use jasminetack_domain::name;
 use jasminetack_domain::request;
 use jasminetack_entry::control;
-use jasminetack_entry::in_flight;
 use jasminetack_entry::traffic;
 use jasminetack_wire::peer;
 use tokio::io::AsyncWriteExt;
@@ -29,8 +28,7 @@
     let address = listener.local_addr().unwrap();
     let (owner, orders) = ScriptedOwner::new();
     let (control, messages) = crossbeam_channel::unbounded();
-    let server =
-        traffic::PeerServer::new(SECRET.to_owned(), control, owner, in_flight::InFlight::default());
+    let server = traffic::PeerServer::new(SECRET.to_owned(), control, owner, Default::default());
     tokio::spawn(server.serve(listener));
     (address, orders, messages)
 }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -86,7 +86,9 @@
         let journal = Arc::new(journal::Journal::new(100));
         let (owner, orders) = ScriptedOwner::new();
         let peers = traffic::PeerClient::new(peer::Hello::default());
-        let claims = platform::Claims::start(store, 1, settings.claim_retention_ms).unwrap();
+        let in_flight = in_flight::InFlight::default();
+        let retention_ms = settings.claim_retention_ms;
+        let claims = platform::Claims::start(store, 1, retention_ms, &in_flight).unwrap();
         let ceilings = traffic::Ceilings::default();
         let services = traffic::Services::new(
             Arc::clone(&settings),
@@ -103,15 +105,11 @@
             extra: Mutex::new(traffic::Extra::new(&settings)),
             snapshot: Arc::clone(&snapshot),
             journal: Arc::clone(&journal),
+            in_flight,
             settings,
             clock,
         });
-        let server = traffic::Server::new(
-            Arc::clone(&models),
-            Arc::new(services),
-            ceilings,
-            in_flight::InFlight::default(),
-        );
+        let server = traffic::Server::new(Arc::clone(&models), Arc::new(services), ceilings);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         tokio::spawn(server.serve(listener));
@@ -180,7 +178,10 @@
     /// Reads until some text has arrived.
     pub async fn read_until(&mut self, text: &str) -> &str {
         while !self.text.contains(text) {
-            assert!(self.read().await > 0, "closed before {text:?} arrived: {:?}", self.text);
+            let count = self.read().await;
+            // A long answer would fill the report of a failed test.
+            let start: String = self.text.chars().take(1_000).collect();
+            assert!(count > 0, "closed before {text:?} arrived: {start:?}");
         }
         &self.text
     }
