--- a/crates/domain/src/quota/holder.rs
+++ b/crates/domain/src/quota/holder.rs
@@ -5,6 +5,9 @@
 /// Time for which a permit is kept after its request ended, so that steady work of a row does not
 /// ask its home, which may be in another region, for each request.
 const IDLE_MS: u64 = 1_000;
+/// Permits a row must have for each daemon before unused ones are kept; with fewer, an unused permit
+/// at one daemon would refuse work at another.
+const MIN_KEPT_PER_DAEMON: u32 = 8;
 
 /// Permits of one row at one daemon.
 #[derive(Clone, Debug, Default)]
@@ -54,15 +57,16 @@
         true
     }
 
-    /// Ends a request; its permit stays at hand for a moment.
-    pub fn end(&mut self, now_ms: u64) {
+    /// Ends a request; its permit stays at hand for a moment when the ceiling is high enough.
+    pub fn end(&mut self, ceiling: u32, live_daemons: u32, now_ms: u64) {
         self.used = self.used.saturating_sub(1);
         // The home does not know of a permit that this daemon granted itself.
         if self.self_granted > 0 {
             self.self_granted -= 1;
             return;
         }
-        self.idle_until_ms.push(now_ms + IDLE_MS);
+        let is_kept = ceiling >= MIN_KEPT_PER_DAEMON * live_daemons;
+        self.idle_until_ms.push(if is_kept { now_ms + IDLE_MS } else { now_ms });
     }
 
     /// Removes unused permits whose time is over and returns how many go back to the home.
--- a/crates/domain/src/quota/mod.rs
+++ b/crates/domain/src/quota/mod.rs
@@ -4,9 +4,13 @@
 
 mod decision;
 mod holder;
+mod ledger;
+mod order;
 #[allow(clippy::module_inception)]
 mod quota;
 
 pub use decision::Decision;
 pub use holder::{Holder, Step};
+pub use ledger::{Ledger, Start};
+pub use order::{Action, Order};
 pub use quota::Quota;
--- a/crates/domain/src/quota/quota.rs
+++ b/crates/domain/src/quota/quota.rs
@@ -6,7 +6,7 @@
 use crate::name;
 
 /// Longest wait for holders to register the permits they use after the home moved.
-const RECOVERY_MS: u64 = 1_000;
+pub(super) const RECOVERY_MS: u64 = 1_000;
 
 /// Permits of one row, as its home knows them.
 ///
@@ -22,7 +22,7 @@
 /// home.register(&host, 0);
 /// assert_eq!(home.request(&host, 5), quota::Decision::Granted);
 /// assert_eq!(home.request(&host, 6), quota::Decision::Denied);
-/// home.release(&host);
+/// home.release(&host, 1);
 /// assert_eq!(home.request(&host, 7), quota::Decision::Granted);
 /// ```
 #[derive(Clone, Debug)]
@@ -34,8 +34,9 @@
 }
 
 impl Quota {
-    /// Starts as the home of a row; `live` daemons may hold permits of a former home.
-    pub fn start<Hosts>(ceiling: u32, live: Hosts, now_ms: u64) -> Self
+    /// Starts as the home of a row; `live` daemons may hold permits of a former home, and register
+    /// them within the recovery time after the homes moved at `moved_ms`.
+    pub fn start<Hosts>(ceiling: u32, live: Hosts, moved_ms: u64) -> Self
     where
         Hosts: IntoIterator<Item = name::HostName>,
     {
@@ -43,7 +44,7 @@
             ceiling,
             in_use: IndexMap::new(),
             unregistered: live.into_iter().collect(),
-            recovery_ends_ms: now_ms + RECOVERY_MS,
+            recovery_ends_ms: moved_ms + RECOVERY_MS,
         }
     }
 
@@ -76,10 +77,10 @@
         Decision::Granted
     }
 
-    /// Takes back one permit.
-    pub fn release(&mut self, holder: &name::HostName) {
+    /// Takes back permits.
+    pub fn release(&mut self, holder: &name::HostName, count: u32) {
         if let Some(in_use) = self.in_use.get_mut(holder) {
-            *in_use = in_use.saturating_sub(1);
+            *in_use = in_use.saturating_sub(count);
         }
     }
 
--- a/crates/domain/tests/quota.rs
+++ b/crates/domain/tests/quota.rs
@@ -39,8 +39,8 @@
     assert!(holder.home_unreachable(8, 4));
     assert!(holder.home_unreachable(8, 4));
     assert!(!holder.home_unreachable(8, 4));
-    holder.end(0);
-    holder.end(0);
+    holder.end(8, 4, 0);
+    holder.end(8, 4, 0);
     assert_eq!(holder.expire(10_000), 0);
     assert!(holder.is_empty());
 }
@@ -68,13 +68,11 @@
                     *running += u32::from(runs);
                 }
                 4 | 5 if *running > 0 => {
-                    holder.end(now_ms);
+                    holder.end(CEILING, 4, now_ms);
                     *running -= 1;
                 }
                 6 => {
-                    for _ in 0..holder.expire(now_ms) {
-                        home.release(&host(index));
-                    }
+                    home.release(&host(index), holder.expire(now_ms));
                 }
                 7 if !moved => {
                     moved = true;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -114,11 +114,15 @@
         .spawn(move || control::run(control, &control_receiver))
         .context(ThreadSnafu { part: "the control thread" })?;
     let peers = traffic::PeerClient::new(hello);
+    let ceilings =
+        traffic::Ceilings::new(settings.host.clone(), Arc::clone(&snapshot), clock, peers.clone());
+    runtime.spawn(ceilings.clone().maintain());
     let owners = traffic::Owners::new(settings.host.clone(), Arc::clone(&dispatcher), peers);
     let peer_server = traffic::PeerServer::new(
         settings.peer_secret.clone(),
         control_sender.clone(),
         dispatcher,
+        ceilings.clone(),
         in_flight.clone(),
     );
     runtime.spawn(peer_server.serve(listener));
@@ -130,7 +134,6 @@
     let (group_ms, retention_ms) = (settings.claim_group_ms, settings.claim_retention_ms);
     let claims = platform::Claims::start(&caller, group_ms, retention_ms, &in_flight)
         .context(ThreadSnafu { part: "the claim threads" })?;
-    let ceilings = traffic::Ceilings::default();
     let services = traffic::Services::new(
         Arc::clone(&settings),
         Arc::clone(&snapshot),
--- a/crates/entry/src/ops.rs
+++ b/crates/entry/src/ops.rs
@@ -83,7 +83,7 @@
 
     fn readiness(&self) -> Answer {
         let snapshot = self.snapshot.load();
-        let reason = snapshot.readiness.as_str();
+        let reason = snapshot.readiness.explanation();
         if snapshot.readiness.is_ready() {
             return Answer::text(200, &format!("ready: {reason}\n"));
         }
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -47,7 +47,24 @@
         self.is_ready() || self == Self::Leaving
     }
 
-    /// Returns the reason for logs and the readiness page.
+    /// Explains the state on the readiness page.
+    pub fn explanation(self) -> &'static str {
+        match self {
+            Self::Starting | Self::Table(table::Standing::NoTable) => {
+                "the table has not been read yet"
+            }
+            Self::Table(table::Standing::Current) => "the table is current",
+            Self::Table(table::Standing::Outage) => {
+                "the platform is out; the last table is in force"
+            }
+            Self::Table(table::Standing::CutOff) => {
+                "neither the platform nor more than half of the daemons confirm the table"
+            }
+            Self::Leaving => "the daemon shuts down",
+        }
+    }
+
+    /// Returns the reason for logs.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Starting => "starting",
--- a/crates/entry/src/traffic/peer_client.rs
+++ b/crates/entry/src/traffic/peer_client.rs
@@ -26,6 +26,8 @@
 const STREAM_SILENCE: Duration = Duration::from_millis(5_000);
 /// Longest time to write a request to the connection.
 const SEND_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Longest time for a frame and its answer; a round trip between regions is far below it.
+const ASK_TIMEOUT: Duration = Duration::from_millis(700);
 /// Idle connections that are kept for each peer.
 const MAX_IDLE: usize = 32;
 /// Age of idle connections that are not used again; peers close them later than that.
@@ -68,9 +70,31 @@
         });
         receiver
     }
+
+    /// Sends one frame to another daemon and returns the frame that answers it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the peer cannot be reached or does not answer in time.
+    pub async fn ask(&self, address: SocketAddr, body: peer::Body) -> io::Result<peer::Body> {
+        time::timeout(ASK_TIMEOUT, self.shared.ask(address, body)).await?
+    }
 }
 
 impl Shared {
+    async fn ask(&self, address: SocketAddr, body: peer::Body) -> io::Result<peer::Body> {
+        let mut connection = match self.take_idle(address) {
+            Some(connection) => connection,
+            None => peer_connection::connect(address, self.hello.clone()).await?,
+        };
+        connection.send(peer::Frame { body: Some(body) }).await?;
+        let frame = connection.next().await.transpose()?;
+        let answer = frame.and_then(|frame| frame.body);
+        let answer = answer.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
+        self.put_idle(address, connection);
+        Ok(answer)
+    }
+
     async fn forward(
         &self,
         address: SocketAddr,
--- a/crates/entry/src/traffic/peer_server.rs
+++ b/crates/entry/src/traffic/peer_server.rs
@@ -17,6 +17,7 @@
 
 use super::answer_encoder::AnswerEncoder;
 use super::answer_event::{AnswerEvent, Refusal};
+use super::ceilings::Ceilings;
 use super::model_order::ModelOrder;
 use super::peer_connection::PeerStream;
 use super::start_order::StartOrder;
@@ -44,6 +45,7 @@
     secret: String,
     control: Sender<control::Message>,
     local: Local,
+    ceilings: Ceilings,
     in_flight: in_flight::InFlight,
     unauthenticated: Arc<Semaphore>,
 }
@@ -58,10 +60,11 @@
         secret: String,
         control: Sender<control::Message>,
         local: Local,
+        ceilings: Ceilings,
         in_flight: in_flight::InFlight,
     ) -> Self {
         let unauthenticated = Arc::new(Semaphore::new(MAX_UNAUTHENTICATED));
-        Self { secret, control, local, in_flight, unauthenticated }
+        Self { secret, control, local, ceilings, in_flight, unauthenticated }
     }
 
     /// Serves other daemons for as long as the process lives.
@@ -131,7 +134,13 @@
                 peer::Body::Forward(forward) => {
                     self.serve_forward(&mut connection, forward).await?;
                 }
+                peer::Body::PermitOrder(order) => {
+                    let answer = self.ceilings.decide(from, &order);
+                    let body = Some(peer::Body::PermitAnswer(answer.into()));
+                    send(&mut connection, peer::Frame { body }).await?;
+                }
                 peer::Body::Hello(_)
+                | peer::Body::PermitAnswer(_)
                 | peer::Body::Progress(_)
                 | peer::Body::Head(_)
                 | peer::Body::Chunk(_)
--- a/crates/entry/src/traffic/server.rs
+++ b/crates/entry/src/traffic/server.rs
@@ -203,7 +203,7 @@
         let snapshot = self.models.snapshot.load_full();
         if let Some(team) = snapshot.table.team(&admitted.team) {
             let row = table::RowKey::new(table::RowKind::Team, admitted.team.as_str());
-            guard.hold(self.ceilings.enter(row, &team.limits)?);
+            guard.hold(self.ceilings.enter(row, &team.limits).await?);
         }
         if !is_model {
             let call = ServiceCall::new(&snapshot.table, admitted, head, body)?;
@@ -214,7 +214,7 @@
         let call = ModelCall::new(models, &snapshot.table, admitted, path, body)?;
         if let Some(adapter) = snapshot.table.adapter(call.adapter().name()) {
             let row = table::RowKey::new(table::RowKind::Adapter, call.adapter().name().as_str());
-            guard.hold(self.ceilings.enter(row, &adapter.limits)?);
+            guard.hold(self.ceilings.enter(row, &adapter.limits).await?);
         }
         call.run().await
     }
--- a/crates/entry/src/traffic/services.rs
+++ b/crates/entry/src/traffic/services.rs
@@ -74,7 +74,7 @@
     /// Fails when no host answers before the deadline, or the key of the call was used.
     pub async fn run(self: Arc<Self>, call: ServiceCall) -> Result<Response<Body>, CallerError> {
         let row = table::RowKey::new(table::RowKind::Service, call.service.as_str());
-        let ceiling = self.ceilings.enter(row, &call.limits)?;
+        let ceiling = self.ceilings.enter(row, &call.limits).await?;
         match call.key.clone() {
             Some(key) => ClaimedCall::new(self, call, ceiling).run(&key).await,
             None => self.run_repeatable(call, ceiling).await,
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::time;
 
-use support::{BOUND, Refuser, ScriptedOwner, Started};
+use support::{BOUND, Refuser, ScriptedOwner, Started, ceilings};
 
 mod support;
 
@@ -28,7 +28,8 @@
     let address = listener.local_addr().unwrap();
     let (owner, orders) = ScriptedOwner::new();
     let (control, messages) = crossbeam_channel::unbounded();
-    let server = traffic::PeerServer::new(SECRET.to_owned(), control, owner, Default::default());
+    let server =
+        traffic::PeerServer::new(SECRET.to_owned(), control, owner, ceilings(), Default::default());
     tokio::spawn(server.serve(listener));
     (address, orders, messages)
 }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -89,7 +89,7 @@
         let in_flight = in_flight::InFlight::default();
         let retention_ms = settings.claim_retention_ms;
         let claims = platform::Claims::start(store, 1, retention_ms, &in_flight).unwrap();
-        let ceilings = traffic::Ceilings::default();
+        let ceilings = ceilings();
         let services = traffic::Services::new(
             Arc::clone(&settings),
             Arc::clone(&snapshot),
@@ -263,3 +263,10 @@
         ..Default::default()
     }
 }
+
+/// Creates the permits of a daemon without peers.
+pub fn ceilings() -> traffic::Ceilings {
+    let peers = traffic::PeerClient::new(peer::Hello::default());
+    let snapshot = Arc::new(ArcSwap::from_pointee(fleet()));
+    traffic::Ceilings::new(name::HostName::from("e1"), snapshot, clock::Clock::start(), peers)
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lease_row;
 pub mod operations;
 pub mod peer;
+pub mod permit;
 pub mod platform;
 pub mod row;
 pub mod spread;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -2,13 +2,14 @@
 
 use prost::{Message, Oneof};
 
+use crate::permit;
 use crate::spread;
 
 /// One message on a connection between daemons.
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// Content of the message.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 20, 21, 22, 23")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 20, 21, 22, 23, 30, 31")]
     pub body: Option<Body>,
 }
 
@@ -54,6 +55,12 @@
     /// Table rows.
     #[prost(message, tag = "23")]
     Rows(spread::Rows),
+    /// A holder's message to the home of a row with a ceiling.
+    #[prost(message, tag = "30")]
+    PermitOrder(permit::PermitOrder),
+    /// Answer to a permit order.
+    #[prost(message, tag = "31")]
+    PermitAnswer(permit::PermitAnswer),
 }
 
 /// Identifies the sender and proves that it knows the shared secret.
