Serve connections to stand-ins that arrive at once

Cause: tiny_http 0.12 can queue a connection behind one that is kept alive; 100 connections opened at once were not all served within 20 s, and harness calls timed out under load. Change: a thread opens and closes a connection to the stand-in every 10 ms while requests arrive. The harness lists engines after the daemons are ready and waits until no handover is due. Result: the new test fails without the thread and passes with it in 0.1 s.

--- a/crates/proofs/src/daemon.rs
+++ b/crates/proofs/src/daemon.rs
@@ -52,6 +52,7 @@
             ("--platform-url", platform_url.to_owned()),
             ("--platform-key", platform::KEY.to_owned()),
             ("--peer-secret", PEER_SECRET.to_owned()),
+            ("--host-incarnation", host.incarnation.to_string()),
         ];
         let mut arguments = Vec::new();
         for (flag, value) in settings {
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -26,7 +26,7 @@
 pub const TEAM: &str = "spillested";
 
 /// Fleets that run at one time in a test process; more make timings of failures unreliable.
-const MAX_FLEETS: usize = 2;
+const MAX_FLEETS: usize = 3;
 
 static FLEETS: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
 
@@ -109,9 +109,6 @@
             _permit: permit,
         };
         fleet.write_rows(&plan)?;
-        for index in 0..plan.engines {
-            fleet.start_engine(index, &plan)?;
-        }
         for index in 0..plan.apps {
             let role = wire::HostRole::App { service: SERVICE.to_owned() };
             let host = host(&format!("app{index}"), role, index);
@@ -132,25 +129,44 @@
             fleet.platform.put_host(&daemon.host)?;
             fleet.daemons.push(daemon);
         }
+        fleet.wait_daemons()?;
+        // Engines are listed last, so that each is claimed by the daemon that is to own it.
+        for index in 0..plan.engines {
+            fleet.start_engine(index, &plan)?;
+        }
         fleet.wait_ready()?;
         Ok(fleet)
     }
 
-    /// Waits until every daemon is ready and every listed worker has an owner.
+    /// Waits until every daemon is ready and every worker has an owner of its region, if there is
+    /// one, so that no handover is due.
     ///
     /// # Errors
     ///
     /// Fails when that does not happen in time.
     pub fn wait_ready(&self) -> io::Result<()> {
+        self.wait_daemons()?;
+        wait::until("every worker has its owner", wait::LONG, || {
+            self.engines.iter().all(|engine| self.has_near_owner(&engine.host))
+        })?;
+        Ok(())
+    }
+
+    fn wait_daemons(&self) -> io::Result<()> {
         wait::until("every daemon is ready", wait::LONG, || {
             self.daemons.iter().all(Daemon::is_ready)
         })?;
-        wait::until("every worker has an owner", wait::LONG, || {
-            self.engines.iter().all(|engine| self.owner(&engine.host.name).is_some())
-        })?;
         Ok(())
     }
 
+    fn has_near_owner(&self, worker: &wire::Host) -> bool {
+        let Some((owner, _)) = self.owner(&worker.name) else {
+            return false;
+        };
+        let is_near = |daemon: &Daemon| daemon.host.region == worker.region;
+        is_near(&self.daemons[owner]) || !self.daemons.iter().any(is_near)
+    }
+
     /// Returns the index of the daemon that owns a worker, and the fencing number.
     #[must_use]
     pub fn owner(&self, worker: &str) -> Option<(usize, u64)> {
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -7,6 +7,8 @@
 
 use serde_json::json;
 
+use crate::unblock;
+
 /// Answers the requests of one stand-in.
 pub trait Handle: Send + Sync + 'static {
     /// Answers one request on a thread of its own.
@@ -41,8 +43,10 @@
 {
     let address = listener.local_addr()?;
     let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
+    let unblocker = unblock::Unblocker::start(address)?;
     thread::Builder::new().name("accept".to_owned()).spawn(move || {
         for request in server.incoming_requests() {
+            unblocker.note_request();
             let handler = Arc::clone(&handler);
             // A request that gets no thread is answered with a 500 by tiny_http.
             let _ = thread::Builder::new().spawn(move || {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod http;
 pub mod platform;
 pub mod relay;
+pub mod unblock;
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -4,6 +4,10 @@
 
 mod common;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
 use common::{agent, get, post, until};
 use jasminetack_standins::http;
 use jasminetack_standins::platform;
@@ -108,6 +112,23 @@
     assert_eq!(times[8], 333 + 281);
 }
 
+/// Guards against connections that wait for each other when many arrive at once and are kept open.
+#[test]
+fn connections_that_arrive_at_once_are_all_served() {
+    let url = start();
+    let address = url.trim_start_matches("http://").to_owned();
+    let mut streams = Vec::new();
+    for _ in 0..100 {
+        let mut stream = TcpStream::connect(&address).unwrap();
+        stream.write_all(b"GET /audit HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        streams.push(stream);
+    }
+    for stream in &mut streams {
+        stream.read_exact(&mut [0]).unwrap();
+    }
+}
+
 /// Guards against objects that change on the way.
 #[test]
 fn objects_are_returned_as_written() {
