--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod quota;
 pub mod request;
 pub mod route;
+pub mod service;
 pub mod table;
 pub mod worker;
--- a/crates/entry/src/control/publisher.rs
+++ b/crates/entry/src/control/publisher.rs
@@ -105,7 +105,6 @@
         fleet: Arc::new(fleet),
         peers,
         services: sources.hosts.services().clone(),
-        ready: sources.readiness.is_ready(),
         readiness: sources.readiness,
     }
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -9,6 +9,7 @@
 use crossbeam_channel::Sender;
 use jasminetack_program::log;
 use jasminetack_wire::peer;
+use parking_lot::Mutex;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use snafu::ResultExt;
@@ -114,21 +115,54 @@
         .context(ThreadSnafu { part: "the control thread" })?;
     let peers = traffic::PeerClient::new(hello);
     let owners = traffic::Owners::new(settings.host.clone(), Arc::clone(&dispatcher), peers);
-    let peer_server =
-        traffic::PeerServer::new(settings.peer_secret.clone(), control_sender.clone(), dispatcher);
+    let peer_server = traffic::PeerServer::new(
+        settings.peer_secret.clone(),
+        control_sender.clone(),
+        dispatcher,
+        in_flight.clone(),
+    );
     runtime.spawn(peer_server.serve(listener));
     forward_signals(control_sender).context(ThreadSnafu { part: "the signal thread" })?;
-    let address = settings.callers_address;
     let routing = traffic::Routing::for_policy(&settings.policy, settings.engine_batch);
     let router = traffic::Router::new(routing, rand::random());
-    let server = traffic::Server::new(settings, snapshot, clock, owners, router, metrics, journal);
+    let extra = traffic::Extra::new(&settings);
+    let caller = platform::Caller::new(&settings);
+    let (group_ms, retention_ms) = (settings.claim_group_ms, settings.claim_retention_ms);
+    let claims = platform::Claims::start(&caller, group_ms, retention_ms, &in_flight)
+        .context(ThreadSnafu { part: "the claim threads" })?;
+    let ceilings = traffic::Ceilings::default();
+    let services = traffic::Services::new(
+        Arc::clone(&settings),
+        Arc::clone(&snapshot),
+        clock,
+        Arc::clone(&journal),
+        claims,
+        ceilings.clone(),
+    );
+    let address = settings.callers_address;
+    let models = traffic::Models {
+        settings,
+        snapshot,
+        clock,
+        owners,
+        router: Arc::new(router),
+        metrics,
+        in_flight,
+        journal,
+        extra: Mutex::new(extra),
+    };
+    let server = traffic::Server::new(Arc::new(models), Arc::new(services), ceilings);
+    let listener = runtime.block_on(TcpListener::bind(address)).context(ListenSnafu { address })?;
+    let listening = listener.local_addr().unwrap_or(address).to_string();
+    spdlog::info!("listening", kv: { port = "callers", address = listening.as_str() });
     runtime.block_on(async {
         tokio::select! {
-            result = server.serve() => result.context(ListenSnafu { address }),
+            () = server.serve(listener) => {}
             // An error means that the control thread is gone, which ends the daemon too.
-            _ = stages.wait_for(|stage| *stage == control::Stage::Done) => Ok(()),
+            _ = stages.wait_for(|stage| *stage == control::Stage::Done) => {}
         }
-    })
+    });
+    Ok(())
 }
 
 /// Starts a thread that turns signals into messages.
--- a/crates/entry/src/ops.rs
+++ b/crates/entry/src/ops.rs
@@ -83,13 +83,11 @@
 
     fn readiness(&self) -> Answer {
         let snapshot = self.snapshot.load();
-        if snapshot.ready {
-            return Answer::text(200, "ready\n");
+        let reason = snapshot.readiness.as_str();
+        if snapshot.readiness.is_ready() {
+            return Answer::text(200, &format!("ready: {reason}\n"));
         }
-        if snapshot.table.head_version() == 0 {
-            return Answer::text(503, "not ready: the table has not been read yet\n");
-        }
-        Answer::text(503, "not ready: the table cannot be confirmed\n")
+        Answer::text(503, &format!("not ready: {reason}\n"))
     }
 
     fn encode_metrics(&self) -> Answer {
@@ -99,7 +97,7 @@
         let owned = i64::try_from(owned.count()).unwrap_or(i64::MAX);
         self.metrics.table_version.set(version);
         self.metrics.owned_workers.set(owned);
-        self.metrics.ready.set(i64::from(snapshot.ready));
+        self.metrics.ready.set(i64::from(snapshot.readiness.is_ready()));
         Answer { status: 200, content_type: OPEN_METRICS, text: self.metrics.encode() }
     }
 
