--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -3,6 +3,7 @@
 #[rustfmt::skip]
 mod flags;
 
+use std::ffi::OsString;
 use std::net::SocketAddr;
 
 use jasminetack_domain::name;
@@ -117,6 +118,17 @@
         Self::from_flags(flags)
     }
 
+    /// Reads the settings from arguments and the process's environment.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an argument is not known, or with all problems together.
+    pub fn from_arguments(arguments: Vec<OsString>) -> Result<Self, String> {
+        let flags =
+            flags::JasminetackEntry::from_vec(arguments).map_err(|error| error.to_string())?;
+        Self::from_flags(flags).map_err(|problems| problems.to_string())
+    }
+
     fn from_flags(flags: flags::JasminetackEntry) -> Result<Self, settings::Problems> {
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let mut reader = settings::Reader::default();
--- a/crates/entry/src/traffic/engine_client.rs
+++ b/crates/entry/src/traffic/engine_client.rs
@@ -42,7 +42,7 @@
     pub fencing: adapter::FencingNumber,
 }
 
-/// Client for the engine API; clones share the connection pool.
+/// Client for the engine API.
 #[derive(Clone, Debug)]
 pub struct EngineClient {
     http: legacy::Client<legacy::connect::HttpConnector, Full<Bytes>>,
@@ -55,8 +55,11 @@
         let mut connector = legacy::connect::HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(SHORT_TIMEOUT));
+        // Every call has its own connection: one that the engine closes while it is idle would leave
+        // the outcome of the next request unknown, and a probe must show that the engine accepts.
         let http = legacy::Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
+            .pool_max_idle_per_host(0)
             .build(connector);
         let authorization = format!("Bearer {key}").try_into().ok();
         Self { http, authorization: authorization.filter(|_| !key.is_empty()) }
