Search the protocol of claims breadth first

Cause: at most one run, true not-run answers and right recorded answers must hold over all orders of steps, also with lost replies, late writes, crashes, pauses and the end of the retention time.

--- /dev/null
+++ b/crates/proofs/tests/model.rs
@@ -0,0 +1,5 @@
+//! Breadth-first searches over the protocols.
+
+mod model {
+    mod claim;
+}
