--- a/crates/table/src/commands/explain.rs
+++ b/crates/table/src/commands/explain.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use jasminetack_wire::lease_row;
 use jasminetack_wire::operations;
 use snafu::ResultExt;
 
@@ -39,8 +40,7 @@
 where
     TableService: platform::Platform,
 {
-    let page =
-        service.rows(session_view::SESSION_PREFIX, 0).context(command_error::PlatformSnafu)?;
+    let page = service.rows(lease_row::SESSION_PREFIX, 0).context(command_error::PlatformSnafu)?;
     let mut addresses = Vec::new();
     for stored in &page.rows {
         let session = session_view::SessionView::parse(stored)?;
--- a/crates/table/src/commands/status.rs
+++ b/crates/table/src/commands/status.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 
+use jasminetack_wire::lease_row;
 use jasminetack_wire::row;
 use snafu::ResultExt;
 
@@ -22,8 +23,7 @@
     TableService: platform::Platform,
     Output: Write,
 {
-    let page =
-        service.rows(session_view::SESSION_PREFIX, 0).context(command_error::PlatformSnafu)?;
+    let page = service.rows(lease_row::SESSION_PREFIX, 0).context(command_error::PlatformSnafu)?;
     let mut sessions = Vec::new();
     for stored in &page.rows {
         sessions.extend(session_view::SessionView::parse(stored)?);
--- a/crates/table/src/plan.rs
+++ b/crates/table/src/plan.rs
@@ -86,7 +86,7 @@
             // Writing to a string does not fail.
             let _ = writeln!(
                 description,
-                "{key}\n  yours:             {wanted}\n  now (version {}): {}",
+                "{key}\n  yours: {wanted}\n  now at version {}: {}",
                 stored.version,
                 line(current.as_ref()),
             );
--- a/crates/table/src/session_view.rs
+++ b/crates/table/src/session_view.rs
@@ -2,14 +2,12 @@
 
 use std::net::SocketAddr;
 
+use jasminetack_wire::lease_row;
 use jasminetack_wire::platform as wire;
 use serde::Deserialize;
 
 use crate::command_error::CommandError;
 
-/// Prefix of the keys of session rows.
-pub const SESSION_PREFIX: &str = "session/";
-
 /// What this program needs of a session row; daemons may add fields.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 pub struct SessionView {
@@ -36,7 +34,8 @@
         let view: Self = serde_json::from_value(value.clone()).map_err(|error| {
             CommandError::Stored { key: stored.key.clone(), message: error.to_string() }
         })?;
-        let host = stored.key.strip_prefix(SESSION_PREFIX).unwrap_or(&stored.key).to_owned();
+        let host =
+            stored.key.strip_prefix(lease_row::SESSION_PREFIX).unwrap_or(&stored.key).to_owned();
         Ok(Some(Self { host, ..view }))
     }
 
