--- /dev/null
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -0,0 +1,155 @@
+//! Choice among workers by the predicted time to the first part of the answer.
+
+use super::{AdapterState, Candidate, Health, Loads, PromptMemory, PromptPart, Work};
+use crate::member;
+use crate::name;
+use crate::place;
+use crate::route;
+
+/// Time of one adapter load while the weight store is not saturated.
+const LOAD_COST_MS: f64 = 270.0;
+/// Time left of a load that is under way, on average.
+const LOADING_COST_MS: f64 = 130.0;
+/// Time that each load that waits at a worker adds.
+const WAITING_LOAD_COST_MS: f64 = 120.0;
+/// Time that a generation in the batch adds to the steps of all others until it ends.
+const GENERATION_COST_MS: f64 = 6.0;
+/// Time that a call in flight adds at an application service.
+const CALL_COST_MS: f64 = 4.0;
+/// Time that a call beyond the places of an application service waits.
+const WAITING_CALL_COST_MS: f64 = 20.0;
+/// Prompt tokens that an engine reads in a millisecond.
+const PREFILL_TOKENS_PER_MS: f64 = 19.0;
+/// Two ways between failure domains of one region, and the price of the bytes.
+const SAME_REGION_COST_MS: f64 = 15.0;
+/// Two ways between regions, and the price of the bytes, expressed as time.
+const OTHER_REGION_COST_MS: f64 = 160.0;
+/// Silence of a worker that is ordinary while it reads a long prompt.
+const ORDINARY_SILENCE_MS: u64 = 350;
+/// Cost of a recent failure, in the time that a repeated attempt takes.
+const FAILURE_COST_MS: f64 = 300.0;
+/// Largest part that the preference of an adapter for certain workers adds.
+const PREFERENCE_COST_MS: f64 = 60.0;
+/// Cost that keeps a worker which fails or is silent behind every sound one.
+const UNSOUND_COST_MS: f64 = 20_000.0;
+/// Silence from which a worker counts as unsound.
+const UNSOUND_SILENCE_MS: u64 = 1_500;
+
+/// Chooses workers for requests and keeps what was observed of them.
+#[derive(Clone, Debug, Default)]
+pub struct Chooser {
+    /// Requests in flight.
+    pub loads: Loads,
+    /// Recent failures.
+    pub health: Health,
+    /// Parts of prompts by worker.
+    pub prompts: PromptMemory,
+    /// Times to the first part of an answer compared over the workers of a service.
+    pub speeds: route::Speeds,
+}
+
+/// What decides the choice for one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice<'a> {
+    /// Place of the daemon.
+    pub from: &'a place::Place,
+    /// Adapter that must answer.
+    pub adapter: Option<&'a name::AdapterName>,
+    /// Parts of the prompt.
+    pub parts: &'a [PromptPart],
+    /// Work of the request.
+    pub work: Work,
+    /// Workers that have had the request already.
+    pub excluded: &'a [name::WorkerName],
+}
+
+impl Chooser {
+    /// Chooses the worker with the lowest predicted time, or `None` when there is no candidate.
+    pub fn choose(
+        &mut self,
+        choice: &Choice<'_>,
+        candidates: &[Candidate<'_>],
+        now_ms: u64,
+    ) -> Option<route::Decision> {
+        let mut considered = Vec::with_capacity(candidates.len());
+        let mut best: Option<usize> = None;
+        for candidate in candidates {
+            let worker = &candidate.upstream.name;
+            if candidate.upstream.is_draining || choice.excluded.contains(worker) {
+                continue;
+            }
+            let cost_ms = self.cost_ms(choice, candidate, now_ms);
+            considered.push((worker.clone(), cost_ms as u64));
+            let last = considered.len() - 1;
+            if best.is_none_or(|best| considered[last].1 < considered[best].1) {
+                best = Some(last);
+            }
+        }
+        let (worker, cost_ms) = considered.swap_remove(best?);
+        let reason = if cost_ms as f64 >= UNSOUND_COST_MS {
+            "no sound worker"
+        } else {
+            "lowest predicted time"
+        };
+        Some(route::Decision { worker, cost_ms, considered, reason })
+    }
+
+    fn cost_ms(&mut self, choice: &Choice<'_>, candidate: &Candidate<'_>, now_ms: u64) -> f64 {
+        let upstream = candidate.upstream;
+        let worker = &upstream.name;
+        let (requests, unread_tokens) = self.loads.outstanding(worker, now_ms);
+        let mut cost_ms = match choice.from.distance(&upstream.place) {
+            place::Distance::SameFailureDomain => 0.0,
+            place::Distance::SameRegion => SAME_REGION_COST_MS,
+            place::Distance::OtherRegion => OTHER_REGION_COST_MS,
+        };
+        if choice.work.is_generation() {
+            let kept = self.prompts.kept_tokens(worker, choice.adapter, choice.parts, now_ms);
+            let unread = f64::from(unread_tokens) + f64::from(choice.work.prompt_tokens)
+                - f64::from(kept.min(choice.work.prompt_tokens));
+            cost_ms += f64::from(requests) * GENERATION_COST_MS + unread / PREFILL_TOKENS_PER_MS;
+            cost_ms += load_cost_ms(candidate.adapter);
+        } else {
+            let beyond = (requests + 1).saturating_sub(upstream.slots);
+            cost_ms += f64::from(requests) * CALL_COST_MS;
+            cost_ms += f64::from(beyond) * WAITING_CALL_COST_MS;
+        }
+        if let Some(adapter) = choice.adapter {
+            cost_ms += preference(adapter, worker) * PREFERENCE_COST_MS;
+        }
+        cost_ms + self.unsoundness_ms(worker, now_ms)
+    }
+
+    /// Returns what failures, silence and slowness of a worker add.
+    fn unsoundness_ms(&mut self, worker: &name::WorkerName, now_ms: u64) -> f64 {
+        let silence_ms = self.loads.silence_ms(worker, now_ms);
+        let mut cost_ms = silence_ms.saturating_sub(ORDINARY_SILENCE_MS) as f64;
+        cost_ms += self.health.failures(worker, now_ms) * FAILURE_COST_MS;
+        let is_failing = self.health.is_failing(worker, now_ms);
+        if silence_ms > UNSOUND_SILENCE_MS || is_failing && !self.health.take_probe(worker, now_ms)
+        {
+            cost_ms += UNSOUND_COST_MS;
+        }
+        if self.speeds.is_straggler(worker, now_ms) && !self.speeds.take_probe(worker, now_ms) {
+            cost_ms += FAILURE_COST_MS;
+        }
+        cost_ms
+    }
+}
+
+fn load_cost_ms(state: AdapterState) -> f64 {
+    match state {
+        AdapterState::Resident => 0.0,
+        AdapterState::Loading => LOADING_COST_MS,
+        AdapterState::Absent { waiting_loads } => {
+            LOAD_COST_MS + f64::from(waiting_loads) * WAITING_LOAD_COST_MS
+        }
+    }
+}
+
+/// Returns a number from 0 to 1 that is the same on every daemon.
+///
+/// Daemons that look for a worker for the same cold adapter at the same time agree on one.
+fn preference(adapter: &name::AdapterName, worker: &name::WorkerName) -> f64 {
+    member::rendezvous::score(adapter.as_str(), worker.as_str()) as f64 / u64::MAX as f64
+}
--- /dev/null
+++ b/crates/domain/src/dispatch/loads.rs
@@ -0,0 +1,158 @@
+//! Requests in flight at workers, over all daemons.
+
+use indexmap::IndexMap;
+use rustc_hash::{FxBuildHasher, FxHashMap};
+
+use super::{AdapterUse, ReportedLoad, Work};
+use crate::name;
+
+/// Age at which the report of another daemon no longer counts; twice the slowest report interval.
+const REPORT_LIFETIME_MS: u64 = 2_500;
+
+/// Requests in flight at each worker: this daemon's own, and those that others reported.
+#[derive(Clone, Debug, Default)]
+pub struct Loads {
+    own: FxHashMap<name::WorkerName, OwnLoad>,
+    others: FxHashMap<name::HostName, Report>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct OwnLoad {
+    in_flight: u32,
+    unread_tokens: u32,
+    adapters: IndexMap<name::AdapterName, AdapterUse, FxBuildHasher>,
+    /// When the worker was last heard, or got a request while none was waiting.
+    heard_ms: u64,
+    unanswered: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Report {
+    at_ms: u64,
+    loads: FxHashMap<name::WorkerName, (u32, u32)>,
+}
+
+impl Loads {
+    /// Counts a request that is sent to a worker.
+    pub fn sent(
+        &mut self,
+        worker: &name::WorkerName,
+        adapter: Option<&name::AdapterName>,
+        work: Work,
+        now_ms: u64,
+    ) {
+        let load = self.own.entry(worker.clone()).or_default();
+        if load.unanswered == 0 {
+            load.heard_ms = now_ms;
+        }
+        load.in_flight += 1;
+        load.unanswered += 1;
+        load.unread_tokens = load.unread_tokens.saturating_add(work.prompt_tokens);
+        let Some(adapter) = adapter else { return };
+        let used = load.adapters.entry(adapter.clone()).or_default();
+        used.in_flight += 1;
+        used.begun += 1;
+    }
+
+    /// Counts the beginning of an answer.
+    pub fn answered(&mut self, worker: &name::WorkerName, work: Work, now_ms: u64) {
+        let Some(load) = self.own.get_mut(worker) else { return };
+        load.unanswered = load.unanswered.saturating_sub(1);
+        load.unread_tokens = load.unread_tokens.saturating_sub(work.prompt_tokens);
+        load.heard_ms = now_ms;
+    }
+
+    /// Notes that a worker sent a part of an answer.
+    pub fn heard(&mut self, worker: &name::WorkerName, now_ms: u64) {
+        if let Some(load) = self.own.get_mut(worker) {
+            load.heard_ms = now_ms;
+        }
+    }
+
+    /// Counts the end of a request whose answer has begun.
+    pub fn ended(&mut self, worker: &name::WorkerName, adapter: Option<&name::AdapterName>) {
+        let Some(load) = self.own.get_mut(worker) else { return };
+        load.in_flight = load.in_flight.saturating_sub(1);
+        let Some(used) = adapter.and_then(|adapter| load.adapters.get_mut(adapter)) else { return };
+        used.in_flight = used.in_flight.saturating_sub(1);
+    }
+
+    /// Takes in the load that another daemon reports, in place of its earlier report.
+    pub fn reported(&mut self, host: &name::HostName, loads: &[ReportedLoad], now_ms: u64) {
+        let loads = loads.iter();
+        let loads =
+            loads.map(|load| (load.worker.clone(), (load.in_flight, load.unread_tokens))).collect();
+        self.others.insert(host.clone(), Report { at_ms: now_ms, loads });
+    }
+
+    /// Returns the requests and the unread prompt tokens at a worker over all daemons.
+    #[must_use]
+    pub fn outstanding(&self, worker: &name::WorkerName, now_ms: u64) -> (u32, u32) {
+        let own = self.own.get(worker);
+        let mut requests = own.map_or(0, |load| load.in_flight);
+        let mut tokens = own.map_or(0, |load| load.unread_tokens);
+        for report in self.others.values() {
+            if now_ms.saturating_sub(report.at_ms) > REPORT_LIFETIME_MS {
+                continue;
+            }
+            let Some((in_flight, unread)) = report.loads.get(worker) else { continue };
+            requests += in_flight;
+            tokens = tokens.saturating_add(*unread);
+        }
+        (requests, tokens)
+    }
+
+    /// Returns the requests of this daemon at a worker.
+    #[must_use]
+    pub fn own_in_flight(&self, worker: &name::WorkerName) -> u32 {
+        self.own.get(worker).map_or(0, |load| load.in_flight)
+    }
+
+    /// Returns for how long a worker has sent nothing although a request waits for an answer.
+    #[must_use]
+    pub fn silence_ms(&self, worker: &name::WorkerName, now_ms: u64) -> u64 {
+        let waiting = self.own.get(worker).filter(|load| load.unanswered > 0);
+        waiting.map_or(0, |load| now_ms.saturating_sub(load.heard_ms))
+    }
+
+    /// Lists this daemon's load by worker.
+    #[must_use]
+    pub fn report(&self) -> Vec<ReportedLoad> {
+        let busy = self.own.iter().filter(|(_, load)| load.in_flight > 0);
+        let reports = busy.map(|(worker, load)| ReportedLoad {
+            worker: worker.clone(),
+            in_flight: load.in_flight,
+            unread_tokens: load.unread_tokens,
+        });
+        reports.collect()
+    }
+
+    /// Takes the adapters used at a worker since the last call or still in use.
+    pub fn take_adapter_uses(
+        &mut self,
+        worker: &name::WorkerName,
+    ) -> Vec<(name::AdapterName, AdapterUse)> {
+        let Some(load) = self.own.get_mut(worker) else { return Vec::new() };
+        let mut uses = Vec::new();
+        load.adapters.retain(|adapter, used| {
+            uses.push((adapter.clone(), *used));
+            used.begun = 0;
+            used.in_flight > 0
+        });
+        uses
+    }
+
+    /// Lists the workers at which this daemon used adapters since the last report.
+    #[must_use]
+    pub fn workers_in_use(&self) -> Vec<name::WorkerName> {
+        let used = self.own.iter().filter(|(_, load)| !load.adapters.is_empty());
+        used.map(|(worker, _)| worker.clone()).collect()
+    }
+
+    /// Forgets a worker without requests.
+    pub fn forget(&mut self, worker: &name::WorkerName) {
+        if self.own.get(worker).is_some_and(|load| load.in_flight == 0) {
+            self.own.remove(worker);
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/dispatch/mod.rs
@@ -0,0 +1,24 @@
+//! Choice of the worker that gets a request straight from the daemon that received it.
+//!
+//! Used where the workers queue and batch by themselves, so that no daemon has to order the queue
+//! of a worker for all others.
+
+mod adapter_use;
+mod candidate;
+mod chooser;
+mod health;
+mod loads;
+mod prompt_memory;
+mod reported_load;
+mod retry_window;
+mod work;
+
+pub use adapter_use::AdapterUse;
+pub use candidate::{AdapterState, Candidate};
+pub use chooser::{Choice, Chooser};
+pub use health::Health;
+pub use loads::Loads;
+pub use prompt_memory::{PromptMemory, PromptPart};
+pub use reported_load::ReportedLoad;
+pub use retry_window::RetryWindow;
+pub use work::Work;
--- /dev/null
+++ b/crates/domain/src/dispatch/reported_load.rs
@@ -0,0 +1,14 @@
+//! Load that another daemon reports.
+
+use crate::name;
+
+/// Load that one daemon puts on one worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// The worker.
+    pub worker: name::WorkerName,
+    /// Requests in flight there.
+    pub in_flight: u32,
+    /// Prompt tokens of those requests that have no answer yet.
+    pub unread_tokens: u32,
+}
--- /dev/null
+++ b/crates/domain/src/dispatch/retry_window.rs
@@ -0,0 +1,65 @@
+//! Budget of repeated requests over a sliding window.
+
+use std::collections::VecDeque;
+
+/// Resolution of the window.
+const BUCKET_MS: u64 = 500;
+
+/// Limits repeated requests to a part of the requests of the last seconds plus a fixed number.
+///
+/// The parts of all daemons add up to the part of the whole fleet without any message; the fixed
+/// number is divided by the number of daemons. A daemon that is lost takes its part along, so the
+/// bound of the fleet holds whichever daemons remain.
+#[derive(Clone, Debug)]
+pub struct RetryWindow {
+    window_ms: u64,
+    ratio: f64,
+    buckets: VecDeque<Bucket>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    start_ms: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+impl RetryWindow {
+    /// Creates a window that allows `ratio` repeats for each request of the last `window_ms`.
+    #[must_use]
+    pub fn new(window_ms: u64, ratio: f64) -> Self {
+        Self { window_ms, ratio, buckets: VecDeque::new() }
+    }
+
+    /// Counts a request of a caller.
+    pub fn count_request(&mut self, now_ms: u64) {
+        self.bucket(now_ms).requests += 1;
+    }
+
+    /// Takes the right to send a request once more; `slack` is this daemon's part of the fixed
+    /// number. Returns whether there was one.
+    pub fn take(&mut self, slack: f64, now_ms: u64) -> bool {
+        self.bucket(now_ms);
+        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
+        if f64::from(repeats + 1) > f64::from(requests) * self.ratio + slack {
+            return false;
+        }
+        self.bucket(now_ms).repeats += 1;
+        true
+    }
+
+    fn bucket(&mut self, now_ms: u64) -> &mut Bucket {
+        let start_ms = now_ms / BUCKET_MS * BUCKET_MS;
+        // A bucket stays until its last moment has left the window.
+        let oldest_ms = now_ms.saturating_sub(self.window_ms + BUCKET_MS);
+        while self.buckets.front().is_some_and(|bucket| bucket.start_ms < oldest_ms) {
+            self.buckets.pop_front();
+        }
+        if self.buckets.back().is_none_or(|bucket| bucket.start_ms < start_ms) {
+            self.buckets.push_back(Bucket { start_ms, requests: 0, repeats: 0 });
+        }
+        let last = self.buckets.len() - 1;
+        &mut self.buckets[last]
+    }
+}
--- /dev/null
+++ b/crates/domain/src/dispatch/work.rs
@@ -0,0 +1,18 @@
+//! What a request asks of a worker.
+
+/// Work of one request at a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Tokens of the prompt; 0 for a call to an application service.
+    pub prompt_tokens: u32,
+    /// Most tokens that the answer may have.
+    pub answer_tokens: u32,
+}
+
+impl Work {
+    /// Returns whether the request generates tokens.
+    #[must_use]
+    pub fn is_generation(self) -> bool {
+        self.prompt_tokens > 0 || self.answer_tokens > 0
+    }
+}
--- /dev/null
+++ b/crates/domain/src/ingress/ingress.rs
@@ -0,0 +1,83 @@
+//! The configuration in force.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::{ClientLimits, Route, ServiceProfile};
+use crate::name;
+
+/// Routes, services and limits of one configuration version.
+#[derive(Clone, Debug)]
+pub struct Ingress {
+    version: u64,
+    /// Routes by host, longest prefix first.
+    routes: IndexMap<String, Vec<Arc<Route>>>,
+    services: IndexMap<name::ServiceName, Arc<ServiceProfile>>,
+    limits: ClientLimits,
+}
+
+impl Ingress {
+    /// Creates a configuration from routes with their hosts.
+    #[must_use]
+    pub fn new<Routes, Services>(
+        version: u64,
+        routes: Routes,
+        services: Services,
+        limits: ClientLimits,
+    ) -> Self
+    where
+        Routes: IntoIterator<Item = (String, Route)>,
+        Services: IntoIterator<Item = ServiceProfile>,
+    {
+        let mut by_host: IndexMap<String, Vec<Arc<Route>>> = IndexMap::new();
+        for (host, route) in routes {
+            by_host.entry(host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services =
+            services.into_iter().map(|service| (service.name.clone(), Arc::new(service)));
+        Self { version, routes: by_host, services: services.collect(), limits }
+    }
+
+    /// Returns the version.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the limits on callers.
+    #[must_use]
+    pub fn limits(&self) -> ClientLimits {
+        self.limits
+    }
+
+    /// Returns the route of the host with the longest prefix of the path.
+    #[must_use]
+    pub fn resolve(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = match self.routes.get(host) {
+            Some(routes) => routes,
+            None => self.routes.get(&host.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// Returns a service.
+    #[must_use]
+    pub fn service(&self, name: &name::ServiceName) -> Option<&Arc<ServiceProfile>> {
+        self.services.get(name)
+    }
+
+    /// Lists the services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceProfile>> {
+        self.services.values()
+    }
+
+    /// Returns the number of routes.
+    #[must_use]
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+}
--- /dev/null
+++ b/crates/domain/src/ingress/mod.rs
@@ -0,0 +1,20 @@
+//! Configuration of the callers' side: which host and path lead to which service, and how.
+
+mod base_model;
+mod client_limits;
+mod engine_profile;
+#[allow(clippy::module_inception)]
+mod ingress;
+mod request_kind;
+mod route;
+mod service_profile;
+mod share;
+
+pub use base_model::BaseModel;
+pub use client_limits::ClientLimits;
+pub use engine_profile::EngineProfile;
+pub use ingress::Ingress;
+pub use request_kind::RequestKind;
+pub use route::Route;
+pub use service_profile::ServiceProfile;
+pub use share::Share;
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -14,13 +14,18 @@
 
 pub mod adapter;
 pub mod claim;
+pub mod dispatch;
+pub mod ingress;
 pub mod lease;
 pub mod member;
 pub mod name;
+pub mod order_lease;
 pub mod place;
+pub mod placement;
 pub mod quota;
 pub mod request;
 pub mod route;
 pub mod service;
 pub mod table;
+pub mod upstream;
 pub mod worker;
--- a/crates/domain/src/name.rs
+++ b/crates/domain/src/name.rs
@@ -61,6 +61,8 @@
     RegionName,
     /// Name of a failure domain within a region.
     FailureDomainName,
+    /// Name of a route of the callers' side.
+    RouteName,
     /// Identifier of one caller request, unique over all daemons.
     RequestId,
 }
--- /dev/null
+++ b/crates/domain/src/placement/mod.rs
@@ -0,0 +1,15 @@
+//! Which adapters a worker holds, decided by the one daemon that gives it orders.
+
+mod order;
+mod order_result;
+mod place;
+#[allow(clippy::module_inception)]
+mod placement;
+mod summary;
+mod want;
+
+pub use order::Order;
+pub use order_result::OrderResult;
+pub use place::{Place, PlaceState};
+pub use placement::{Limits, Placement};
+pub use summary::{Held, Summary};
--- /dev/null
+++ b/crates/domain/src/placement/order.rs
@@ -0,0 +1,27 @@
+//! Orders to a worker.
+
+use std::fmt;
+
+use crate::adapter;
+use crate::name;
+
+/// An order to a worker. Every order may be repeated.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Load the weights of a base model.
+    LoadBase(name::BaseModelName),
+    /// Load an adapter, or replace another version of it; version 0 stands for the newest.
+    Load(adapter::AdapterRef),
+    /// Drop an adapter.
+    Unload(name::AdapterName),
+}
+
+impl fmt::Display for Order {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::LoadBase(model) => write!(formatter, "load-base:{model}"),
+            Self::Load(adapter) => write!(formatter, "load:{adapter}"),
+            Self::Unload(adapter) => write!(formatter, "unload:{adapter}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/placement/placement.rs
@@ -0,0 +1,330 @@
+//! Adapter places of one worker.
+
+use indexmap::IndexMap;
+use rustc_hash::FxBuildHasher;
+
+use super::place::LATE_ORDER_MS;
+use super::want::Want;
+use super::{Held, Order, OrderResult, Place, PlaceState, Summary};
+use crate::adapter;
+use crate::dispatch;
+use crate::name;
+
+/// Time after which a demand that is not confirmed is forgotten.
+const WANT_LIFETIME_MS: u64 = 700;
+/// Loads in transit to one worker, whatever the rest of the fleet does.
+const MIN_IN_TRANSIT: usize = 1;
+/// Loads in transit to one worker at most; the worker's own limit is four.
+const MAX_IN_TRANSIT: usize = 3;
+/// Loads in transit over all workers beyond which each takes longer.
+const FLEET_IN_TRANSIT: usize = 8;
+/// Time for which an adapter stays after its last use, since other requests may be on their way.
+const MIN_IDLE_MS: u64 = 250;
+/// Time of a load from the weight store, after which its end is asked for.
+const COLD_LOAD_MS: u64 = 245;
+/// Time of a load that the worker has a copy of.
+const WARM_LOAD_MS: u64 = 25;
+/// Adapters of which a worker is assumed to keep a copy.
+const MAX_WARM: usize = 100;
+/// Interval of asking whether the load of a base model has ended.
+const BASE_POLL_MS: u64 = 150;
+/// Places left free while orders of an earlier order-giver may still be carried out.
+const INHERITED_RESERVE: usize = 4;
+
+/// Limits of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Adapters that it can hold, those in transit included.
+    pub adapter_capacity: usize,
+    /// Base model that it must hold.
+    pub base_model: name::BaseModelName,
+}
+
+/// Adapter places of one worker and the demand for more.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    limits: Limits,
+    has_base_model: bool,
+    base_awaits_answer: bool,
+    base_order_ms: u64,
+    places: IndexMap<name::AdapterName, Place, FxBuildHasher>,
+    wants: IndexMap<name::AdapterName, Want, FxBuildHasher>,
+    warm: IndexMap<name::AdapterName, (), FxBuildHasher>,
+    reserve_until_ms: u64,
+}
+
+impl Placement {
+    /// Creates the placement of a worker whose orders this daemon gives from now on.
+    ///
+    /// `is_fresh` tells that nobody has given orders to the worker since its start.
+    #[must_use]
+    pub fn new(
+        limits: Limits,
+        has_base_model: bool,
+        listed: &[adapter::AdapterRef],
+        is_fresh: bool,
+        now_ms: u64,
+    ) -> Self {
+        let reserve_until_ms = if is_fresh { 0 } else { now_ms + LATE_ORDER_MS };
+        let mut placement = Self {
+            limits,
+            has_base_model,
+            base_awaits_answer: false,
+            base_order_ms: now_ms,
+            places: IndexMap::default(),
+            wants: IndexMap::default(),
+            warm: IndexMap::default(),
+            reserve_until_ms,
+        };
+        placement.adopt(listed, now_ms);
+        placement
+    }
+
+    /// Returns the limits.
+    #[must_use]
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// Takes in what the worker itself reports to hold.
+    pub fn adopt(&mut self, listed: &[adapter::AdapterRef], now_ms: u64) {
+        for adapter in listed {
+            let place = self.places.entry(adapter.name().clone());
+            let place = place
+                .or_insert_with(|| Place::new(adapter.version(), PlaceState::Resident, now_ms));
+            if place.state == PlaceState::Resident {
+                place.version = adapter.version();
+            }
+        }
+    }
+
+    /// Notes that the worker holds its base model.
+    pub fn base_model_held(&mut self) {
+        self.has_base_model = true;
+    }
+
+    /// Notes that a request needs an adapter version here; version 0 stands for the newest.
+    pub fn want(&mut self, adapter: &adapter::AdapterRef, now_ms: u64) {
+        if self.holds(adapter) {
+            return;
+        }
+        let new = Want { version: adapter.version(), since_ms: now_ms, confirmed_ms: now_ms };
+        let want = self.wants.entry(adapter.name().clone()).or_insert(new);
+        want.version = want.version.max(adapter.version());
+        want.confirmed_ms = now_ms;
+    }
+
+    /// Notes that the worker answered that it does not hold an adapter.
+    pub fn missing(&mut self, adapter: &name::AdapterName, now_ms: u64) {
+        let Some(place) = self.places.get_mut(adapter) else { return };
+        if place.state == PlaceState::Resident {
+            place.enter(PlaceState::Loading, now_ms);
+        }
+    }
+
+    /// Replaces resident adapters that a newer version was named for and that were used lately.
+    pub fn renew_version(&mut self, adapter: &adapter::AdapterRef, now_ms: u64) {
+        let Some(place) = self.places.get(adapter.name()) else { return };
+        if place.state != PlaceState::Unloading && place.version != adapter.version() {
+            self.want(adapter, now_ms);
+        }
+    }
+
+    /// Takes in how requests of all daemons use an adapter: those in flight and those begun since
+    /// the last call.
+    pub fn used(&mut self, adapter: &name::AdapterName, used: dispatch::AdapterUse, now_ms: u64) {
+        let Some(place) = self.places.get_mut(adapter) else { return };
+        place.in_use = used.in_flight;
+        if used.in_flight > 0 || used.begun > 0 {
+            place.add_uses(used.begun, now_ms);
+        }
+    }
+
+    /// Returns the loads in transit.
+    #[must_use]
+    pub fn in_transit(&self) -> usize {
+        self.places.values().filter(|place| place.state == PlaceState::Loading).count()
+    }
+
+    /// Returns the state for routing.
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        let usable = self.places.iter().filter(|(_, place)| place.state != PlaceState::Unloading);
+        let held = usable.map(|(name, place)| Held {
+            adapter: adapter::AdapterRef::new(name.clone(), place.version),
+            is_loading: place.state == PlaceState::Loading,
+        });
+        Summary {
+            has_base_model: self.has_base_model,
+            held: held.collect(),
+            waiting_loads: u32::try_from(self.wants.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Decides on the orders to send now; `others_in_transit` counts the loads of all other workers.
+    pub fn plan(&mut self, others_in_transit: usize, now_ms: u64) -> Vec<Order> {
+        let mut orders = Vec::new();
+        self.wants.retain(|_, want| now_ms.saturating_sub(want.confirmed_ms) < WANT_LIFETIME_MS);
+        if !self.has_base_model {
+            if !self.base_awaits_answer && self.base_order_ms <= now_ms {
+                self.base_awaits_answer = true;
+                orders.push(Order::LoadBase(self.limits.base_model.clone()));
+            }
+            return orders;
+        }
+        self.start_loads(others_in_transit, now_ms);
+        self.make_room(now_ms);
+        for (name, place) in &mut self.places {
+            if place.awaits_answer || place.next_order_ms > now_ms {
+                continue;
+            }
+            match place.state {
+                PlaceState::Resident => continue,
+                PlaceState::Loading => {
+                    let adapter = adapter::AdapterRef::new(name.clone(), place.version);
+                    orders.push(Order::Load(adapter));
+                }
+                PlaceState::Unloading => orders.push(Order::Unload(name.clone())),
+            }
+            place.awaits_answer = true;
+        }
+        orders
+    }
+
+    /// Takes in what became of an order.
+    pub fn ordered(&mut self, order: &Order, result: OrderResult, now_ms: u64) {
+        match order {
+            Order::LoadBase(_) => self.base_ordered(result, now_ms),
+            Order::Load(adapter) => self.load_ordered(adapter, result, now_ms),
+            Order::Unload(adapter) => self.unload_ordered(adapter, result, now_ms),
+        }
+    }
+
+    fn base_ordered(&mut self, result: OrderResult, now_ms: u64) {
+        self.base_awaits_answer = false;
+        self.base_order_ms = now_ms + BASE_POLL_MS;
+        if result == OrderResult::Holds {
+            self.has_base_model = true;
+        }
+    }
+
+    fn load_ordered(&mut self, adapter: &adapter::AdapterRef, result: OrderResult, now_ms: u64) {
+        let is_warm = self.warm.contains_key(adapter.name());
+        let Some(place) = self.places.get_mut(adapter.name()) else { return };
+        if place.state != PlaceState::Loading || place.version != adapter.version() {
+            place.awaits_answer = false;
+            return;
+        }
+        match result {
+            OrderResult::Holds => {
+                place.awaits_answer = false;
+                place.enter(PlaceState::Resident, now_ms);
+                place.used_ms = now_ms;
+                self.remember_warm(adapter.name());
+            }
+            OrderResult::Refused if place.late_until_ms <= now_ms => {
+                self.places.swap_remove(adapter.name());
+            }
+            _ => {
+                place.order_failed(result, now_ms);
+                let age_ms = now_ms.saturating_sub(place.state_since_ms);
+                let expected_ms = if is_warm { WARM_LOAD_MS } else { COLD_LOAD_MS };
+                if result == OrderResult::Accepted && age_ms < expected_ms {
+                    place.next_order_ms =
+                        place.next_order_ms.max(place.state_since_ms + expected_ms);
+                }
+            }
+        }
+    }
+
+    fn unload_ordered(&mut self, adapter: &name::AdapterName, result: OrderResult, now_ms: u64) {
+        let Some(place) = self.places.get_mut(adapter) else { return };
+        if place.state != PlaceState::Unloading {
+            place.awaits_answer = false;
+            return;
+        }
+        // A refused unload means that the worker does not hold the adapter.
+        if matches!(result, OrderResult::Holds | OrderResult::Refused) {
+            self.places.swap_remove(adapter);
+            return;
+        }
+        place.order_failed(result, now_ms);
+    }
+
+    fn holds(&self, adapter: &adapter::AdapterRef) -> bool {
+        let place = self.places.get(adapter.name());
+        place.is_some_and(|place| {
+            place.state != PlaceState::Unloading && place.version >= adapter.version()
+        })
+    }
+
+    fn remember_warm(&mut self, adapter: &name::AdapterName) {
+        self.warm.shift_remove(adapter);
+        self.warm.insert(adapter.clone(), ());
+        while self.warm.len() > MAX_WARM {
+            self.warm.shift_remove_index(0);
+        }
+    }
+
+    fn capacity(&self, now_ms: u64) -> usize {
+        let reserve = if now_ms < self.reserve_until_ms { INHERITED_RESERVE } else { 0 };
+        self.limits.adapter_capacity.saturating_sub(reserve)
+    }
+
+    fn start_loads(&mut self, others_in_transit: usize, now_ms: u64) {
+        let mut in_transit = self.in_transit();
+        let mut started = Vec::new();
+        // The longest wait goes first.
+        let mut waiting: Vec<_> =
+            self.wants.iter().map(|(name, want)| (name.clone(), *want)).collect();
+        waiting.sort_by_key(|(_, want)| want.since_ms);
+        let capacity = self.capacity(now_ms);
+        for (name, want) in waiting {
+            let has_room = self.places.len() < capacity;
+            let is_fleet_busy = in_transit + others_in_transit >= FLEET_IN_TRANSIT;
+            let limit = if is_fleet_busy { MIN_IN_TRANSIT } else { MAX_IN_TRANSIT };
+            if in_transit >= limit {
+                break;
+            }
+            match self.places.get_mut(&name) {
+                Some(place) if place.state == PlaceState::Unloading => continue,
+                Some(place) => {
+                    place.version = want.version;
+                    place.enter(PlaceState::Loading, now_ms);
+                }
+                None if has_room => {
+                    let place = Place::new(want.version, PlaceState::Loading, now_ms);
+                    self.places.insert(name.clone(), place);
+                }
+                None => continue,
+            }
+            in_transit += 1;
+            started.push(name);
+        }
+        for name in started {
+            self.wants.shift_remove(&name);
+        }
+    }
+
+    /// Begins to drop idle adapters for those that wait.
+    fn make_room(&mut self, now_ms: u64) {
+        let waiting = self.wants.keys().filter(|name| !self.places.contains_key(*name)).count();
+        let unloading = self.places.values().filter(|place| place.state == PlaceState::Unloading);
+        let excess = self.places.len().saturating_sub(self.capacity(now_ms));
+        let needed = (waiting + excess).min(MAX_IN_TRANSIT + excess);
+        let missing = needed.saturating_sub(unloading.count());
+        for _ in 0..missing {
+            let idle = self.places.iter_mut().filter(|(name, place)| {
+                place.state == PlaceState::Resident
+                    && place.in_use == 0
+                    && place.late_until_ms <= now_ms
+                    && now_ms.saturating_sub(place.used_ms) >= MIN_IDLE_MS
+                    && !self.wants.contains_key(*name)
+            });
+            let coldest = idle
+                .min_by(|(_, left), (_, right)| left.heat(now_ms).total_cmp(&right.heat(now_ms)));
+            let Some((_, place)) = coldest else { return };
+            place.enter(PlaceState::Unloading, now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/placement/summary.rs
@@ -0,0 +1,23 @@
+//! What other daemons learn of a placement.
+
+use crate::adapter;
+
+/// An adapter at a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// Adapter and version.
+    pub adapter: adapter::AdapterRef,
+    /// Whether it is still on its way.
+    pub is_loading: bool,
+}
+
+/// State of a placement for routing.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Whether the worker holds a base model.
+    pub has_base_model: bool,
+    /// Adapters that may be used now or soon.
+    pub held: Vec<Held>,
+    /// Adapters that wait for a place or a load.
+    pub waiting_loads: u32,
+}
--- /dev/null
+++ b/crates/domain/src/upstream/upstream.rs
@@ -0,0 +1,31 @@
+//! One listed worker.
+
+use std::net::SocketAddr;
+
+use crate::adapter;
+use crate::name;
+use crate::place;
+
+/// A worker of a service as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Upstream {
+    /// Identifier of the worker.
+    pub name: name::WorkerName,
+    /// Service that it belongs to.
+    pub service: name::ServiceName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its region and failure domain.
+    pub place: place::Place,
+    /// Requests that it processes at one time.
+    pub slots: u32,
+    /// Whether it is about to leave and takes no new work.
+    pub is_draining: bool,
+    /// Start of the process in milliseconds since 1970; a new value under the same name means that
+    /// the worker has forgotten everything.
+    pub started_unix_ms: u64,
+    /// Base models that it holds.
+    pub base_models: Vec<name::BaseModelName>,
+    /// Adapters that it held when the entry was written.
+    pub adapters: Vec<adapter::AdapterRef>,
+}
--- /dev/null
+++ b/crates/edge/src/control/core.rs
@@ -0,0 +1,457 @@
+//! State of the control thread.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use jasminetack_domain::adapter;
+use jasminetack_domain::dispatch;
+use jasminetack_domain::name;
+use jasminetack_domain::upstream;
+use jasminetack_wire::fleet;
+use parking_lot::Mutex;
+
+use super::catalog::{Catalog, News};
+use super::holds::Holds;
+use super::outputs::{Letter, Outputs};
+use super::peers::{Peer, Peers};
+use super::publisher::Publisher;
+use super::tenancy::{Identity, LeaseTimes, Tenancy};
+use super::{FeedEvent, Message, Reply};
+use crate::clock;
+use crate::dialect;
+use crate::metrics;
+use crate::store;
+
+/// Interval of reports to daemons of other regions, where bytes are paid by volume.
+const FAR_REPORT_MS: u64 = 1_000;
+/// Interval of publishing a complete view, so that silent daemons stop counting as holders.
+const FULL_VIEW_MS: u64 = 1_000;
+
+/// Everything that the daemon knows and decides outside of single requests.
+pub struct Core<Dialect> {
+    dialect: Arc<Dialect>,
+    catalog: Catalog,
+    holds: Holds,
+    peers: Peers,
+    tenancy: Tenancy,
+    publisher: Publisher,
+    outputs: Outputs,
+    chooser: Arc<Mutex<dispatch::Chooser>>,
+    metrics: Arc<metrics::Metrics>,
+    started_unix_ms: u64,
+    sequence: u64,
+    is_leaving: bool,
+    reported_far_ms: u64,
+    viewed_ms: u64,
+}
+
+impl<Dialect> Core<Dialect>
+where
+    Dialect: dialect::Dialect,
+{
+    /// Creates the state of a daemon that knows nothing yet.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        dialect: Arc<Dialect>,
+        identity: Identity,
+        times: LeaseTimes,
+        publisher: Publisher,
+        outputs: Outputs,
+        chooser: Arc<Mutex<dispatch::Chooser>>,
+        metrics: Arc<metrics::Metrics>,
+        started_unix_ms: u64,
+    ) -> Self {
+        Self {
+            dialect,
+            catalog: Catalog::default(),
+            holds: Holds::default(),
+            peers: Peers::default(),
+            tenancy: Tenancy::new(identity, times, clock::now_ms()),
+            publisher,
+            outputs,
+            chooser,
+            metrics,
+            started_unix_ms,
+            sequence: 0,
+            is_leaving: false,
+            reported_far_ms: 0,
+            viewed_ms: 0,
+        }
+    }
+
+    /// Handles messages from other threads.
+    pub fn receive(&mut self, messages: Vec<Message>, now_ms: u64) {
+        for message in messages {
+            self.handle(message, now_ms);
+        }
+        self.order(now_ms);
+    }
+
+    /// Does what is due for its time: calls to the store, claims and orders.
+    pub fn watch(&mut self, now_ms: u64) {
+        let news = self.catalog.expire(now_ms);
+        self.apply(news, now_ms);
+        for job in self.tenancy.due(now_ms) {
+            self.outputs.store(job);
+        }
+        if !self.is_leaving {
+            self.claim(now_ms);
+        }
+        if now_ms.saturating_sub(self.viewed_ms) >= FULL_VIEW_MS {
+            self.publish(None, now_ms);
+        }
+        self.order(now_ms);
+    }
+
+    /// Tells other daemons the load and the adapters of this one.
+    pub fn report(&mut self, now_ms: u64) {
+        let loads = self.take_loads(now_ms);
+        let state = self.state(loads);
+        let is_far_due = now_ms.saturating_sub(self.reported_far_ms) >= FAR_REPORT_MS;
+        if is_far_due {
+            self.reported_far_ms = now_ms;
+        }
+        let region = self.tenancy.identity().place.region().clone();
+        let to = self.peers.addresses(|peer| is_far_due || *peer.place.region() == region);
+        self.send_state(state, to);
+    }
+
+    /// Returns whether orders are waiting, so that time matters.
+    pub fn is_busy(&self) -> bool {
+        self.holds.iter().any(|(_, hold)| {
+            hold.placement.as_ref().is_some_and(|placement| {
+                placement.in_transit() > 0 || placement.summary().waiting_loads > 0
+            })
+        })
+    }
+
+    fn handle(&mut self, message: Message, now_ms: u64) {
+        match message {
+            Message::Feed(table, event) => self.feed(table, event, now_ms),
+            Message::Stored(reply) => self.stored(reply, now_ms),
+            Message::Datagram(datagram) => self.datagram(&datagram, now_ms),
+            Message::Demand { worker, adapter, is_missing } => {
+                self.demand(&worker, &adapter, is_missing, now_ms);
+            }
+            Message::Ordered { worker, fence, order, result } => {
+                self.metrics.count_order(result.as_str());
+                self.holds.ordered(&worker, fence, &order, result, now_ms);
+            }
+            Message::Reported { worker, fence, report } => {
+                let ingress = self.catalog.ingress().cloned();
+                self.holds.reported(&worker, fence, report, ingress.as_ref(), now_ms);
+                self.publish(Some(&[worker]), now_ms);
+            }
+            Message::Terminate => self.terminate(now_ms),
+        }
+    }
+
+    fn feed(&mut self, table: store::Table, event: FeedEvent, now_ms: u64) {
+        if event == FeedEvent::Regained {
+            spdlog::info!("dependency-regained name=store table={}", table.as_str());
+        }
+        let news = match table {
+            store::Table::Operator => self.catalog.operator(event, &*self.dialect, now_ms),
+            store::Table::Workers => self.catalog.workers(event, &*self.dialect, now_ms),
+            store::Table::Leases | store::Table::Holders => return,
+        };
+        self.apply(news, now_ms);
+    }
+
+    fn apply(&mut self, news: News, now_ms: u64) {
+        for change in &news.workers {
+            match change {
+                upstream::Change::Joined(upstream) => {
+                    let (worker, service) = (&upstream.name, &upstream.service);
+                    let address = upstream.address;
+                    spdlog::info!(
+                        "worker-joined worker={worker} service={service} address={address}"
+                    );
+                    self.holds.updated(upstream, true);
+                }
+                upstream::Change::Updated(upstream) => {
+                    if upstream.is_draining {
+                        spdlog::info!("worker-draining worker={}", upstream.name);
+                    }
+                    self.holds.updated(upstream, false);
+                }
+                upstream::Change::Left(worker) => self.worker_left(worker),
+            }
+        }
+        for adapter in &news.versions {
+            self.holds.renew_version(adapter, now_ms);
+        }
+        if news.has_changed {
+            self.publish(None, now_ms);
+        }
+    }
+
+    fn worker_left(&mut self, worker: &name::WorkerName) {
+        spdlog::info!("worker-left worker={worker}");
+        let mut chooser = self.chooser.lock();
+        chooser.health.forget(worker);
+        chooser.loads.forget(worker);
+        chooser.speeds.forget(worker);
+        drop(chooser);
+        if let Some(hold) = self.holds.end(worker, "worker-left") {
+            self.outputs.store(self.tenancy.removal(worker, hold.fence));
+        }
+    }
+
+    fn stored(&mut self, reply: Reply, now_ms: u64) {
+        match reply {
+            Reply::Rows { leases: Ok(leases), holders: Ok(holders), sent_ms } => {
+                if let Some(job) = self.tenancy.rows(leases, holders, sent_ms) {
+                    self.outputs.store(job);
+                }
+                self.learn_peers(now_ms);
+                self.drop_lost_holds(now_ms);
+                for job in self.tenancy.due(now_ms) {
+                    self.outputs.store(job);
+                }
+            }
+            Reply::Rows { .. } => self.tenancy.rows_failed(now_ms),
+            Reply::Renewed(result, sent_ms) => {
+                if let Some(job) = self.tenancy.renewed(result, sent_ms, now_ms) {
+                    self.outputs.store(job);
+                }
+            }
+            Reply::Claimed(worker, result) => {
+                let is_fresh = self.tenancy.holder(&worker).is_none();
+                let Some(fence) = self.tenancy.claimed(&worker, result) else { return };
+                let Some(upstream) = self.catalog.directory().get(&worker) else { return };
+                self.holds.begin(Arc::clone(upstream), fence, is_fresh);
+                self.publish(Some(&[worker]), now_ms);
+            }
+            Reply::Written(Err(error)) => spdlog::warn!("write-failed error={error:?}"),
+            Reply::Written(Ok(_)) => {}
+        }
+    }
+
+    fn learn_peers(&mut self, now_ms: u64) {
+        let own = self.tenancy.host().clone();
+        let mut listed = Vec::new();
+        let mut is_new = false;
+        for row in self.tenancy.leases() {
+            if row.host == own {
+                continue;
+            }
+            listed.push(row.host.clone());
+            is_new |= self.peers.listed(row);
+        }
+        self.peers.retain_listed(&listed, now_ms);
+        if is_new {
+            // Daemons that know this one answer with their own states at their next report.
+            let state = self.state(Vec::new());
+            let to = self.peers.addresses(|_| true);
+            self.send_state(state, to);
+        }
+    }
+
+    /// Ends holds that the rows do not confirm.
+    fn drop_lost_holds(&mut self, now_ms: u64) {
+        let own = self.tenancy.host().clone();
+        let lost = self.holds.iter().filter(|(worker, hold)| {
+            let holder = self.tenancy.holder(worker);
+            holder.is_some_and(|(host, fence)| fence > hold.fence || *host != own)
+        });
+        let lost: Vec<_> = lost.map(|(worker, _)| worker.clone()).collect();
+        for worker in &lost {
+            self.holds.end(worker, "taken-over");
+        }
+        if !lost.is_empty() {
+            self.publish(Some(&lost), now_ms);
+        }
+    }
+
+    fn datagram(&mut self, datagram: &fleet::Datagram, now_ms: u64) {
+        if datagram.host == self.tenancy.host().as_str() {
+            return;
+        }
+        for demand in &datagram.demands {
+            let worker = name::WorkerName::from(demand.worker.as_str());
+            self.holds.want(&worker, &demand.adapter(), demand.is_missing, now_ms);
+        }
+        let Some(state) = &datagram.state else { return };
+        let address = match fleet::read_address(&state.address) {
+            Ok(address) => address,
+            Err(error) => {
+                spdlog::warn!("datagram-refused from={} problem=\"{error}\"", datagram.host);
+                return;
+            }
+        };
+        let Some(changed) = self.peers.heard(datagram, state, address, now_ms) else { return };
+        let host = name::HostName::from(datagram.host.as_str());
+        let loads: Vec<_> = state.loads.iter().map(fleet::Load::reported).collect();
+        self.chooser.lock().loads.reported(&host, &loads, now_ms);
+        for load in &state.loads {
+            let worker = name::WorkerName::from(load.worker.as_str());
+            let Some(hold) = self.holds.get_mut(&worker) else { continue };
+            for used in load.adapters.iter().filter(|used| used.begun > 0) {
+                let adapter = name::AdapterName::from(used.adapter.as_str());
+                *hold.begun.entry(adapter).or_default() += used.begun;
+            }
+        }
+        if !changed.is_empty() {
+            self.publish(Some(&changed), now_ms);
+        }
+    }
+
+    fn demand(
+        &mut self,
+        worker: &name::WorkerName,
+        adapter: &adapter::AdapterRef,
+        is_missing: bool,
+        now_ms: u64,
+    ) {
+        if self.holds.want(worker, adapter, is_missing, now_ms) {
+            return;
+        }
+        let Some((_, peer, _, _)) = self.peers.holder(worker) else { return };
+        let to = vec![peer.address];
+        let demand = fleet::Demand {
+            worker: worker.to_string(),
+            adapter: adapter.name().to_string(),
+            version: adapter.version(),
+            is_missing,
+        };
+        let datagram = self.next_datagram(None, vec![demand]);
+        self.outputs.send(Letter { to, datagram });
+    }
+
+    fn claim(&mut self, now_ms: u64) {
+        let Some(ingress) = self.catalog.ingress() else { return };
+        let upstreams = self.catalog.directory().iter().map(Arc::as_ref);
+        let engines = upstreams.filter(|upstream| {
+            let profile = ingress.service(&upstream.service);
+            profile.is_some_and(|profile| profile.engine.is_some())
+                && !upstream.is_draining
+                && self.holds.get(&upstream.name).is_none()
+        });
+        let jobs = self.tenancy.claims(engines, self.holds.len(), &self.peers, now_ms);
+        for job in jobs {
+            self.outputs.store(job);
+        }
+    }
+
+    /// Sends the orders that are due and tells other daemons of the region what changed.
+    fn order(&mut self, now_ms: u64) {
+        if self.tenancy.may_order(now_ms) && !self.is_leaving {
+            let others = self.peers.in_transit(now_ms);
+            for job in self.holds.plan(others, now_ms) {
+                self.outputs.order(job);
+            }
+        }
+        let mut changed = Vec::new();
+        for (worker, hold) in self.holds.iter_mut() {
+            let summary = hold.summary();
+            if summary != hold.told {
+                hold.told = summary;
+                changed.push(worker.clone());
+            }
+        }
+        if changed.is_empty() {
+            return;
+        }
+        self.publish(Some(&changed), now_ms);
+        let loads = self.chooser.lock().loads.report();
+        let loads = loads.iter().map(|load| fleet::Load::new(load, &[])).collect();
+        let state = self.state(loads);
+        let region = self.tenancy.identity().place.region().clone();
+        let to = self.peers.addresses(|peer| *peer.place.region() == region);
+        self.send_state(state, to);
+    }
+
+    /// Takes this daemon's load for the next report and counts the adapters in use.
+    fn take_loads(&mut self, now_ms: u64) -> Vec<fleet::Load> {
+        let mut chooser = self.chooser.lock();
+        let mut loads = Vec::new();
+        let mut own_uses: IndexMap<name::WorkerName, Vec<(name::AdapterName, u32)>> =
+            IndexMap::new();
+        let reported = chooser.loads.report();
+        let mut workers = chooser.loads.workers_in_use();
+        workers.extend(reported.iter().map(|load| load.worker.clone()));
+        workers.sort();
+        workers.dedup();
+        for worker in workers {
+            let uses = chooser.loads.take_adapter_uses(&worker);
+            let load = reported.iter().find(|load| load.worker == worker);
+            let idle =
+                dispatch::ReportedLoad { worker: worker.clone(), in_flight: 0, unread_tokens: 0 };
+            loads.push(fleet::Load::new(load.unwrap_or(&idle), &uses));
+            if let Some(hold) = self.holds.get_mut(&worker) {
+                for (adapter, used) in &uses {
+                    *hold.begun.entry(adapter.clone()).or_default() += used.begun;
+                }
+            }
+            let in_flight = uses.into_iter().map(|(adapter, used)| (adapter, used.in_flight));
+            own_uses.insert(worker, in_flight.collect());
+        }
+        drop(chooser);
+        for (worker, hold) in self.holds.iter_mut() {
+            let peers = self.peers.iter().filter(|(_, peer)| peer.is_live(now_ms));
+            let others = peers.filter_map(|(_, peer): (_, &Peer)| peer.uses.get(worker));
+            let mut in_flight: IndexMap<name::AdapterName, u32> = IndexMap::new();
+            for (adapter, count) in others.chain(own_uses.get(worker)).flatten() {
+                *in_flight.entry(adapter.clone()).or_default() += count;
+            }
+            hold.apply_uses(&in_flight, now_ms);
+        }
+        loads
+    }
+
+    fn state(&self, loads: Vec<fleet::Load>) -> fleet::State {
+        let identity = self.tenancy.identity();
+        let holds = self.holds.iter();
+        let holds =
+            holds.map(|(worker, hold)| fleet::Hold::new(worker, hold.fence, &hold.summary()));
+        fleet::State {
+            address: identity.address.to_string(),
+            region: identity.place.region().to_string(),
+            failure_domain: identity.place.failure_domain().to_string(),
+            is_leaving: self.is_leaving,
+            loads,
+            holds: holds.collect(),
+        }
+    }
+
+    fn send_state(&mut self, state: fleet::State, to: Vec<std::net::SocketAddr>) {
+        let datagram = self.next_datagram(Some(state), Vec::new());
+        self.outputs.send(Letter { to, datagram });
+    }
+
+    fn next_datagram(
+        &mut self,
+        state: Option<fleet::State>,
+        demands: Vec<fleet::Demand>,
+    ) -> fleet::Datagram {
+        self.sequence += 1;
+        fleet::Datagram {
+            host: self.tenancy.host().to_string(),
+            started_unix_ms: self.started_unix_ms,
+            sequence: self.sequence,
+            state,
+            demands,
+        }
+    }
+
+    fn publish(&mut self, changed: Option<&[name::WorkerName]>, now_ms: u64) {
+        if changed.is_none() {
+            self.viewed_ms = now_ms;
+        }
+        let (catalog, holds, peers) = (&self.catalog, &self.holds, &self.peers);
+        self.publisher.publish(catalog, holds, peers, changed, self.is_leaving, now_ms);
+    }
+
+    fn terminate(&mut self, now_ms: u64) {
+        if std::mem::replace(&mut self.is_leaving, true) {
+            return;
+        }
+        spdlog::info!("stopping holds={}", self.holds.len());
+        if let Some(job) = self.tenancy.release(now_ms) {
+            self.outputs.store(job);
+        }
+        self.publish(None, now_ms);
+        self.report(now_ms);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/holds.rs
@@ -0,0 +1,194 @@
+//! The workers that this daemon gives orders to.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use jasminetack_domain::adapter;
+use jasminetack_domain::ingress;
+use jasminetack_domain::name;
+use jasminetack_domain::placement;
+use jasminetack_domain::upstream;
+
+use super::{Hold, OrderJob, WorkerCall};
+use crate::dialect;
+
+/// Pause before a worker that did not report is asked again.
+const REPORT_PAUSE_MS: u64 = 400;
+
+/// The workers that this daemon gives orders to.
+#[derive(Debug, Default)]
+pub struct Holds {
+    holds: IndexMap<name::WorkerName, Hold>,
+}
+
+impl Holds {
+    /// Lists the holds.
+    pub fn iter(&self) -> impl Iterator<Item = (&name::WorkerName, &Hold)> {
+        self.holds.iter()
+    }
+
+    /// Lists the holds to change them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&name::WorkerName, &mut Hold)> {
+        self.holds.iter_mut()
+    }
+
+    /// Returns a hold.
+    pub fn get(&self, worker: &name::WorkerName) -> Option<&Hold> {
+        self.holds.get(worker)
+    }
+
+    /// Returns a hold to change it.
+    pub fn get_mut(&mut self, worker: &name::WorkerName) -> Option<&mut Hold> {
+        self.holds.get_mut(worker)
+    }
+
+    /// Returns the number of holds.
+    pub fn len(&self) -> usize {
+        self.holds.len()
+    }
+
+    /// Begins to give orders to a worker.
+    pub fn begin(&mut self, upstream: Arc<upstream::Upstream>, fence: u64, is_fresh: bool) {
+        let worker = &upstream.name;
+        spdlog::info!("hold-begins worker={worker} fence={fence} fresh={is_fresh}");
+        self.holds.insert(worker.clone(), Hold::new(upstream, fence, is_fresh));
+    }
+
+    /// Ends giving orders to a worker.
+    pub fn end(&mut self, worker: &name::WorkerName, reason: &str) -> Option<Hold> {
+        let hold = self.holds.shift_remove(worker)?;
+        let fence = hold.fence;
+        spdlog::info!("hold-ends worker={worker} fence={fence} reason={reason}");
+        Some(hold)
+    }
+
+    /// Takes in that a worker's entry changed; `is_restarted` tells that it knows nothing any more.
+    pub fn updated(&mut self, upstream: &Arc<upstream::Upstream>, is_restarted: bool) {
+        let Some(hold) = self.holds.get_mut(&upstream.name) else { return };
+        hold.upstream = Arc::clone(upstream);
+        if is_restarted {
+            // Orders from before the restart may still be carried out.
+            hold.is_fresh = false;
+            hold.placement = None;
+            hold.asked_ms = 0;
+            return;
+        }
+        if let Some(placement) = &mut hold.placement
+            && upstream.base_models.contains(&placement.limits().base_model)
+        {
+            placement.base_model_held();
+        }
+    }
+
+    /// Takes in a worker's report.
+    pub fn reported(
+        &mut self,
+        worker: &name::WorkerName,
+        fence: u64,
+        report: Option<dialect::WorkerReport>,
+        ingress: Option<&Arc<ingress::Ingress>>,
+        now_ms: u64,
+    ) {
+        let Some(hold) = self.holds.get_mut(worker) else { return };
+        if hold.fence != fence || hold.placement.is_some() {
+            return;
+        }
+        let Some(report) = report else { return };
+        let profile = ingress.and_then(|ingress| ingress.service(&hold.upstream.service));
+        let Some(engine) = profile.and_then(|profile| profile.engine.as_ref()) else { return };
+        let Some(first) = engine.base_models.first() else { return };
+        let base_model = report.base_models.first().unwrap_or(&first.name).clone();
+        let capacity = engine.adapter_capacity(std::slice::from_ref(&base_model));
+        let limits = placement::Limits { adapter_capacity: capacity, base_model };
+        let has_base = !report.base_models.is_empty();
+        let (held, fresh) = (report.adapters.len(), hold.is_fresh);
+        spdlog::info!(
+            "worker-reported worker={worker} fence={fence} has_base={has_base} adapters={held} capacity={capacity} fresh={fresh}"
+        );
+        hold.placement = Some(placement::Placement::new(
+            limits,
+            has_base,
+            &report.adapters,
+            hold.is_fresh,
+            now_ms,
+        ));
+    }
+
+    /// Takes in what became of an order.
+    pub fn ordered(
+        &mut self,
+        worker: &name::WorkerName,
+        fence: u64,
+        order: &placement::Order,
+        result: placement::OrderResult,
+        now_ms: u64,
+    ) {
+        let Some(hold) = self.holds.get_mut(worker).filter(|hold| hold.fence == fence) else {
+            return;
+        };
+        let Some(placement) = &mut hold.placement else { return };
+        placement.ordered(order, result, now_ms);
+        if result == placement::OrderResult::Accepted {
+            return;
+        }
+        let result = result.as_str();
+        spdlog::info!("order worker={worker} fence={fence} order={order} result={result}");
+    }
+
+    /// Notes that an adapter is needed at a worker; returns whether this daemon gives it orders.
+    pub fn want(
+        &mut self,
+        worker: &name::WorkerName,
+        adapter: &adapter::AdapterRef,
+        is_missing: bool,
+        now_ms: u64,
+    ) -> bool {
+        let Some(hold) = self.holds.get_mut(worker) else { return false };
+        let Some(placement) = &mut hold.placement else { return true };
+        if is_missing {
+            placement.missing(adapter.name(), now_ms);
+        }
+        placement.want(adapter, now_ms);
+        true
+    }
+
+    /// Takes in that a newer version of an adapter was named.
+    pub fn renew_version(&mut self, adapter: &adapter::AdapterRef, now_ms: u64) {
+        for hold in self.holds.values_mut() {
+            if let Some(placement) = &mut hold.placement {
+                placement.renew_version(adapter, now_ms);
+            }
+        }
+    }
+
+    /// Returns the loads in transit at the workers of this daemon.
+    pub fn in_transit(&self) -> usize {
+        let placements = self.holds.values().filter_map(|hold| hold.placement.as_ref());
+        placements.map(placement::Placement::in_transit).sum()
+    }
+
+    /// Decides on the calls to make now; `others_in_transit` counts the loads at other workers.
+    pub fn plan(&mut self, others_in_transit: usize, now_ms: u64) -> Vec<OrderJob> {
+        let all = others_in_transit + self.in_transit();
+        let mut jobs = Vec::new();
+        for hold in self.holds.values_mut() {
+            let (upstream, fence) = (&hold.upstream, hold.fence);
+            let job = |call| OrderJob { upstream: Arc::clone(upstream), fence, call };
+            let Some(placement) = &mut hold.placement else {
+                if now_ms.saturating_sub(hold.asked_ms) >= REPORT_PAUSE_MS {
+                    hold.asked_ms = now_ms;
+                    jobs.push(job(WorkerCall::Report));
+                }
+                continue;
+            };
+            if upstream.is_draining {
+                continue;
+            }
+            let others = all - placement.in_transit().min(all);
+            for order in placement.plan(others, now_ms) {
+                jobs.push(job(WorkerCall::Order(order)));
+            }
+        }
+        jobs
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/message.rs
@@ -0,0 +1,53 @@
+//! Messages to the control thread.
+
+use jasminetack_domain::adapter;
+use jasminetack_domain::name;
+use jasminetack_domain::placement;
+use jasminetack_wire::fleet;
+
+use super::feed::FeedEvent;
+use super::job::Reply;
+use crate::dialect;
+use crate::store;
+
+/// A message to the control thread.
+#[derive(Debug)]
+pub enum Message {
+    /// News of a table.
+    Feed(store::Table, FeedEvent),
+    /// The store answered a job.
+    Stored(Reply),
+    /// Another daemon sent a datagram.
+    Datagram(fleet::Datagram),
+    /// A request of this daemon needs an adapter at a worker.
+    Demand {
+        /// The worker.
+        worker: name::WorkerName,
+        /// The adapter version; 0 for the newest.
+        adapter: adapter::AdapterRef,
+        /// Whether the worker answered that it does not hold the adapter.
+        is_missing: bool,
+    },
+    /// A worker answered an order.
+    Ordered {
+        /// The worker.
+        worker: name::WorkerName,
+        /// Fencing token of the order.
+        fence: u64,
+        /// The order.
+        order: placement::Order,
+        /// What became of it.
+        result: placement::OrderResult,
+    },
+    /// A worker reported, or could not be asked.
+    Reported {
+        /// The worker.
+        worker: name::WorkerName,
+        /// Fencing token of the hold for which it was asked.
+        fence: u64,
+        /// The report.
+        report: Option<dialect::WorkerReport>,
+    },
+    /// The process is told to stop.
+    Terminate,
+}
--- /dev/null
+++ b/crates/edge/src/control/mod.rs
@@ -0,0 +1,60 @@
+//! The control thread: one stakker runtime that sleeps until a message or its next timer.
+
+mod actor;
+mod catalog;
+mod core;
+mod feed;
+mod hold;
+mod holds;
+mod job;
+mod message;
+mod outputs;
+mod peers;
+mod publisher;
+mod tenancy;
+mod writer;
+
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+use stakker::{Stakker, actor, call, ret_nop};
+
+pub use self::core::Core;
+pub use actor::Actor;
+pub use feed::{Feed, FeedEvent};
+pub use hold::Hold;
+pub use job::{Job, Reply};
+pub use message::Message;
+pub use outputs::{Letter, OrderJob, Outputs, WorkerCall};
+pub use publisher::Publisher;
+pub use tenancy::{Identity, LeaseTimes};
+pub use writer::Writer;
+
+use crate::dialect;
+
+const LONGEST_SLEEP: Duration = Duration::from_secs(60);
+/// Messages handled between two looks at the timers.
+const MAX_BATCH: usize = 64;
+
+/// Runs the control thread until the daemon has shut down.
+pub fn run<Dialect>(actor: Actor<Dialect>, messages: &Receiver<Message>)
+where
+    Dialect: dialect::Dialect,
+{
+    let mut stakker = Stakker::new(Instant::now());
+    let actor = actor!(stakker, <Actor<Dialect>>::init(actor), ret_nop!());
+    stakker.run(Instant::now(), false);
+    while stakker.not_shutdown() {
+        let sleep = stakker.next_wait_max(Instant::now(), LONGEST_SLEEP, false);
+        match messages.recv_timeout(sleep) {
+            Ok(message) => {
+                let waiting = messages.try_iter().take(MAX_BATCH);
+                let batch: Vec<_> = std::iter::once(message).chain(waiting).collect();
+                call!([actor], receive(batch));
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        stakker.run(Instant::now(), false);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/peers.rs
@@ -0,0 +1,170 @@
+//! Other daemons, as their datagrams and leases show them.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use jasminetack_domain::name;
+use jasminetack_domain::order_lease;
+use jasminetack_domain::place;
+use jasminetack_domain::placement;
+use jasminetack_wire::fleet;
+
+/// Silence after which a daemon counts as failed; several times the slowest report interval.
+const SILENCE_MS: u64 = 3_500;
+
+/// Another daemon.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Region and failure domain.
+    pub place: place::Place,
+    /// When its last datagram came; `None` when only its lease is known.
+    pub heard_ms: Option<u64>,
+    /// Whether it shuts down.
+    pub is_leaving: bool,
+    /// Workers that it gives orders to, with the fencing tokens.
+    pub holds: IndexMap<name::WorkerName, (u64, placement::Summary)>,
+    /// Adapters in use by worker.
+    pub uses: IndexMap<name::WorkerName, Vec<(name::AdapterName, u32)>>,
+    started_unix_ms: u64,
+    sequence: u64,
+}
+
+impl Peer {
+    /// Returns whether the daemon has sent a datagram lately.
+    pub fn is_live(&self, now_ms: u64) -> bool {
+        let silence_ms = self.heard_ms.map(|heard_ms| now_ms.saturating_sub(heard_ms));
+        silence_ms.is_some_and(|silence_ms| silence_ms < SILENCE_MS)
+    }
+}
+
+/// Other daemons by host.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: IndexMap<name::HostName, Peer>,
+}
+
+impl Peers {
+    /// Lists the other daemons.
+    pub fn iter(&self) -> impl Iterator<Item = (&name::HostName, &Peer)> {
+        self.peers.iter()
+    }
+
+    /// Returns a daemon.
+    pub fn get(&self, host: &name::HostName) -> Option<&Peer> {
+        self.peers.get(host)
+    }
+
+    /// Returns the number of other daemons that are known.
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Learns a daemon from its lease; returns whether it is new.
+    pub fn listed(&mut self, row: &order_lease::LeaseRow) -> bool {
+        if let Some(peer) = self.peers.get_mut(&row.host) {
+            peer.address = row.address;
+            return false;
+        }
+        let peer = Peer {
+            address: row.address,
+            place: row.place.clone(),
+            heard_ms: None,
+            is_leaving: false,
+            holds: IndexMap::new(),
+            uses: IndexMap::new(),
+            started_unix_ms: 0,
+            sequence: 0,
+        };
+        self.peers.insert(row.host.clone(), peer);
+        true
+    }
+
+    /// Forgets daemons whose leases are no longer listed and that are silent.
+    pub fn retain_listed(&mut self, listed: &[name::HostName], now_ms: u64) {
+        self.peers.retain(|host, peer| listed.contains(host) || peer.is_live(now_ms));
+    }
+
+    /// Takes in the state of a daemon.
+    ///
+    /// Returns the workers whose holder or adapters changed, and whether the datagram was newer
+    /// than what is known.
+    pub fn heard(
+        &mut self,
+        datagram: &fleet::Datagram,
+        state: &fleet::State,
+        address: SocketAddr,
+        now_ms: u64,
+    ) -> Option<Vec<name::WorkerName>> {
+        let host = name::HostName::from(datagram.host.as_str());
+        let place = fleet::read_place(&state.region, &state.failure_domain);
+        let peer = self.peers.entry(host).or_insert_with(|| Peer {
+            address,
+            place: place.clone(),
+            heard_ms: None,
+            is_leaving: false,
+            holds: IndexMap::new(),
+            uses: IndexMap::new(),
+            started_unix_ms: 0,
+            sequence: 0,
+        });
+        let received = (datagram.started_unix_ms, datagram.sequence);
+        if received <= (peer.started_unix_ms, peer.sequence) {
+            return None;
+        }
+        (peer.started_unix_ms, peer.sequence) = received;
+        peer.address = address;
+        peer.place = place;
+        peer.heard_ms = Some(now_ms);
+        peer.is_leaving = state.is_leaving;
+        peer.uses.clear();
+        for load in &state.loads {
+            let uses = load.adapters.iter();
+            let uses =
+                uses.map(|used| (name::AdapterName::from(used.adapter.as_str()), used.in_flight));
+            peer.uses.insert(name::WorkerName::from(load.worker.as_str()), uses.collect());
+        }
+        let mut holds = IndexMap::with_capacity(state.holds.len());
+        let mut changed = Vec::new();
+        for hold in &state.holds {
+            let worker = name::WorkerName::from(hold.worker.as_str());
+            let held = (hold.fence, placement::Summary::from(hold));
+            if peer.holds.get(&worker) != Some(&held) {
+                changed.push(worker.clone());
+            }
+            holds.insert(worker, held);
+        }
+        let ended = peer.holds.keys().filter(|worker| !holds.contains_key(*worker));
+        changed.extend(ended.cloned());
+        peer.holds = holds;
+        Some(changed)
+    }
+
+    /// Returns the daemon that gives a worker its orders, by the highest fencing token.
+    pub fn holder(
+        &self,
+        worker: &name::WorkerName,
+    ) -> Option<(&name::HostName, &Peer, u64, &placement::Summary)> {
+        let holders = self.peers.iter().filter_map(|(host, peer)| {
+            let (fence, summary) = peer.holds.get(worker)?;
+            Some((host, peer, *fence, summary))
+        });
+        holders.max_by_key(|(_, _, fence, _)| *fence)
+    }
+
+    /// Returns the loads in transit at workers of other daemons.
+    pub fn in_transit(&self, now_ms: u64) -> usize {
+        let live = self.peers.values().filter(|peer| peer.is_live(now_ms));
+        let holds = live.flat_map(|peer| peer.holds.values());
+        holds.map(|(_, summary)| summary.held.iter().filter(|held| held.is_loading).count()).sum()
+    }
+
+    /// Lists the addresses of the daemons for which a test holds.
+    pub fn addresses<Test>(&self, test: Test) -> Vec<SocketAddr>
+    where
+        Test: Fn(&Peer) -> bool,
+    {
+        self.peers.values().filter(|peer| test(peer)).map(|peer| peer.address).collect()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/publisher.rs
@@ -0,0 +1,116 @@
+//! Views for traffic.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use indexmap::IndexMap;
+use jasminetack_domain::name;
+use jasminetack_domain::placement;
+use jasminetack_domain::upstream;
+use rustc_hash::FxHashMap;
+use tokio::sync::watch;
+
+use super::catalog::Catalog;
+use super::holds::Holds;
+use super::peers::Peers;
+use crate::view;
+
+/// Publishes views and tells traffic that there is a new one.
+#[derive(Debug)]
+pub struct Publisher {
+    view: Arc<ArcSwap<view::View>>,
+    revision: watch::Sender<u64>,
+    workers: IndexMap<name::WorkerName, Arc<view::WorkerView>>,
+}
+
+impl Publisher {
+    /// Creates a publisher of a shared view.
+    pub fn new(view: Arc<ArcSwap<view::View>>, revision: watch::Sender<u64>) -> Self {
+        Self { view, revision, workers: IndexMap::new() }
+    }
+
+    /// Publishes the present state; of the workers only `changed` ones are looked at again, or all.
+    pub fn publish(
+        &mut self,
+        catalog: &Catalog,
+        holds: &Holds,
+        peers: &Peers,
+        changed: Option<&[name::WorkerName]>,
+        is_leaving: bool,
+        now_ms: u64,
+    ) {
+        match changed {
+            None => {
+                self.workers.clear();
+                for upstream in catalog.directory().iter() {
+                    self.look_at(upstream, holds, peers, now_ms);
+                }
+            }
+            Some(changed) => {
+                for worker in changed {
+                    let Some(upstream) = catalog.directory().get(worker) else { continue };
+                    self.look_at(upstream, holds, peers, now_ms);
+                }
+            }
+        }
+        let mut services: IndexMap<name::ServiceName, Vec<Arc<view::WorkerView>>> = IndexMap::new();
+        for worker in self.workers.values() {
+            let service = services.entry(worker.upstream.service.clone()).or_default();
+            service.push(Arc::clone(worker));
+        }
+        self.view.store(Arc::new(view::View {
+            ingress: catalog.ingress().cloned(),
+            services,
+            versions: Arc::clone(catalog.versions()),
+            daemon_count: peers.len() + 1,
+            is_leaving,
+        }));
+        self.revision.send_modify(|revision| *revision += 1);
+    }
+
+    fn look_at(
+        &mut self,
+        upstream: &Arc<upstream::Upstream>,
+        holds: &Holds,
+        peers: &Peers,
+        now_ms: u64,
+    ) {
+        let worker = &upstream.name;
+        let held = peers.holder(worker).map(|(_, peer, fence, summary)| {
+            (fence, summary.clone(), peer.is_live(now_ms) && !peer.is_leaving)
+        });
+        let own = holds.get(worker).map(|hold| (hold.fence, hold.summary(), true));
+        let newest = held.into_iter().chain(own).max_by_key(|(fence, _, _)| *fence);
+        let is_known = newest.is_some();
+        let (_, summary, has_holder) = newest.unwrap_or_default();
+        let view = view::WorkerView {
+            upstream: Arc::clone(upstream),
+            has_holder,
+            has_base_model: summary.has_base_model || !upstream.base_models.is_empty(),
+            adapters: adapters(upstream, &summary, is_known),
+            waiting_loads: summary.waiting_loads,
+        };
+        self.workers.insert(worker.clone(), Arc::new(view));
+    }
+}
+
+/// Returns the adapters at a worker: as its holder says, or as its own entry lists them.
+fn adapters(
+    upstream: &upstream::Upstream,
+    summary: &placement::Summary,
+    is_known: bool,
+) -> FxHashMap<name::AdapterName, view::HeldVersion> {
+    let mut adapters = FxHashMap::default();
+    if !is_known {
+        for adapter in &upstream.adapters {
+            let held = view::HeldVersion { version: adapter.version(), is_loading: false };
+            adapters.insert(adapter.name().clone(), held);
+        }
+    }
+    for held in &summary.held {
+        let version =
+            view::HeldVersion { version: held.adapter.version(), is_loading: held.is_loading };
+        adapters.insert(held.adapter.name().clone(), version);
+    }
+    adapters
+}
--- /dev/null
+++ b/crates/edge/src/control/tenancy.rs
@@ -0,0 +1,424 @@
+//! This daemon's lease and the claims of workers under it.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use jasminetack_domain::member;
+use jasminetack_domain::name;
+use jasminetack_domain::order_lease;
+use jasminetack_domain::place;
+use jasminetack_domain::upstream;
+use jasminetack_wire::fleet;
+use prost::Message;
+
+use super::job::Job;
+use super::peers::Peers;
+use crate::store;
+
+/// Age of the rows from which they are read again before a decision.
+const ROWS_FRESH_MS: u64 = 900;
+/// Interval of reading all rows, to find daemons that no datagram has come from.
+const ROWS_INTERVAL_MS: u64 = 6_000;
+/// Pause before a failed call is repeated.
+const RENEWAL_PAUSE_MS: u64 = 500;
+/// Time for which a worker without a holder is left to each daemon that ranks before this one.
+const RANK_DELAY_MS: u64 = 500;
+/// Time after the start in which other daemons are heard before anything is claimed.
+const LISTEN_MS: u64 = 1_200;
+/// Pause between two looks at a worker whose lease has not expired.
+const CLAIM_PAUSE_MS: u64 = 700;
+
+/// Times of the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseTimes {
+    /// Duration of the lease.
+    pub ttl_ms: u64,
+    /// Interval of renewals.
+    pub renewal_ms: u64,
+    /// Time after the expiry in which no other daemon gives orders.
+    pub guard_ms: u64,
+}
+
+/// Who this daemon is, for its lease.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The daemon.
+    pub host: name::HostName,
+    /// Where other daemons reach it.
+    pub address: SocketAddr,
+    /// Region and failure domain.
+    pub place: place::Place,
+}
+
+/// This daemon's lease, and what it knows of the rows of others.
+#[derive(Debug)]
+pub struct Tenancy {
+    identity: Identity,
+    times: LeaseTimes,
+    lease: order_lease::Lease,
+    clock: order_lease::StoreClock,
+    /// Version of this daemon's lease row; `None` until the rows were read.
+    row_version: Option<u64>,
+    is_renewing: bool,
+    next_renewal_ms: u64,
+    /// Whether the lease expired, so that the holders must be read before the next order.
+    must_check: bool,
+    /// When a renewal after the expiry was acknowledged.
+    regained_ms: u64,
+    leases: IndexMap<name::HostName, (order_lease::LeaseRow, u64)>,
+    holders: IndexMap<name::WorkerName, (order_lease::HolderRow, u64)>,
+    rows_store_ms: u64,
+    rows_read_ms: Option<u64>,
+    next_read_ms: u64,
+    is_reading: bool,
+    /// Workers without a holder, with the times of the finding and of the next attempt.
+    vacant: IndexMap<name::WorkerName, Vacancy>,
+    started_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Vacancy {
+    since_ms: u64,
+    next_ms: u64,
+    is_claiming: bool,
+}
+
+impl Tenancy {
+    /// Creates a tenancy without a lease.
+    pub fn new(identity: Identity, times: LeaseTimes, now_ms: u64) -> Self {
+        Self {
+            identity,
+            times,
+            lease: order_lease::Lease::new(times.ttl_ms),
+            clock: order_lease::StoreClock::default(),
+            row_version: None,
+            is_renewing: false,
+            next_renewal_ms: now_ms,
+            must_check: true,
+            regained_ms: 0,
+            leases: IndexMap::new(),
+            holders: IndexMap::new(),
+            rows_store_ms: 0,
+            rows_read_ms: None,
+            next_read_ms: 0,
+            is_reading: false,
+            vacant: IndexMap::new(),
+            started_ms: now_ms,
+        }
+    }
+
+    /// Returns this daemon's name.
+    pub fn host(&self) -> &name::HostName {
+        &self.identity.host
+    }
+
+    /// Returns who this daemon is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Returns whether orders may be given now.
+    pub fn may_order(&self, now_ms: u64) -> bool {
+        !self.must_check && self.lease.is_valid(now_ms)
+    }
+
+    /// Lists the leases that are known.
+    pub fn leases(&self) -> impl Iterator<Item = &order_lease::LeaseRow> {
+        self.leases.values().map(|(row, _)| row)
+    }
+
+    /// Returns the holder of a worker according to the rows, with the fencing token.
+    pub fn holder(&self, worker: &name::WorkerName) -> Option<(&name::HostName, u64)> {
+        self.holders.get(worker).map(|(row, version)| (&row.host, *version))
+    }
+
+    /// Returns the calls that are due: reading the rows and renewing the lease.
+    pub fn due(&mut self, now_ms: u64) -> Vec<Job> {
+        let mut jobs = Vec::new();
+        let age_ms = self.rows_read_ms.map(|read_ms| now_ms.saturating_sub(read_ms));
+        if age_ms.is_none_or(|age_ms| age_ms >= ROWS_INTERVAL_MS) && now_ms >= self.next_read_ms {
+            jobs.extend(self.read_rows());
+        }
+        if !self.lease.is_valid(now_ms) && self.row_version.is_some() && !self.must_check {
+            spdlog::warn!("lease-lost outcome=no-orders");
+            self.must_check = true;
+        }
+        if now_ms >= self.next_renewal_ms && !self.is_renewing {
+            jobs.extend(self.renewal(now_ms));
+        }
+        jobs
+    }
+
+    /// Gives the lease up; returns the write that lets others take over early.
+    pub fn release(&mut self, now_ms: u64) -> Option<Job> {
+        self.lease.release();
+        self.next_renewal_ms = u64::MAX;
+        let expires_store_ms = self.clock.latest_ms(now_ms)?;
+        let version = self.row_version?;
+        Some(Job::Write(self.lease_transaction(expires_store_ms, version)))
+    }
+
+    /// Takes in the leases and holders; returns another reading when this one came too early to
+    /// confirm the holds.
+    pub fn rows(
+        &mut self,
+        leases: store::Listing,
+        holders: store::Listing,
+        sent_ms: u64,
+    ) -> Option<Job> {
+        self.is_reading = false;
+        self.clock.observe(leases.store_ms, sent_ms);
+        self.rows_store_ms = leases.store_ms;
+        self.rows_read_ms = Some(sent_ms);
+        self.leases.clear();
+        for row in leases.rows {
+            let Some(value) = &row.value else { continue };
+            match fleet::Lease::read(&row.key, value) {
+                Ok(lease) => {
+                    self.leases.insert(lease.host.clone(), (lease, row.version));
+                }
+                Err(error) => refuse("leases", &row.key, &error),
+            }
+        }
+        self.holders.clear();
+        for row in holders.rows {
+            let Some(value) = &row.value else { continue };
+            match fleet::Holder::read(value) {
+                Ok(holder) => {
+                    let worker = name::WorkerName::from(row.key.as_str());
+                    self.holders.insert(worker, (holder, row.version));
+                }
+                Err(error) => refuse("holders", &row.key, &error),
+            }
+        }
+        let own = self.leases.get(&self.identity.host).map_or(0, |(_, version)| *version);
+        if !self.is_renewing {
+            self.row_version = Some(own);
+        }
+        if !self.must_check || self.regained_ms == 0 {
+            return None;
+        }
+        // The lease was in force before the rows were read, so no other daemon can have taken a
+        // worker over after the reading.
+        if sent_ms < self.regained_ms {
+            return self.read_rows();
+        }
+        self.must_check = false;
+        spdlog::info!("lease-held holders={}", self.holders.len());
+        None
+    }
+
+    /// Notes that the rows could not be read.
+    pub fn rows_failed(&mut self, now_ms: u64) {
+        self.is_reading = false;
+        self.next_read_ms = now_ms + RENEWAL_PAUSE_MS;
+    }
+
+    /// Takes in the answer to a renewal.
+    pub fn renewed(
+        &mut self,
+        result: Result<store::Outcome, store::StoreError>,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> Option<Job> {
+        self.is_renewing = false;
+        match result {
+            Ok(store::Outcome::Committed { version, store_ms }) => {
+                self.clock.observe(store_ms, sent_ms);
+                self.row_version = Some(version);
+                let was_valid = self.lease.is_valid(now_ms);
+                self.lease.renewed(sent_ms);
+                if !was_valid || self.must_check {
+                    self.must_check = true;
+                    self.regained_ms = now_ms;
+                    return self.read_rows();
+                }
+                None
+            }
+            Ok(store::Outcome::Conflict(rows)) => {
+                // A renewal without an answer took effect after all.
+                let key = self.identity.host.as_str();
+                let own = rows.iter().find(|row| row.key == key && row.value.is_some());
+                self.row_version = Some(own.map_or(0, |row| row.version));
+                self.next_renewal_ms = now_ms;
+                None
+            }
+            Err(error) => {
+                spdlog::warn!("renewal-failed error={error:?}");
+                self.next_renewal_ms = now_ms + RENEWAL_PAUSE_MS;
+                None
+            }
+        }
+    }
+
+    /// Returns the claims to try now: workers of the engines without a live holder.
+    pub fn claims<'a, Upstreams>(
+        &mut self,
+        upstreams: Upstreams,
+        own_count: usize,
+        peers: &Peers,
+        now_ms: u64,
+    ) -> Vec<Job>
+    where
+        Upstreams: Iterator<Item = &'a upstream::Upstream>,
+    {
+        if !self.may_order(now_ms) || now_ms.saturating_sub(self.started_ms) < LISTEN_MS {
+            return Vec::new();
+        }
+        let mut jobs = Vec::new();
+        let mut vacant = IndexMap::new();
+        for upstream in upstreams {
+            let worker = &upstream.name;
+            let holder = peers.holder(worker);
+            if holder.is_some_and(|(_, peer, _, _)| peer.is_live(now_ms) && !peer.is_leaving) {
+                continue;
+            }
+            let new = Vacancy { since_ms: now_ms, next_ms: now_ms, is_claiming: false };
+            let mut vacancy = self.vacant.get(worker).copied().unwrap_or(new);
+            let own = self.holder(worker).is_some_and(|(host, _)| *host == self.identity.host);
+            let rank = if own { 0 } else { self.rank(upstream, own_count, peers, now_ms) };
+            let due_ms = vacancy.next_ms.max(vacancy.since_ms + rank * RANK_DELAY_MS);
+            if !vacancy.is_claiming && now_ms >= due_ms {
+                vacancy.next_ms = now_ms + CLAIM_PAUSE_MS;
+                if let Some(job) = self.claim(upstream, now_ms) {
+                    vacancy.is_claiming = matches!(job, Job::Claim(..));
+                    jobs.push(job);
+                }
+            }
+            vacant.insert(worker.clone(), vacancy);
+        }
+        self.vacant = vacant;
+        jobs
+    }
+
+    /// Takes in the answer to a claim; returns the fencing token when the worker was taken over.
+    pub fn claimed(
+        &mut self,
+        worker: &name::WorkerName,
+        result: Result<store::Outcome, store::StoreError>,
+    ) -> Option<u64> {
+        if let Some(vacancy) = self.vacant.get_mut(worker) {
+            vacancy.is_claiming = false;
+        }
+        // Whatever happened, the rows that are known are out of date.
+        self.rows_read_ms = None;
+        match result {
+            Ok(store::Outcome::Committed { version, .. }) => {
+                self.vacant.shift_remove(worker);
+                Some(version)
+            }
+            Ok(store::Outcome::Conflict(_)) => {
+                spdlog::info!("claim worker={worker} outcome=conflict");
+                None
+            }
+            Err(error) => {
+                spdlog::warn!("claim worker={worker} outcome=failed error={error:?}");
+                None
+            }
+        }
+    }
+
+    /// Returns the removal of the holder row of a worker that is gone.
+    pub fn removal(&self, worker: &name::WorkerName, fence: u64) -> Job {
+        let condition = store::Condition {
+            table: store::Table::Holders,
+            key: worker.to_string(),
+            version: fence,
+        };
+        let write =
+            store::Write { table: store::Table::Holders, key: worker.to_string(), value: None };
+        Job::Write(store::Transaction { conditions: vec![condition], writes: vec![write] })
+    }
+
+    fn read_rows(&mut self) -> Option<Job> {
+        if std::mem::replace(&mut self.is_reading, true) {
+            return None;
+        }
+        Some(Job::ReadRows)
+    }
+
+    fn renewal(&mut self, now_ms: u64) -> Option<Job> {
+        let version = self.row_version?;
+        let expires_store_ms = self.clock.latest_ms(now_ms)? + self.times.ttl_ms;
+        self.is_renewing = true;
+        self.next_renewal_ms = now_ms + self.times.renewal_ms;
+        Some(Job::Renew(self.lease_transaction(expires_store_ms, version)))
+    }
+
+    fn lease_transaction(&self, expires_store_ms: u64, version: u64) -> store::Transaction {
+        let row = order_lease::LeaseRow {
+            host: self.identity.host.clone(),
+            address: self.identity.address,
+            place: self.identity.place.clone(),
+            expires_store_ms,
+        };
+        let (table, key) = (store::Table::Leases, self.identity.host.to_string());
+        let value = Some(fleet::Lease::from(&row).encode_to_vec());
+        store::Transaction {
+            conditions: vec![store::Condition { table, key: key.clone(), version }],
+            writes: vec![store::Write { table, key, value }],
+        }
+    }
+
+    /// Returns how many live daemons are better suited to give orders to a worker.
+    fn rank(
+        &self,
+        upstream: &upstream::Upstream,
+        own_count: usize,
+        peers: &Peers,
+        now_ms: u64,
+    ) -> u64 {
+        let worker = upstream.name.as_str();
+        let suitability = |host: &name::HostName, place: &place::Place, holds: usize| {
+            let score = member::rendezvous::score(worker, host.as_str());
+            (place.distance(&upstream.place), holds, std::cmp::Reverse(score))
+        };
+        let own = suitability(&self.identity.host, &self.identity.place, own_count);
+        let better = peers.iter().filter(|(host, peer)| {
+            peer.is_live(now_ms)
+                && !peer.is_leaving
+                && suitability(host, &peer.place, peer.holds.len()) < own
+        });
+        u64::try_from(better.count()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns the claim of a worker, or the reading of the rows that must come before.
+    fn claim(&mut self, upstream: &upstream::Upstream, now_ms: u64) -> Option<Job> {
+        let age_ms = self.rows_read_ms.map(|read_ms| now_ms.saturating_sub(read_ms));
+        if age_ms.is_none_or(|age_ms| age_ms > ROWS_FRESH_MS) {
+            return self.read_rows();
+        }
+        let worker = &upstream.name;
+        let mut conditions = Vec::new();
+        let held = self.holders.get(worker);
+        if let Some((holder, _)) = held
+            && holder.host != self.identity.host
+        {
+            let lease = self.leases.get(&holder.host);
+            let is_free =
+                lease.is_none_or(|(row, _)| row.is_free(self.times.guard_ms, self.rows_store_ms));
+            if !is_free {
+                return None;
+            }
+            conditions.push(store::Condition {
+                table: store::Table::Leases,
+                key: holder.host.to_string(),
+                version: lease.map_or(0, |(_, version)| *version),
+            });
+        }
+        let (table, key) = (store::Table::Holders, worker.to_string());
+        let version = held.map_or(0, |(_, version)| *version);
+        conditions.push(store::Condition { table, key: key.clone(), version });
+        let row = order_lease::HolderRow {
+            host: self.identity.host.clone(),
+            worker_started_unix_ms: upstream.started_unix_ms,
+        };
+        let value = Some(fleet::Holder::from(&row).encode_to_vec());
+        let writes = vec![store::Write { table, key, value }];
+        Some(Job::Claim(worker.clone(), store::Transaction { conditions, writes }))
+    }
+}
+
+fn refuse(table: &str, key: &str, error: &fleet::FleetError) {
+    spdlog::warn!("entry-refused table={table} key={key} problem=\"{error}\" outcome=ignored");
+}
--- /dev/null
+++ b/crates/edge/src/daemon.rs
@@ -0,0 +1,188 @@
+//! Start and end of the daemon.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwap;
+use crossbeam_channel::Sender;
+use jasminetack_domain::dispatch;
+use jasminetack_program::log;
+use parking_lot::Mutex;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use snafu::ResultExt;
+use tokio::sync::{mpsc, watch};
+use tokio::time;
+
+use crate::clock;
+use crate::control;
+use crate::dialect;
+use crate::host;
+use crate::metrics;
+use crate::settings;
+use crate::store;
+use crate::traffic;
+use crate::view;
+
+/// Interval of closing idle connections to workers.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Why the daemon could not start.
+#[derive(Debug, snafu::Snafu)]
+pub enum StartError {
+    /// The logger could not be built.
+    #[snafu(display("cannot start logging: {source}"))]
+    Log {
+        /// Cause.
+        source: spdlog::Error,
+    },
+    /// A thread or the runtime could not be started.
+    #[snafu(display("cannot start {part}: {source}"))]
+    Thread {
+        /// What was being started.
+        part: &'static str,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A port is not available.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Address of the port.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when a thread, the runtime or a port is not available.
+pub fn run<Dialect, Store>(
+    settings: &settings::Settings,
+    host: host::Host,
+    dialect: Dialect,
+    store: Store,
+) -> Result<(), StartError>
+where
+    Dialect: dialect::Dialect,
+    Store: store::MetadataStore,
+{
+    log::start_bounded(settings.log_level).context(LogSnafu)?;
+    let (name, place) = (&host.name, &host.place);
+    let (region, domain) = (place.region(), place.failure_domain());
+    let version = env!("CARGO_PKG_VERSION");
+    spdlog::info!(
+        "start program=jasminetack-edge version={version} host={name} region={region} failure_domain={domain}"
+    );
+    let dialect = Arc::new(dialect);
+    let host = Arc::new(host);
+    let (control_sender, control_receiver) = crossbeam_channel::unbounded();
+    let view = Arc::new(ArcSwap::from_pointee(view::View::default()));
+    let (revision_sender, revision) = watch::channel(0);
+    let chooser: Arc<Mutex<dispatch::Chooser>> = Arc::default();
+    let metrics = Arc::new(metrics::Metrics::new());
+    let (orders, order_jobs) = mpsc::unbounded_channel();
+    let (letters, outgoing) = mpsc::unbounded_channel();
+    let jobs = control::Writer::start(store.clone(), control_sender.clone());
+    let jobs = jobs.context(ThreadSnafu { part: "the writer" })?;
+    for table in [store::Table::Operator, store::Table::Workers] {
+        let (store, control) = (store.clone(), control_sender.clone());
+        control::Feed::start(store, table, settings.feed_wait_ms, control)
+            .context(ThreadSnafu { part: "a feed" })?;
+    }
+    let core = control::Core::new(
+        Arc::clone(&dialect),
+        control::Identity {
+            host: host.name.clone(),
+            address: host.peers_address,
+            place: host.place.clone(),
+        },
+        control::LeaseTimes {
+            ttl_ms: settings.lease_ttl_ms,
+            renewal_ms: settings.lease_renewal_ms,
+            guard_ms: host.promises.order_guard_ms,
+        },
+        control::Publisher::new(Arc::clone(&view), revision_sender),
+        control::Outputs { jobs, orders, letters },
+        Arc::clone(&chooser),
+        Arc::clone(&metrics),
+        unix_ms(),
+    );
+    let actor = control::Actor::new(core);
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || control::run(actor, &control_receiver))
+        .context(ThreadSnafu { part: "the control thread" })?;
+    forward_signals(control_sender.clone()).context(ThreadSnafu { part: "the signal thread" })?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(ThreadSnafu { part: "the traffic runtime" })?;
+    let (callers, readiness) = (host.callers_address, host.readiness_address);
+    let peers = host.peers_address;
+    let metrics_address = SocketAddr::new(host.ip, settings.metrics_port);
+    let traffic = traffic::Traffic::new(
+        dialect,
+        host,
+        view,
+        revision,
+        chooser,
+        control_sender.clone(),
+        metrics,
+    );
+    let traffic = Arc::new(traffic);
+    runtime.block_on(async {
+        let datagrams = traffic::Datagrams::bind(peers).await;
+        datagrams.context(ListenSnafu { address: peers })?.start(outgoing, control_sender);
+        traffic::OrderSender::new(Arc::clone(&traffic)).start(order_jobs);
+        for address in [readiness, metrics_address] {
+            let port = traffic::HealthPort::new(Arc::clone(&traffic));
+            port.start(address).context(ListenSnafu { address })?;
+        }
+        tokio::spawn(sweep(Arc::clone(&traffic)));
+        let listener = traffic::listen(callers).context(ListenSnafu { address: callers })?;
+        spdlog::info!("listening callers={callers} readiness={readiness} metrics={metrics_address} peers={peers}");
+        traffic::Server::new(traffic).serve(listener).await;
+        Ok(())
+    })?;
+    spdlog::info!("stop");
+    log::finish();
+    Ok(())
+}
+
+async fn sweep<Dialect>(traffic: Arc<traffic::Traffic<Dialect>>) {
+    loop {
+        time::sleep(SWEEP_INTERVAL).await;
+        traffic.pool.sweep(clock::now_ms());
+    }
+}
+
+/// Returns the time of day in milliseconds since 1970; a later start of the process on the same host
+/// has a higher one.
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Starts a thread that turns signals into messages.
+fn forward_signals(control: Sender<control::Message>) -> io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                // Addresses and bounds of a running process cannot change.
+                spdlog::info!("reload outcome=nothing-to-change");
+                continue;
+            }
+            if control.send(control::Message::Terminate).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/edge/src/dialect/order_ticket.rs
@@ -0,0 +1,14 @@
+//! Authority of an order.
+
+use jasminetack_domain::name;
+
+/// Who orders, under which fencing token, and whom.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderTicket {
+    /// Daemon that orders.
+    pub holder: name::HostName,
+    /// Fencing token of its hold.
+    pub fence: u64,
+    /// Worker that is meant.
+    pub worker: name::WorkerName,
+}
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,96 @@
+//! Metrics of the daemon; labels are bounded, so no series names an adapter, request or host.
+
+use parking_lot::Mutex;
+use prometheus_client::encoding;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+type Label = [(&'static str, String); 1];
+type KindAndOutcome = [(&'static str, String); 2];
+type Times = Family<Label, Histogram, fn() -> Histogram>;
+
+/// Shortest time that has a bucket of its own; buckets double from here up to about 65 s.
+const SHORTEST_BUCKET_S: f64 = 0.001;
+const BUCKET_COUNT: u16 = 17;
+
+/// Metrics of the daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    /// Requests that are being served.
+    pub in_flight: Gauge,
+    requests: Family<KindAndOutcome, Counter>,
+    first_part: Times,
+    total: Times,
+    failed_attempts: Family<Label, Counter>,
+    orders: Family<Label, Counter>,
+}
+
+impl Metrics {
+    /// Creates metrics that count from zero.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("jasminetack");
+        let in_flight = Gauge::default();
+        let requests = Family::default();
+        let first_part: Times = Family::new_with_constructor(times);
+        let total: Times = Family::new_with_constructor(times);
+        let failed_attempts = Family::default();
+        let orders = Family::default();
+        registry.register("in_flight", "Requests being served", in_flight.clone());
+        registry.register("requests", "Requests by kind and outcome", requests.clone());
+        let help = "Time to the head of the answer";
+        registry.register_with_unit("first_part", help, Unit::Seconds, first_part.clone());
+        let help = "Time to the end of the answer";
+        registry.register_with_unit("total", help, Unit::Seconds, total.clone());
+        let help = "Attempts at workers without a usable answer";
+        registry.register("failed_attempts", help, failed_attempts.clone());
+        registry.register("orders", "Orders to workers by result", orders.clone());
+        let registry = Mutex::new(registry);
+        Self { registry, in_flight, requests, first_part, total, failed_attempts, orders }
+    }
+
+    /// Counts a request that has ended.
+    pub fn finish(&self, kind: &str, outcome: &str, first_ms: Option<u64>, total_ms: u64) {
+        let labels = [("kind", kind.to_owned()), ("outcome", outcome.to_owned())];
+        self.requests.get_or_create(&labels).inc();
+        let label = [("kind", kind.to_owned())];
+        if let Some(first_ms) = first_ms {
+            self.first_part.get_or_create(&label).observe(first_ms as f64 / 1_000.0);
+        }
+        self.total.get_or_create(&label).observe(total_ms as f64 / 1_000.0);
+    }
+
+    /// Counts an attempt without a usable answer.
+    pub fn count_attempt_failure(&self, result: &str) {
+        self.failed_attempts.get_or_create(&[("result", result.to_owned())]).inc();
+    }
+
+    /// Counts an order by its result.
+    pub fn count_order(&self, result: &str) {
+        self.orders.get_or_create(&[("result", result.to_owned())]).inc();
+    }
+
+    /// Encodes all metrics as text.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        if encoding::text::encode(&mut text, &self.registry.lock()).is_err() {
+            spdlog::error!("metrics-failed reason=formatter");
+        }
+        text
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn times() -> Histogram {
+    Histogram::new(exponential_buckets(SHORTEST_BUCKET_S, 2.0, BUCKET_COUNT))
+}
--- /dev/null
+++ b/crates/edge/src/settings/mod.rs
@@ -0,0 +1,83 @@
+//! Settings of the daemon's own, from flags and environment variables.
+
+mod flags;
+
+use jasminetack_program::settings;
+
+/// Renewals that must fit into a lease, so that one that fails costs nothing.
+const MIN_RENEWALS: u64 = 2;
+
+/// Settings of the daemon's own.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Least severe level that is logged.
+    pub log_level: spdlog::Level,
+    /// Port of the metrics.
+    pub metrics_port: u16,
+    /// Duration of the lease under which orders are given.
+    pub lease_ttl_ms: u64,
+    /// Interval of renewing the lease.
+    pub lease_renewal_ms: u64,
+    /// Longest wait of a call that follows a table.
+    pub feed_wait_ms: u64,
+    /// Whether to print the effective settings and exit.
+    pub check_only: bool,
+    /// The effective settings, one a line.
+    pub description: String,
+}
+
+impl Settings {
+    /// Reads the command line and the environment; ends the process for `--help` and `--version`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every setting that is wrong.
+    pub fn from_environment() -> Result<Self, settings::Problems> {
+        let flags = flags::JasminetackEdge::from_env_or_exit();
+        if flags.version {
+            println!("jasminetack-edge {}", env!("CARGO_PKG_VERSION"));
+            std::process::exit(0);
+        }
+        Self::read(flags)
+    }
+
+    fn read(flags: flags::JasminetackEdge) -> Result<Self, settings::Problems> {
+        let mut reader = settings::Reader::default();
+        let level = "trace, debug, info, warn, error or critical";
+        let mut log_level = spdlog::Level::Info;
+        let text = reader.value("--log-level", flags.log_level, "info".to_owned(), level);
+        match text.parse() {
+            Ok(parsed) => log_level = parsed,
+            Err(_) => reader.problem("--log-level", Some(text), level),
+        }
+        let metrics_port = reader.value("--metrics-port", flags.metrics_port, 9_464, "a TCP port");
+        // Outlasts the outages of the store that are ordinary on the users' platform.
+        let ttl = "milliseconds, at least twice --lease-renewal-ms";
+        let lease_ttl_ms = reader.value("--lease-ttl-ms", flags.lease_ttl_ms, 12_000, ttl);
+        let renewal = "milliseconds above 0";
+        let lease_renewal_ms =
+            reader.value("--lease-renewal-ms", flags.lease_renewal_ms, 3_000, renewal);
+        if lease_renewal_ms == 0 {
+            reader.problem("--lease-renewal-ms", Some("0".to_owned()), renewal);
+        }
+        if lease_ttl_ms < lease_renewal_ms * MIN_RENEWALS {
+            reader.problem("--lease-ttl-ms", Some(lease_ttl_ms.to_string()), ttl);
+        }
+        let wait = "milliseconds from 100 to 30000";
+        // Short enough to notice a silent connection within the bound of a configuration change.
+        let feed_wait_ms = reader.value("--feed-wait-ms", flags.feed_wait_ms, 2_000, wait);
+        if !(100..=30_000).contains(&feed_wait_ms) {
+            reader.problem("--feed-wait-ms", Some(feed_wait_ms.to_string()), wait);
+        }
+        reader.finish()?;
+        Ok(Self {
+            log_level,
+            metrics_port,
+            lease_ttl_ms,
+            lease_renewal_ms,
+            feed_wait_ms,
+            check_only: flags.check,
+            description: reader.describe(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/edge/src/store/metadata_store.rs
@@ -0,0 +1,29 @@
+//! Calls to the store.
+
+use super::{Changes, Listing, Outcome, StoreError, Table, Transaction};
+
+/// A store with transactions, implemented for each platform and by stand-ins.
+///
+/// Calls block.
+pub trait MetadataStore: Clone + Send + 'static {
+    /// Reads a whole table.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refuses or does not answer.
+    fn list(&self, table: Table) -> Result<Listing, StoreError>;
+
+    /// Waits up to `wait_ms` for changes after a version.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refuses or does not answer.
+    fn changes(&self, table: Table, after: u64, wait_ms: u64) -> Result<Changes, StoreError>;
+
+    /// Applies a transaction.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refuses or does not answer.
+    fn transact(&self, transaction: &Transaction) -> Result<Outcome, StoreError>;
+}
--- /dev/null
+++ b/crates/edge/src/store/mod.rs
@@ -0,0 +1,17 @@
+//! The store in which everything lives that must outlast a process.
+
+mod changes;
+mod listing;
+mod metadata_store;
+mod row;
+mod store_error;
+mod table;
+mod transaction;
+
+pub use changes::Changes;
+pub use listing::Listing;
+pub use metadata_store::MetadataStore;
+pub use row::Row;
+pub use store_error::StoreError;
+pub use table::Table;
+pub use transaction::{Condition, Outcome, Transaction, Write};
--- /dev/null
+++ b/crates/edge/src/traffic/answer_body.rs
@@ -0,0 +1,119 @@
+//! Bodies of answers to callers.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body;
+use tokio::sync::mpsc;
+
+use super::relay::Relay;
+
+/// Body of an answer: complete, or passed on while the worker produces it.
+pub struct AnswerBody {
+    content: Content,
+}
+
+enum Content {
+    Full(Full<Bytes>),
+    Relay(Box<Relay>),
+    Events(mpsc::Receiver<Result<Bytes, Broken>>),
+    /// A failure that waits until hyper has written what came before.
+    Breaking(Broken),
+    Ended,
+}
+
+/// The answer cannot be completed, so that the caller's connection is aborted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
+#[snafu(display("the answer was not completed: {reason}"))]
+pub struct Broken {
+    /// What happened.
+    pub reason: &'static str,
+}
+
+impl AnswerBody {
+    /// Creates a complete body.
+    pub fn full(data: Bytes) -> Self {
+        Self { content: Content::Full(Full::new(data)) }
+    }
+
+    /// Creates a body that passes a worker's answer on.
+    pub fn relay(relay: Relay) -> Self {
+        Self { content: Content::Relay(Box::new(relay)) }
+    }
+
+    /// Creates a body of events from several workers; the channel must end with an error or with an
+    /// empty part, which marks a complete answer.
+    pub fn events(events: mpsc::Receiver<Result<Bytes, Broken>>) -> Self {
+        Self { content: Content::Events(events) }
+    }
+
+    fn poll_content(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        match &mut self.content {
+            Content::Full(full) => {
+                let frame = ready!(body::Body::poll_frame(Pin::new(full), context));
+                let data = frame.and_then(|frame| match frame {
+                    Ok(frame) => frame.into_data().ok(),
+                    Err(never) => match never as Infallible {},
+                });
+                Poll::Ready(data.map(Ok))
+            }
+            Content::Relay(relay) => relay.poll_data(context),
+            Content::Events(events) => Poll::Ready(match ready!(events.poll_recv(context)) {
+                Some(Ok(data)) if data.is_empty() => None,
+                Some(part) => Some(part),
+                None => Some(Err(Broken { reason: "the events ended early" })),
+            }),
+            Content::Breaking(broken) => Poll::Ready(Some(Err(*broken))),
+            Content::Ended => Poll::Ready(None),
+        }
+    }
+}
+
+impl body::Body for AnswerBody {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<body::Frame<Bytes>, Broken>>> {
+        let was_breaking = matches!(self.content, Content::Breaking(_));
+        match ready!(self.poll_content(context)) {
+            Some(Ok(data)) => Poll::Ready(Some(Ok(body::Frame::data(data)))),
+            Some(Err(broken)) if was_breaking => {
+                self.content = Content::Ended;
+                Poll::Ready(Some(Err(broken)))
+            }
+            Some(Err(broken)) => {
+                // hyper discards what it has not written when a body fails; it writes first when a
+                // body is pending.
+                self.content = Content::Breaking(broken);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            None => {
+                self.content = Content::Ended;
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.content {
+            Content::Full(full) => full.is_end_stream(),
+            Content::Ended => true,
+            Content::Relay(_) | Content::Events(_) | Content::Breaking(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> body::SizeHint {
+        match &self.content {
+            Content::Full(full) => full.size_hint(),
+            Content::Relay(relay) => relay.size_hint(),
+            _ => body::SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/traffic/datagrams.rs
@@ -0,0 +1,75 @@
+//! Datagrams between daemons.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crossbeam_channel::Sender;
+use jasminetack_wire::fleet;
+use prost::Message;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::control;
+
+/// Longest datagram.
+const MAX_BYTES: usize = 64 * 1024;
+
+/// Sends and receives datagrams.
+#[derive(Debug)]
+pub struct Datagrams {
+    socket: Arc<UdpSocket>,
+}
+
+impl Datagrams {
+    /// Opens the port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the port is not available.
+    pub async fn bind(address: SocketAddr) -> io::Result<Self> {
+        Ok(Self { socket: Arc::new(UdpSocket::bind(address).await?) })
+    }
+
+    /// Starts to pass datagrams on in both directions.
+    pub fn start(
+        self,
+        mut letters: mpsc::UnboundedReceiver<control::Letter>,
+        control: Sender<control::Message>,
+    ) {
+        let socket = Arc::clone(&self.socket);
+        tokio::spawn(async move {
+            while let Some(letter) = letters.recv().await {
+                let bytes = letter.datagram.encode_to_vec();
+                for address in letter.to {
+                    if let Err(error) = socket.send_to(&bytes, address).await {
+                        spdlog::debug!("datagram-lost to={address} error=\"{error}\"");
+                    }
+                }
+            }
+        });
+        tokio::spawn(self.receive(control));
+    }
+
+    async fn receive(self, control: Sender<control::Message>) {
+        let mut buffer = vec![0; MAX_BYTES];
+        loop {
+            let (length, from) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    // An earlier datagram was refused by its receiver.
+                    spdlog::debug!("datagram-refused error=\"{error}\"");
+                    continue;
+                }
+            };
+            match fleet::Datagram::decode(&buffer[..length]) {
+                Ok(datagram) => {
+                    if control.send(control::Message::Datagram(datagram)).is_err() {
+                        return;
+                    }
+                }
+                Err(error) => spdlog::warn!("datagram-refused from={from} problem=\"{error}\""),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/traffic/health_port.rs
@@ -0,0 +1,97 @@
+//! Ports for the readiness check and for metrics.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+
+use super::server;
+use super::traffic::Traffic;
+use crate::dialect;
+
+/// Path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Answers the balancer and monitoring on the thread that serves callers, so that an answer shows
+/// that this thread runs.
+pub struct HealthPort<Dialect> {
+    traffic: Arc<Traffic<Dialect>>,
+}
+
+impl<Dialect> HealthPort<Dialect>
+where
+    Dialect: dialect::Dialect,
+{
+    /// Creates a port that is not listening yet.
+    pub fn new(traffic: Arc<Traffic<Dialect>>) -> Self {
+        Self { traffic }
+    }
+
+    /// Starts to listen.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the port is not available.
+    pub fn start(self, address: SocketAddr) -> io::Result<()> {
+        let listener = server::listen(address)?;
+        let port = Arc::new(self);
+        tokio::spawn(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else { continue };
+                let port = Arc::clone(&port);
+                let service = service_fn(move |request| {
+                    let answer = port.answer(&request);
+                    async move { Ok::<_, Infallible>(answer) }
+                });
+                let connection =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                tokio::spawn(async move {
+                    if let Err(error) = connection.await {
+                        spdlog::debug!("connection-ended port=health error=\"{error}\"");
+                    }
+                });
+            }
+        });
+        Ok(())
+    }
+
+    fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        let path = request.uri().path();
+        if path == METRICS_PATH {
+            let mut response = text(StatusCode::OK, self.traffic.metrics.encode());
+            let content_type = HeaderValue::from_static(OPEN_METRICS);
+            response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+            return response;
+        }
+        if path != self.traffic.dialect.readiness_path() {
+            return text(StatusCode::NOT_FOUND, "no such path\n".to_owned());
+        }
+        let view = self.traffic.view.load();
+        let (status, reason) = if view.is_leaving {
+            (StatusCode::SERVICE_UNAVAILABLE, "the daemon shuts down\n")
+        } else if view.ingress.is_none() {
+            (StatusCode::SERVICE_UNAVAILABLE, "there is no configuration yet\n")
+        } else if view.services.is_empty() {
+            (StatusCode::SERVICE_UNAVAILABLE, "no worker is known yet\n")
+        } else {
+            (StatusCode::OK, "ready\n")
+        };
+        text(status, reason.to_owned())
+    }
+}
+
+fn text(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/edge/src/traffic/mod.rs
@@ -0,0 +1,24 @@
+//! Traffic: callers, workers and datagrams, all on one thread.
+
+mod answer_body;
+mod attempt;
+mod call;
+mod call_record;
+mod connection;
+mod datagrams;
+mod event_buffer;
+mod health_port;
+mod load_guard;
+mod order_sender;
+mod pool;
+mod refusal;
+mod relay;
+mod server;
+mod stream_relay;
+mod traffic;
+
+pub use datagrams::Datagrams;
+pub use health_port::HealthPort;
+pub use order_sender::OrderSender;
+pub use server::{Server, listen};
+pub use traffic::Traffic;
--- /dev/null
+++ b/crates/edge/src/traffic/pool.rs
@@ -0,0 +1,76 @@
+//! Idle connections to workers.
+
+use jasminetack_domain::name;
+use parking_lot::Mutex;
+use rustc_hash::FxHashMap;
+
+use super::connection::Connection;
+
+/// Idle connections that are kept for each worker.
+const MAX_IDLE: usize = 24;
+/// Time for which an idle connection is used when the worker names none.
+const DEFAULT_IDLE_MS: u64 = 4_000;
+/// Time before the end of a worker's own timeout from which a connection is not used.
+const IDLE_MARGIN_MS: u64 = 500;
+
+/// Idle connections by worker; the one that was used last is taken first.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: Mutex<FxHashMap<name::WorkerName, Vec<Idle>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    until_ms: u64,
+}
+
+impl Pool {
+    /// Takes an idle connection to a worker.
+    pub fn take(&self, worker: &name::WorkerName, now_ms: u64) -> Option<Connection> {
+        let mut pool = self.idle.lock();
+        let idle = pool.get_mut(worker)?;
+        idle.retain(|idle| idle.until_ms > now_ms && !idle.connection.sender.is_closed());
+        let position = idle.iter().rposition(|idle| idle.connection.sender.is_ready())?;
+        Some(idle.remove(position).connection)
+    }
+
+    /// Keeps a connection whose last answer was complete; `keep_alive_ms` is the worker's timeout.
+    pub fn put(
+        &self,
+        worker: &name::WorkerName,
+        mut connection: Connection,
+        keep_alive_ms: Option<u64>,
+        now_ms: u64,
+    ) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        connection.is_reused = true;
+        let idle_ms = keep_alive_ms.map(|timeout_ms| timeout_ms.saturating_sub(IDLE_MARGIN_MS));
+        let until_ms = now_ms + idle_ms.unwrap_or(DEFAULT_IDLE_MS);
+        let mut pool = self.idle.lock();
+        let idle = pool.entry(worker.clone()).or_default();
+        if idle.len() < MAX_IDLE {
+            idle.push(Idle { connection, until_ms });
+        }
+    }
+
+    /// Closes the idle connections to a worker that were opened before a time; others of them are
+    /// likely to be broken, too.
+    pub fn close_before(&self, worker: &name::WorkerName, time_ms: u64) {
+        let mut pool = self.idle.lock();
+        if let Some(idle) = pool.get_mut(worker) {
+            idle.retain(|idle| idle.connection.opened_ms >= time_ms);
+        }
+    }
+
+    /// Closes what is no longer usable.
+    pub fn sweep(&self, now_ms: u64) {
+        let mut pool = self.idle.lock();
+        pool.retain(|_, idle| {
+            idle.retain(|idle| idle.until_ms > now_ms && !idle.connection.sender.is_closed());
+            !idle.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/crates/edge/src/traffic/relay.rs
@@ -0,0 +1,90 @@
+//! A worker's answer that is passed on as it arrives.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use hyper::body::{self, Body, Incoming};
+use tokio::time::Sleep;
+
+use super::answer_body::Broken;
+use super::attempt::Exchange;
+use super::call_record::CallRecord;
+use super::connection::Connection;
+use super::load_guard::LoadGuard;
+use super::pool::Pool;
+use crate::clock;
+
+/// A worker's answer that is passed on as it arrives.
+pub struct Relay {
+    incoming: Incoming,
+    connection: Option<Connection>,
+    keep_alive_ms: Option<u64>,
+    load: LoadGuard,
+    record: CallRecord,
+    deadline: Pin<Box<Sleep>>,
+    pool: Arc<Pool>,
+}
+
+impl Relay {
+    /// Creates a relay that breaks off at a deadline.
+    pub fn new(
+        exchange: Exchange,
+        incoming: Incoming,
+        record: CallRecord,
+        deadline: Pin<Box<Sleep>>,
+        pool: Arc<Pool>,
+    ) -> Self {
+        let Exchange { connection, keep_alive_ms, load } = exchange;
+        let connection = Some(connection);
+        Self { incoming, connection, keep_alive_ms, load, record, deadline, pool }
+    }
+
+    pub(super) fn size_hint(&self) -> body::SizeHint {
+        self.incoming.size_hint()
+    }
+
+    pub(super) fn poll_data(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Broken>>> {
+        loop {
+            let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(context) else {
+                ready!(self.deadline.as_mut().poll(context));
+                return Poll::Ready(Some(Err(self.fail("deadline"))));
+            };
+            return Poll::Ready(match frame {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    self.load.heard(clock::now_ms());
+                    Some(Ok(data))
+                }
+                Some(Err(_)) => {
+                    self.load.failed(clock::now_ms());
+                    Some(Err(self.fail("worker-broke-off")))
+                }
+                None => {
+                    self.complete();
+                    None
+                }
+            });
+        }
+    }
+
+    fn fail(&mut self, reason: &'static str) -> Broken {
+        self.record.ended(reason);
+        self.record.attempt_failed(self.load.worker(), reason);
+        self.connection = None;
+        Broken { reason }
+    }
+
+    fn complete(&mut self) {
+        let now_ms = clock::now_ms();
+        self.load.heard(now_ms);
+        self.record.ended("answered");
+        if let Some(connection) = self.connection.take() {
+            self.pool.put(self.load.worker(), connection, self.keep_alive_ms, now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/traffic/stream_relay.rs
@@ -0,0 +1,139 @@
+//! A stream that another worker continues when the first one breaks off.
+
+use std::pin::Pin;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+use tokio::time::Sleep;
+
+use super::answer_body::Broken;
+use super::attempt::Exchange;
+use super::call::Call;
+use super::call_record::CallRecord;
+use super::event_buffer::EventBuffer;
+use crate::clock;
+use crate::dialect;
+
+/// Parts that may wait for a slow caller before the worker is read no further.
+const BUFFER_PARTS: usize = 16;
+
+/// Passes a stream on and has it continued.
+pub struct StreamRelay<Dialect> {
+    call: Call<Dialect>,
+    record: CallRecord,
+    events: EventBuffer,
+    parts: mpsc::Sender<Result<Bytes, Broken>>,
+}
+
+/// How the answer of one worker ended.
+enum End {
+    Complete,
+    BrokeOff,
+    CallerLeft,
+}
+
+impl<Dialect> StreamRelay<Dialect>
+where
+    Dialect: dialect::Dialect,
+{
+    /// Starts to pass a stream on; the channel ends with an empty part or an error.
+    pub fn start(
+        call: Call<Dialect>,
+        incoming: Incoming,
+        exchange: Exchange,
+        record: CallRecord,
+        deadline: Pin<Box<Sleep>>,
+    ) -> mpsc::Receiver<Result<Bytes, Broken>> {
+        let (parts, receiver) = mpsc::channel(BUFFER_PARTS);
+        let relay = Self { call, record, events: EventBuffer::default(), parts };
+        tokio::spawn(relay.run(incoming, exchange, deadline));
+        receiver
+    }
+
+    async fn run(mut self, incoming: Incoming, exchange: Exchange, mut deadline: Pin<Box<Sleep>>) {
+        let caller = self.parts.clone();
+        let broken = tokio::select! {
+            result = self.relay(incoming, exchange) => result,
+            () = &mut deadline => Some("deadline"),
+            () = caller.closed() => return,
+        };
+        let last = match broken {
+            None => {
+                self.record.ended("answered");
+                Ok(Bytes::new())
+            }
+            Some(reason) => {
+                self.record.ended(reason);
+                Err(Broken { reason })
+            }
+        };
+        // The caller may be gone.
+        let _ = self.parts.send(last).await;
+    }
+
+    /// Passes the stream on until it is complete; returns why it is not.
+    async fn relay(&mut self, incoming: Incoming, exchange: Exchange) -> Option<&'static str> {
+        let mut source = (incoming, exchange);
+        loop {
+            let worker = source.1.worker().clone();
+            match self.pass_on(source.0, source.1).await {
+                End::Complete => return None,
+                End::CallerLeft => return Some("caller-left"),
+                End::BrokeOff => {}
+            }
+            self.record.attempt_failed(&worker, "worker-broke-off");
+            self.events.drop_partial();
+            if !self.call.broke_off(&worker) {
+                return Some("worker-broke-off");
+            }
+            source = match self.resume().await {
+                Ok(source) => source,
+                Err(reason) => return Some(reason),
+            };
+        }
+    }
+
+    async fn pass_on(&mut self, mut incoming: Incoming, mut exchange: Exchange) -> End {
+        loop {
+            let data = match incoming.frame().await {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(_)) => {
+                    exchange.load.failed(clock::now_ms());
+                    return End::BrokeOff;
+                }
+                None => break,
+            };
+            exchange.load.heard(clock::now_ms());
+            let whole = self.events.push(&data);
+            if !whole.is_empty() && self.parts.send(Ok(whole)).await.is_err() {
+                return End::CallerLeft;
+            }
+        }
+        let rest = self.events.take_rest();
+        if !rest.is_empty() && self.parts.send(Ok(rest)).await.is_err() {
+            return End::CallerLeft;
+        }
+        let Exchange { connection, keep_alive_ms, load } = exchange;
+        self.call.pool().put(load.worker(), connection, keep_alive_ms, clock::now_ms());
+        End::Complete
+    }
+
+    /// Has another worker continue after the last whole event.
+    async fn resume(&mut self) -> Result<(Incoming, Exchange), &'static str> {
+        loop {
+            let target = self.call.find_worker(&mut self.record).await;
+            let target = target.map_err(|refusal| refusal.reason)?;
+            let last_id = self.events.last_id().map(str::to_owned);
+            let sent = self.call.attempt(&target, &mut self.record, last_id.as_deref()).await;
+            match sent {
+                Ok((response, exchange)) if self.call.is_continuation(&response) => {
+                    return Ok((response.into_body(), exchange));
+                }
+                Ok(_) => return Err("not-continued"),
+                Err(error) => error.reason()?,
+            }
+        }
+    }
+}
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -9,5 +9,6 @@
 //! assert!(reader.finish().unwrap_err().to_string().contains("--port"));
 //! ```
 
+pub mod bounded_sink;
 pub mod log;
 pub mod settings;
--- a/crates/program/src/log.rs
+++ b/crates/program/src/log.rs
@@ -1,4 +1,4 @@
-//! Logs: one line of key=value pairs for each event, on standard error.
+//! Logs: one line of key=value pairs for each event.
 
 use std::fmt::Write;
 use std::sync::Arc;
@@ -7,6 +7,8 @@
 use spdlog::formatter;
 use spdlog::sink;
 
+use crate::bounded_sink;
+
 /// Formats a record as `time_ms=… level=… event=… key=value …`.
 #[derive(Clone, Debug, Default)]
 pub struct KeyValueFormatter;
@@ -51,3 +53,25 @@
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
+
+/// Sends all logs of the process to standard output without ever waiting for its reader.
+///
+/// Lines that the reader is too slow for are dropped and counted.
+///
+/// # Errors
+///
+/// Fails when the logger or its thread cannot be started.
+pub fn start_bounded(level: spdlog::Level) -> spdlog::Result<()> {
+    let sink = bounded_sink::BoundedSink::start(std::io::stdout())?;
+    let logger = spdlog::Logger::builder()
+        .sink(Arc::new(sink))
+        .level_filter(spdlog::LevelFilter::MoreSevereEqual(level))
+        .build()?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+/// Gives lines that were logged before the end of the process a moment to be written.
+pub fn finish() {
+    spdlog::default_logger().flush();
+}
--- /dev/null
+++ b/crates/wire/src/fleet.rs
@@ -0,0 +1,331 @@
+//! Datagrams between daemons that send straight to workers, and their rows in the store.
+//!
+//! Each datagram replaces what its sender said before, so a lost one needs no repair.
+
+use std::net::SocketAddr;
+
+use jasminetack_domain::adapter;
+use jasminetack_domain::dispatch;
+use jasminetack_domain::name;
+use jasminetack_domain::order_lease;
+use jasminetack_domain::place;
+use jasminetack_domain::placement;
+use prost::Message;
+use snafu::ResultExt;
+
+/// One datagram.
+#[derive(Clone, PartialEq, Message)]
+pub struct Datagram {
+    /// Daemon that sends.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Start of its process in milliseconds since 1970.
+    #[prost(uint64, tag = "2")]
+    pub started_unix_ms: u64,
+    /// Rises with each datagram of the process.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// State of the sender.
+    #[prost(message, optional, tag = "4")]
+    pub state: Option<State>,
+    /// Adapters that the receiver is asked to load.
+    #[prost(message, repeated, tag = "5")]
+    pub demands: Vec<Demand>,
+}
+
+/// State of a daemon.
+#[derive(Clone, PartialEq, Message)]
+pub struct State {
+    /// Address for datagrams.
+    #[prost(string, tag = "1")]
+    pub address: String,
+    /// Region.
+    #[prost(string, tag = "2")]
+    pub region: String,
+    /// Failure domain.
+    #[prost(string, tag = "3")]
+    pub failure_domain: String,
+    /// Whether the daemon shuts down.
+    #[prost(bool, tag = "4")]
+    pub is_leaving: bool,
+    /// Load that it puts on workers.
+    #[prost(message, repeated, tag = "5")]
+    pub loads: Vec<Load>,
+    /// Workers that it gives orders to.
+    #[prost(message, repeated, tag = "6")]
+    pub holds: Vec<Hold>,
+}
+
+/// Load on one worker.
+#[derive(Clone, PartialEq, Message)]
+pub struct Load {
+    /// The worker.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// Requests in flight.
+    #[prost(uint32, tag = "2")]
+    pub in_flight: u32,
+    /// Prompt tokens of requests without an answer yet.
+    #[prost(uint32, tag = "3")]
+    pub unread_tokens: u32,
+    /// Adapters in use.
+    #[prost(message, repeated, tag = "4")]
+    pub adapters: Vec<AdapterUse>,
+}
+
+/// Use of an adapter.
+#[derive(Clone, PartialEq, Message)]
+pub struct AdapterUse {
+    /// The adapter.
+    #[prost(string, tag = "1")]
+    pub adapter: String,
+    /// Requests that use it now.
+    #[prost(uint32, tag = "2")]
+    pub in_flight: u32,
+    /// Requests that began since the last datagram.
+    #[prost(uint32, tag = "3")]
+    pub begun: u32,
+}
+
+/// A worker that the sender gives orders to.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hold {
+    /// The worker.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// Fencing token of the hold.
+    #[prost(uint64, tag = "2")]
+    pub fence: u64,
+    /// Whether the worker holds a base model.
+    #[prost(bool, tag = "3")]
+    pub has_base_model: bool,
+    /// Adapters there.
+    #[prost(message, repeated, tag = "4")]
+    pub held: Vec<Held>,
+    /// Adapters that wait for a place or a load.
+    #[prost(uint32, tag = "5")]
+    pub waiting_loads: u32,
+}
+
+/// An adapter at a worker.
+#[derive(Clone, PartialEq, Message)]
+pub struct Held {
+    /// The adapter.
+    #[prost(string, tag = "1")]
+    pub adapter: String,
+    /// Its version.
+    #[prost(uint32, tag = "2")]
+    pub version: u32,
+    /// Whether it is on its way.
+    #[prost(bool, tag = "3")]
+    pub is_loading: bool,
+}
+
+/// Demand for an adapter at a worker.
+#[derive(Clone, PartialEq, Message)]
+pub struct Demand {
+    /// The worker.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// The adapter.
+    #[prost(string, tag = "2")]
+    pub adapter: String,
+    /// Its version; 0 for the newest.
+    #[prost(uint32, tag = "3")]
+    pub version: u32,
+    /// Whether the worker answered that it does not hold the adapter.
+    #[prost(bool, tag = "4")]
+    pub is_missing: bool,
+}
+
+/// Row of a daemon's lease.
+#[derive(Clone, PartialEq, Message)]
+pub struct Lease {
+    /// Address for datagrams.
+    #[prost(string, tag = "1")]
+    pub address: String,
+    /// Region.
+    #[prost(string, tag = "2")]
+    pub region: String,
+    /// Failure domain.
+    #[prost(string, tag = "3")]
+    pub failure_domain: String,
+    /// Time of the store's clock at which the lease expires.
+    #[prost(uint64, tag = "4")]
+    pub expires_store_ms: u64,
+}
+
+/// Row of a worker's holder.
+#[derive(Clone, PartialEq, Message)]
+pub struct Holder {
+    /// Daemon that gives the orders.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Start of the worker.
+    #[prost(uint64, tag = "2")]
+    pub worker_started_unix_ms: u64,
+}
+
+/// A message that cannot be used.
+#[derive(Debug, snafu::Snafu)]
+pub enum FleetError {
+    /// The bytes are no message.
+    #[snafu(display("the bytes are no message: {source}"))]
+    Decode {
+        /// Cause.
+        source: prost::DecodeError,
+    },
+    /// An address cannot be read.
+    #[snafu(display("{address:?} is no address: {source}"))]
+    Address {
+        /// The text.
+        address: String,
+        /// Cause.
+        source: std::net::AddrParseError,
+    },
+}
+
+impl Load {
+    /// Encodes a load with the adapters that it uses.
+    #[must_use]
+    pub fn new(
+        load: &dispatch::ReportedLoad,
+        adapters: &[(name::AdapterName, dispatch::AdapterUse)],
+    ) -> Self {
+        let adapters = adapters.iter().map(|(adapter, used)| AdapterUse {
+            adapter: adapter.to_string(),
+            in_flight: used.in_flight,
+            begun: used.begun,
+        });
+        Self {
+            worker: load.worker.to_string(),
+            in_flight: load.in_flight,
+            unread_tokens: load.unread_tokens,
+            adapters: adapters.collect(),
+        }
+    }
+
+    /// Returns the load without adapters.
+    #[must_use]
+    pub fn reported(&self) -> dispatch::ReportedLoad {
+        dispatch::ReportedLoad {
+            worker: name::WorkerName::from(self.worker.as_str()),
+            in_flight: self.in_flight,
+            unread_tokens: self.unread_tokens,
+        }
+    }
+}
+
+impl From<&AdapterUse> for dispatch::AdapterUse {
+    fn from(used: &AdapterUse) -> Self {
+        Self { in_flight: used.in_flight, begun: used.begun }
+    }
+}
+
+impl Hold {
+    /// Encodes the state of a worker that the sender gives orders to.
+    #[must_use]
+    pub fn new(worker: &name::WorkerName, fence: u64, summary: &placement::Summary) -> Self {
+        let held = summary.held.iter().map(|held| Held {
+            adapter: held.adapter.name().to_string(),
+            version: held.adapter.version(),
+            is_loading: held.is_loading,
+        });
+        Self {
+            worker: worker.to_string(),
+            fence,
+            has_base_model: summary.has_base_model,
+            held: held.collect(),
+            waiting_loads: summary.waiting_loads,
+        }
+    }
+}
+
+impl From<&Hold> for placement::Summary {
+    fn from(hold: &Hold) -> Self {
+        let held = hold.held.iter().map(|held| placement::Held {
+            adapter: adapter::AdapterRef::new(
+                name::AdapterName::from(held.adapter.as_str()),
+                held.version,
+            ),
+            is_loading: held.is_loading,
+        });
+        Self {
+            has_base_model: hold.has_base_model,
+            held: held.collect(),
+            waiting_loads: hold.waiting_loads,
+        }
+    }
+}
+
+impl Demand {
+    /// Returns the adapter.
+    #[must_use]
+    pub fn adapter(&self) -> adapter::AdapterRef {
+        adapter::AdapterRef::new(name::AdapterName::from(self.adapter.as_str()), self.version)
+    }
+}
+
+impl From<&order_lease::LeaseRow> for Lease {
+    fn from(row: &order_lease::LeaseRow) -> Self {
+        Self {
+            address: row.address.to_string(),
+            region: row.place.region().to_string(),
+            failure_domain: row.place.failure_domain().to_string(),
+            expires_store_ms: row.expires_store_ms,
+        }
+    }
+}
+
+impl Lease {
+    /// Decodes the row of a host.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are no lease.
+    pub fn read(host: &str, bytes: &[u8]) -> Result<order_lease::LeaseRow, FleetError> {
+        let row = Self::decode(bytes).context(DecodeSnafu)?;
+        Ok(order_lease::LeaseRow {
+            host: name::HostName::from(host),
+            address: read_address(&row.address)?,
+            place: read_place(&row.region, &row.failure_domain),
+            expires_store_ms: row.expires_store_ms,
+        })
+    }
+}
+
+impl From<&order_lease::HolderRow> for Holder {
+    fn from(row: &order_lease::HolderRow) -> Self {
+        Self { host: row.host.to_string(), worker_started_unix_ms: row.worker_started_unix_ms }
+    }
+}
+
+impl Holder {
+    /// Decodes a row.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are no holder.
+    pub fn read(bytes: &[u8]) -> Result<order_lease::HolderRow, FleetError> {
+        let row = Self::decode(bytes).context(DecodeSnafu)?;
+        Ok(order_lease::HolderRow {
+            host: name::HostName::from(row.host),
+            worker_started_unix_ms: row.worker_started_unix_ms,
+        })
+    }
+}
+
+/// Reads an address.
+///
+/// # Errors
+///
+/// Fails when the text is no IP address with a port.
+pub fn read_address(address: &str) -> Result<SocketAddr, FleetError> {
+    address.parse().context(AddressSnafu { address })
+}
+
+/// Creates a place from its names.
+#[must_use]
+pub fn read_place(region: &str, failure_domain: &str) -> place::Place {
+    place::Place::new(name::RegionName::from(region), name::FailureDomainName::from(failure_domain))
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod codec;
 pub mod engine;
 pub mod failure;
+pub mod fleet;
 pub mod history;
 pub mod lease_row;
 pub mod operations;
