Evict adapters only when there is no room, and let each adapter prefer one worker

Cause: unload orders were given while places were free, and an unload of an adapter in use makes the worker refuse all other orders (409) until the runs end; the workers' table changes all the time, so following it without a pause made 85 store calls a second.

--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -1,13 +1,15 @@
 //! Choice among workers by the predicted time to the first part of the answer.
 
-use super::{AdapterState, Candidate, Health, Loads, PromptMemory, PromptPart, Work};
+use super::{AdapterState, Candidate, Health, Loads, Popularity, PromptMemory, PromptPart, Work};
 use crate::member;
 use crate::name;
 use crate::place;
 use crate::route;
 
-/// Time of one adapter load while the weight store is not saturated.
-const LOAD_COST_MS: f64 = 270.0;
+/// Time of a load at the worker that an adapter prefers, which is likely to have a copy of it.
+const PREFERRED_LOAD_COST_MS: f64 = 200.0;
+/// Time of a load from the weight store, and its price expressed as time.
+const STORE_LOAD_COST_MS: f64 = 650.0;
 /// Time left of a load that is under way, on average.
 const LOADING_COST_MS: f64 = 130.0;
 /// Time that each load that waits at a worker adds.
@@ -28,8 +30,6 @@
 const ORDINARY_SILENCE_MS: u64 = 350;
 /// Cost of a recent failure, in the time that a repeated attempt takes.
 const FAILURE_COST_MS: f64 = 300.0;
-/// Largest part that the preference of an adapter for certain workers adds.
-const PREFERENCE_COST_MS: f64 = 60.0;
 /// Cost that keeps a worker which fails or is silent behind every sound one.
 const UNSOUND_COST_MS: f64 = 20_000.0;
 /// Silence from which a worker counts as unsound.
@@ -44,6 +44,8 @@
     pub health: Health,
     /// Parts of prompts by worker.
     pub prompts: PromptMemory,
+    /// Requests by adapter.
+    pub popularity: Popularity,
     /// Times to the first part of an answer compared over the workers of a service.
     pub speeds: route::Speeds,
 }
@@ -73,12 +75,14 @@
     ) -> Option<route::Decision> {
         let mut considered = Vec::with_capacity(candidates.len());
         let mut best: Option<usize> = None;
+        let preferred = preferred(choice, candidates);
         for candidate in candidates {
             let worker = &candidate.upstream.name;
             if candidate.upstream.is_draining || choice.excluded.contains(worker) {
                 continue;
             }
-            let cost_ms = self.cost_ms(choice, candidate, now_ms);
+            let is_preferred = preferred == Some(worker);
+            let cost_ms = self.cost_ms(choice, candidate, is_preferred, now_ms);
             considered.push((worker.clone(), cost_ms as u64));
             let last = considered.len() - 1;
             if best.is_none_or(|best| considered[last].1 < considered[best].1) {
@@ -94,7 +98,13 @@
         Some(route::Decision { worker, cost_ms, considered, reason })
     }
 
-    fn cost_ms(&mut self, choice: &Choice<'_>, candidate: &Candidate<'_>, now_ms: u64) -> f64 {
+    fn cost_ms(
+        &mut self,
+        choice: &Choice<'_>,
+        candidate: &Candidate<'_>,
+        is_preferred: bool,
+        now_ms: u64,
+    ) -> f64 {
         let upstream = candidate.upstream;
         let worker = &upstream.name;
         let (requests, unread_tokens) = self.loads.outstanding(worker, now_ms);
@@ -108,18 +118,36 @@
             let unread = f64::from(unread_tokens) + f64::from(choice.work.prompt_tokens)
                 - f64::from(kept.min(choice.work.prompt_tokens));
             cost_ms += f64::from(requests) * GENERATION_COST_MS + unread / PREFILL_TOKENS_PER_MS;
-            cost_ms += load_cost_ms(candidate.adapter);
+            cost_ms += self.load_cost_ms(choice, candidate.adapter, is_preferred, now_ms);
         } else {
             let beyond = (requests + 1).saturating_sub(upstream.slots);
             cost_ms += f64::from(requests) * CALL_COST_MS;
             cost_ms += f64::from(beyond) * WAITING_CALL_COST_MS;
         }
-        if let Some(adapter) = choice.adapter {
-            cost_ms += preference(adapter, worker) * PREFERENCE_COST_MS;
-        }
         cost_ms + self.unsoundness_ms(worker, now_ms)
     }
 
+    /// Returns the time and the price of a load, shared among the requests that will use it.
+    fn load_cost_ms(
+        &self,
+        choice: &Choice<'_>,
+        state: AdapterState,
+        is_preferred: bool,
+        now_ms: u64,
+    ) -> f64 {
+        let waiting_loads = match state {
+            AdapterState::Resident => return 0.0,
+            AdapterState::Loading => return LOADING_COST_MS,
+            AdapterState::Absent { waiting_loads } => waiting_loads,
+        };
+        let wait_ms = f64::from(waiting_loads) * WAITING_LOAD_COST_MS;
+        if is_preferred {
+            return PREFERRED_LOAD_COST_MS + wait_ms;
+        }
+        let uses = choice.adapter.map_or(0.0, |adapter| self.popularity.weight(adapter, now_ms));
+        STORE_LOAD_COST_MS / uses.max(1.0) + wait_ms
+    }
+
     /// Returns what failures, silence and slowness of a worker add.
     fn unsoundness_ms(&mut self, worker: &name::WorkerName, now_ms: u64) -> f64 {
         let silence_ms = self.loads.silence_ms(worker, now_ms);
@@ -137,19 +165,16 @@
     }
 }
 
-fn load_cost_ms(state: AdapterState) -> f64 {
-    match state {
-        AdapterState::Resident => 0.0,
-        AdapterState::Loading => LOADING_COST_MS,
-        AdapterState::Absent { waiting_loads } => {
-            LOAD_COST_MS + f64::from(waiting_loads) * WAITING_LOAD_COST_MS
-        }
-    }
-}
-
-/// Returns a number from 0 to 1 that is the same on every daemon.
-///
-/// Daemons that look for a worker for the same cold adapter at the same time agree on one.
-fn preference(adapter: &name::AdapterName, worker: &name::WorkerName) -> f64 {
-    member::rendezvous::score(adapter.as_str(), worker.as_str()) as f64 / u64::MAX as f64
+/// Returns the worker to which an adapter belongs unless there is a reason against it; every daemon
+/// that knows the same workers finds the same one.
+fn preferred<'a>(
+    choice: &Choice<'_>,
+    candidates: &[Candidate<'a>],
+) -> Option<&'a name::WorkerName> {
+    let adapter = choice.adapter?.as_str();
+    let usable = candidates.iter().filter(|candidate| {
+        !candidate.upstream.is_draining && !choice.excluded.contains(&candidate.upstream.name)
+    });
+    let workers = usable.map(|candidate| &candidate.upstream.name);
+    workers.max_by_key(|worker| member::rendezvous::score(adapter, worker.as_str()))
 }
--- /dev/null
+++ b/crates/domain/src/dispatch/popularity.rs
@@ -0,0 +1,42 @@
+//! How often adapters are asked for.
+
+use rustc_hash::FxHashMap;
+
+use crate::name;
+
+/// Time after which a request counts half.
+const HALF_LIFE_MS: f64 = 4_000.0;
+/// Adapters that are remembered before those that were not asked for lately are forgotten.
+const MAX_ADAPTERS: usize = 8_192;
+/// Weight below which an adapter is forgotten.
+const NEGLIGIBLE: f64 = 0.05;
+
+/// Decayed number of requests by adapter, as this daemon sees them.
+#[derive(Clone, Debug, Default)]
+pub struct Popularity {
+    adapters: FxHashMap<name::AdapterName, (f64, u64)>,
+}
+
+impl Popularity {
+    /// Counts a request.
+    pub fn count(&mut self, adapter: &name::AdapterName, now_ms: u64) {
+        if self.adapters.len() >= MAX_ADAPTERS {
+            self.adapters
+                .retain(|_, (weight, at_ms)| decayed(*weight, *at_ms, now_ms) > NEGLIGIBLE);
+        }
+        let (weight, at_ms) = self.adapters.entry(adapter.clone()).or_default();
+        *weight = decayed(*weight, *at_ms, now_ms) + 1.0;
+        *at_ms = now_ms;
+    }
+
+    /// Returns the decayed number of requests for an adapter.
+    #[must_use]
+    pub fn weight(&self, adapter: &name::AdapterName, now_ms: u64) -> f64 {
+        let known = self.adapters.get(adapter);
+        known.map_or(0.0, |(weight, at_ms)| decayed(*weight, *at_ms, now_ms))
+    }
+}
+
+fn decayed(weight: f64, at_ms: u64, now_ms: u64) -> f64 {
+    weight * (-(now_ms.saturating_sub(at_ms) as f64) / HALF_LIFE_MS).exp2()
+}
--- a/crates/domain/src/placement/placement.rs
+++ b/crates/domain/src/placement/placement.rs
@@ -18,8 +18,9 @@
 const MAX_IN_TRANSIT: usize = 3;
 /// Loads in transit over all workers beyond which each takes longer.
 const FLEET_IN_TRANSIT: usize = 8;
-/// Time for which an adapter stays after its last use, since other requests may be on their way.
-const MIN_IDLE_MS: u64 = 250;
+/// Time for which an adapter stays after its last use: a worker that is ordered to drop an adapter
+/// in use takes no other order until its runs have ended, and reports of use are late.
+const MIN_IDLE_MS: u64 = 600;
 /// Time of a load from the weight store, after which its end is asked for.
 const COLD_LOAD_MS: u64 = 245;
 /// Time of a load that the worker has a copy of.
@@ -310,9 +311,8 @@
     fn make_room(&mut self, now_ms: u64) {
         let waiting = self.wants.keys().filter(|name| !self.places.contains_key(*name)).count();
         let unloading = self.places.values().filter(|place| place.state == PlaceState::Unloading);
-        let excess = self.places.len().saturating_sub(self.capacity(now_ms));
-        let needed = (waiting + excess).min(MAX_IN_TRANSIT + excess);
-        let missing = needed.saturating_sub(unloading.count());
+        let free = self.capacity(now_ms) + unloading.count();
+        let missing = (self.places.len() + waiting.min(MAX_IN_TRANSIT)).saturating_sub(free);
         for _ in 0..missing {
             let idle = self.places.iter_mut().filter(|(name, place)| {
                 place.state == PlaceState::Resident
--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -112,7 +112,14 @@
             self.reported_far_ms = now_ms;
         }
         let region = self.tenancy.identity().place.region().clone();
-        let to = self.peers.addresses(|peer| is_far_due || *peer.place.region() == region);
+        let is_used = |peer: &Peer| {
+            let mut workers = state.loads.iter().filter(|load| !load.adapters.is_empty());
+            workers.any(|load| peer.holds.contains_key(load.worker.as_str()))
+        };
+        // The holder of a worker must know which adapters are in use there.
+        let to = self
+            .peers
+            .addresses(|peer| is_far_due || *peer.place.region() == region || is_used(peer));
         self.send_state(state, to);
     }
 
--- a/crates/edge/src/control/feed.rs
+++ b/crates/edge/src/control/feed.rs
@@ -35,6 +35,8 @@
     store: Store,
     table: store::Table,
     wait_ms: u64,
+    /// Pause after changes, so that changes of several rows cost one call.
+    pause: Duration,
     control: Sender<Message>,
     /// Version up to which the table is known.
     version: Option<u64>,
@@ -47,7 +49,8 @@
 where
     Store: MetadataStore,
 {
-    /// Starts to follow a table; each call waits up to `wait_ms` for changes.
+    /// Starts to follow a table; each call waits up to `wait_ms` for changes, and the next one
+    /// comes `pause_ms` after changes.
     ///
     /// # Errors
     ///
@@ -56,10 +59,19 @@
         store: Store,
         table: store::Table,
         wait_ms: u64,
+        pause_ms: u64,
         control: Sender<Message>,
     ) -> io::Result<()> {
-        let feed =
-            Self { store, table, wait_ms, control, version: None, is_lost: false, newest: 0 };
+        let feed = Self {
+            store,
+            table,
+            wait_ms,
+            pause: Duration::from_millis(pause_ms),
+            control,
+            version: None,
+            is_lost: false,
+            newest: 0,
+        };
         thread::Builder::new()
             .name(format!("feed-{}", table.as_str()))
             .spawn(move || feed.run())?;
@@ -79,7 +91,11 @@
         };
         match result {
             Ok(None) => self.regained(),
-            Ok(Some(event)) => self.regained() && self.send(event),
+            Ok(Some(event)) => {
+                let sent = self.regained() && self.send(event);
+                thread::sleep(self.pause);
+                sent
+            }
             Err(error) => {
                 let sent = self.lost(error, began_ms);
                 thread::sleep(FAILURE_PAUSE);
--- a/crates/edge/src/control/holds.rs
+++ b/crates/edge/src/control/holds.rs
@@ -128,9 +128,6 @@
         };
         let Some(placement) = &mut hold.placement else { return };
         placement.ordered(order, result, now_ms);
-        if result == placement::OrderResult::Accepted {
-            return;
-        }
         let result = result.as_str();
         spdlog::info!("order worker={worker} fence={fence} order={order} result={result}");
     }
--- a/crates/edge/src/control/tenancy.rs
+++ b/crates/edge/src/control/tenancy.rs
@@ -18,7 +18,7 @@
 /// Age of the rows from which they are read again before a decision.
 const ROWS_FRESH_MS: u64 = 900;
 /// Interval of reading all rows, to find daemons that no datagram has come from.
-const ROWS_INTERVAL_MS: u64 = 6_000;
+const ROWS_INTERVAL_MS: u64 = 15_000;
 /// Pause before a failed call is repeated.
 const RENEWAL_PAUSE_MS: u64 = 500;
 /// Time for which a worker without a holder is left to each daemon that ranks before this one.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -90,9 +90,10 @@
     let (letters, outgoing) = mpsc::unbounded_channel();
     let jobs = control::Writer::start(store.clone(), control_sender.clone());
     let jobs = jobs.context(ThreadSnafu { part: "the writer" })?;
-    for table in [store::Table::Operator, store::Table::Workers] {
+    let feeds = [(store::Table::Operator, 0), (store::Table::Workers, settings.workers_pause_ms)];
+    for (table, pause_ms) in feeds {
         let (store, control) = (store.clone(), control_sender.clone());
-        control::Feed::start(store, table, settings.feed_wait_ms, control)
+        control::Feed::start(store, table, settings.feed_wait_ms, pause_ms, control)
             .context(ThreadSnafu { part: "a feed" })?;
     }
     let core = control::Core::new(
--- a/crates/edge/src/settings/flags.rs
+++ b/crates/edge/src/settings/flags.rs
@@ -21,6 +21,8 @@
         optional --lease-renewal-ms milliseconds: String
         /// Longest wait of a call that follows a table.
         optional --feed-wait-ms milliseconds: String
+        /// Pause between two calls that follow the workers.
+        optional --workers-pause-ms milliseconds: String
         /// Print the effective settings and exit.
         optional --check
         /// Print the version and exit.
@@ -37,6 +39,7 @@
     pub lease_ttl_ms: Option<String>,
     pub lease_renewal_ms: Option<String>,
     pub feed_wait_ms: Option<String>,
+    pub workers_pause_ms: Option<String>,
     pub check: bool,
     pub version: bool,
 }
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -6,6 +6,8 @@
 
 /// Renewals that must fit into a lease, so that one that fails costs nothing.
 const MIN_RENEWALS: u64 = 2;
+/// Longest pause that leaves time to act on what was read.
+const MAX_WORKERS_PAUSE_MS: u64 = 1_500;
 
 /// Settings of the daemon's own.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,6 +22,8 @@
     pub lease_renewal_ms: u64,
     /// Longest wait of a call that follows a table.
     pub feed_wait_ms: u64,
+    /// Pause between two calls that follow the workers' table, whose rows change all the time.
+    pub workers_pause_ms: u64,
     /// Whether to print the effective settings and exit.
     pub check_only: bool,
     /// The effective settings, one a line.
@@ -69,6 +73,13 @@
         if !(100..=30_000).contains(&feed_wait_ms) {
             reader.problem("--feed-wait-ms", Some(feed_wait_ms.to_string()), wait);
         }
+        let pause = "milliseconds up to 1500";
+        // A worker that leaves must get no request 2.5 s later.
+        let workers_pause_ms =
+            reader.value("--workers-pause-ms", flags.workers_pause_ms, 1_000, pause);
+        if workers_pause_ms > MAX_WORKERS_PAUSE_MS {
+            reader.problem("--workers-pause-ms", Some(workers_pause_ms.to_string()), pause);
+        }
         reader.finish()?;
         Ok(Self {
             log_level,
@@ -76,6 +87,7 @@
             lease_ttl_ms,
             lease_renewal_ms,
             feed_wait_ms,
+            workers_pause_ms,
             check_only: flags.check,
             description: reader.describe(),
         })
