Keep a request with the worker that it asked to load its adapter

Cause: waiting requests changed the worker that they asked while costs moved, so that one adapter was loaded by two or three workers and the weight store was saturated (7 adapters waited at each worker with 14 of 18 places taken).

--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -9,11 +9,11 @@
 /// Time of a load at the worker that an adapter prefers, which is likely to have a copy of it.
 const PREFERRED_LOAD_COST_MS: f64 = 200.0;
 /// Time of a load from the weight store, and its price expressed as time.
-const STORE_LOAD_COST_MS: f64 = 650.0;
+const STORE_LOAD_COST_MS: f64 = 1_000.0;
 /// Time left of a load that is under way, on average.
 const LOADING_COST_MS: f64 = 130.0;
 /// Time that each load that waits at a worker adds.
-const WAITING_LOAD_COST_MS: f64 = 120.0;
+const WAITING_LOAD_COST_MS: f64 = 40.0;
 /// Time that a generation in the batch adds to the steps of all others until it ends.
 const GENERATION_COST_MS: f64 = 6.0;
 /// Time that a call in flight adds at an application service.
@@ -61,6 +61,8 @@
     pub parts: &'a [PromptPart],
     /// Work of the request.
     pub work: Work,
+    /// Worker that was asked to load the adapter for this request.
+    pub demanded: Option<&'a name::WorkerName>,
     /// Workers that have had the request already.
     pub excluded: &'a [name::WorkerName],
 }
@@ -118,7 +120,12 @@
             let unread = f64::from(unread_tokens) + f64::from(choice.work.prompt_tokens)
                 - f64::from(kept.min(choice.work.prompt_tokens));
             cost_ms += f64::from(requests) * GENERATION_COST_MS + unread / PREFILL_TOKENS_PER_MS;
-            cost_ms += self.load_cost_ms(choice, candidate.adapter, is_preferred, now_ms);
+            let is_demanded = choice.demanded == Some(worker);
+            cost_ms += if is_demanded && candidate.adapter != AdapterState::Resident {
+                LOADING_COST_MS
+            } else {
+                self.load_cost_ms(choice, candidate.adapter, is_preferred, now_ms)
+            };
         } else {
             let beyond = (requests + 1).saturating_sub(upstream.slots);
             cost_ms += f64::from(requests) * CALL_COST_MS;
--- a/crates/domain/src/placement/mod.rs
+++ b/crates/domain/src/placement/mod.rs
@@ -12,4 +12,4 @@
 pub use order_result::OrderResult;
 pub use place::{Place, PlaceState};
 pub use placement::{Limits, Placement};
-pub use summary::{Held, Summary};
+pub use summary::{Counts, Held, Summary};
--- a/crates/domain/src/placement/placement.rs
+++ b/crates/domain/src/placement/placement.rs
@@ -5,7 +5,7 @@
 
 use super::place::LATE_ORDER_MS;
 use super::want::Want;
-use super::{Held, Order, OrderResult, Place, PlaceState, Summary};
+use super::{Counts, Held, Order, OrderResult, Place, PlaceState, Summary};
 use crate::adapter;
 use crate::dispatch;
 use crate::name;
@@ -162,6 +162,23 @@
         }
     }
 
+    /// Returns the numbers of places by state.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        let mut counts = Counts { waiting: self.wants.len(), ..Counts::default() };
+        for place in self.places.values() {
+            match place.state {
+                PlaceState::Loading => counts.loading += 1,
+                PlaceState::Unloading => counts.unloading += 1,
+                PlaceState::Resident => {
+                    counts.resident += 1;
+                    counts.in_use += usize::from(place.in_use > 0);
+                }
+            }
+        }
+        counts
+    }
+
     /// Decides on the orders to send now; `others_in_transit` counts the loads of all other workers.
     pub fn plan(&mut self, others_in_transit: usize, now_ms: u64) -> Vec<Order> {
         let mut orders = Vec::new();
--- a/crates/domain/src/placement/summary.rs
+++ b/crates/domain/src/placement/summary.rs
@@ -21,3 +21,18 @@
     /// Adapters that wait for a place or a load.
     pub waiting_loads: u32,
 }
+
+/// Numbers of places by state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Adapters that can be used.
+    pub resident: usize,
+    /// Those of them that requests use.
+    pub in_use: usize,
+    /// Adapters on their way.
+    pub loading: usize,
+    /// Adapters that are being dropped.
+    pub unloading: usize,
+    /// Adapters that wait for a place or a load.
+    pub waiting: usize,
+}
--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -99,6 +99,7 @@
         }
         if now_ms.saturating_sub(self.viewed_ms) >= FULL_VIEW_MS {
             self.publish(None, now_ms);
+            self.holds.log_places();
         }
         self.order(now_ms);
     }
--- a/crates/edge/src/control/holds.rs
+++ b/crates/edge/src/control/holds.rs
@@ -158,6 +158,19 @@
         }
     }
 
+    /// Logs the numbers of places of each worker.
+    pub fn log_places(&self) {
+        for (worker, hold) in &self.holds {
+            let Some(placement) = &hold.placement else { continue };
+            let counts = placement.counts();
+            let (resident, in_use) = (counts.resident, counts.in_use);
+            let (loading, unloading, waiting) = (counts.loading, counts.unloading, counts.waiting);
+            spdlog::info!(
+                "places worker={worker} resident={resident} in_use={in_use} loading={loading} unloading={unloading} waiting={waiting}"
+            );
+        }
+    }
+
     /// Returns the loads in transit at the workers of this daemon.
     pub fn in_transit(&self) -> usize {
         let placements = self.holds.values().filter_map(|hold| hold.placement.as_ref());
--- a/crates/edge/src/traffic/call.rs
+++ b/crates/edge/src/traffic/call.rs
@@ -240,6 +240,7 @@
             adapter: self.facts.adapter.as_ref(),
             parts: &self.facts.parts,
             work: self.facts.work,
+            demanded: self.demanded.as_ref().map(|(worker, _)| worker),
             excluded: &self.excluded,
         };
         let decision = self.traffic.chooser.lock().choose(&choice, &candidates, now_ms)?;
