--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -109,7 +109,7 @@
     ) -> f64 {
         let upstream = candidate.upstream;
         let worker = &upstream.name;
-        let (requests, unread_tokens) = self.loads.outstanding(worker, now_ms);
+        let (requests, unread_tokens) = self.loads.outstanding(worker);
         let mut cost_ms = match choice.from.distance(&upstream.place) {
             place::Distance::SameFailureDomain => 0.0,
             place::Distance::SameRegion => SAME_REGION_COST_MS,
--- a/crates/domain/src/dispatch/loads.rs
+++ b/crates/domain/src/dispatch/loads.rs
@@ -6,14 +6,17 @@
 use super::{AdapterUse, ReportedLoad, Work};
 use crate::name;
 
-/// Age at which the report of another daemon no longer counts; twice the slowest report interval.
-const REPORT_LIFETIME_MS: u64 = 2_500;
+/// Age at which the report of another daemon no longer counts; more than twice the slowest report
+/// interval.
+const REPORT_LIFETIME_MS: u64 = 3_000;
 
 /// Requests in flight at each worker: this daemon's own, and those that others reported.
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
     own: FxHashMap<name::WorkerName, OwnLoad>,
-    others: FxHashMap<name::HostName, Report>,
+    reports: FxHashMap<name::HostName, Report>,
+    /// Sums of the reports by worker.
+    others: FxHashMap<name::WorkerName, (u32, u32)>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -29,7 +32,7 @@
 #[derive(Clone, Debug)]
 struct Report {
     at_ms: u64,
-    loads: FxHashMap<name::WorkerName, (u32, u32)>,
+    loads: Vec<ReportedLoad>,
 }
 
 impl Loads {
@@ -78,28 +81,47 @@
     }
 
     /// Takes in the load that another daemon reports, in place of its earlier report.
-    pub fn reported(&mut self, host: &name::HostName, loads: &[ReportedLoad], now_ms: u64) {
-        let loads = loads.iter();
-        let loads =
-            loads.map(|load| (load.worker.clone(), (load.in_flight, load.unread_tokens))).collect();
-        self.others.insert(host.clone(), Report { at_ms: now_ms, loads });
+    pub fn reported(&mut self, host: &name::HostName, loads: Vec<ReportedLoad>, now_ms: u64) {
+        if let Some(earlier) = self.reports.remove(host) {
+            self.subtract(&earlier);
+        }
+        for load in &loads {
+            let (requests, tokens) = self.others.entry(load.worker.clone()).or_default();
+            *requests += load.in_flight;
+            *tokens = tokens.saturating_add(load.unread_tokens);
+        }
+        self.reports.insert(host.clone(), Report { at_ms: now_ms, loads });
     }
 
-    /// Returns the requests and the unread prompt tokens at a worker over all daemons.
-    #[must_use]
-    pub fn outstanding(&self, worker: &name::WorkerName, now_ms: u64) -> (u32, u32) {
-        let own = self.own.get(worker);
-        let mut requests = own.map_or(0, |load| load.in_flight);
-        let mut tokens = own.map_or(0, |load| load.unread_tokens);
-        for report in self.others.values() {
-            if now_ms.saturating_sub(report.at_ms) > REPORT_LIFETIME_MS {
-                continue;
+    /// Forgets reports of daemons that have fallen silent.
+    pub fn expire(&mut self, now_ms: u64) {
+        let is_old = |report: &Report| now_ms.saturating_sub(report.at_ms) > REPORT_LIFETIME_MS;
+        let old = self.reports.iter().filter(|(_, report)| is_old(report));
+        let old: Vec<_> = old.map(|(host, _)| host.clone()).collect();
+        for host in old {
+            if let Some(report) = self.reports.remove(&host) {
+                self.subtract(&report);
+            }
+        }
+    }
+
+    fn subtract(&mut self, report: &Report) {
+        for load in &report.loads {
+            let Some((requests, tokens)) = self.others.get_mut(&load.worker) else { continue };
+            *requests = requests.saturating_sub(load.in_flight);
+            *tokens = tokens.saturating_sub(load.unread_tokens);
+            if *requests == 0 {
+                self.others.remove(&load.worker);
             }
-            let Some((in_flight, unread)) = report.loads.get(worker) else { continue };
-            requests += in_flight;
-            tokens = tokens.saturating_add(*unread);
         }
-        (requests, tokens)
+    }
+
+    /// Returns the requests and the unread prompt tokens at a worker over all daemons.
+    #[must_use]
+    pub fn outstanding(&self, worker: &name::WorkerName) -> (u32, u32) {
+        let (requests, tokens) = self.others.get(worker).copied().unwrap_or_default();
+        let Some(own) = self.own.get(worker) else { return (requests, tokens) };
+        (requests + own.in_flight, tokens.saturating_add(own.unread_tokens))
     }
 
     /// Returns the requests of this daemon at a worker.
--- a/crates/domain/src/upstream/directory.rs
+++ b/crates/domain/src/upstream/directory.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use xxhash_rust::xxh3;
 
 use super::Upstream;
 use crate::name;
@@ -45,6 +46,19 @@
         self.upstreams.get(worker)
     }
 
+    /// Returns a number that two lists with the same usable workers have in common.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let hash = |upstream: &Arc<Upstream>| {
+            let mut hasher = xxh3::Xxh3::new();
+            hasher.update(upstream.name.as_str().as_bytes());
+            hasher.update(&upstream.started_unix_ms.to_le_bytes());
+            hasher.update(&[u8::from(upstream.is_draining), upstream.base_models.len() as u8]);
+            hasher.digest()
+        };
+        self.upstreams.values().map(hash).fold(0, u64::wrapping_add)
+    }
+
     /// Notes that the list could not be read.
     pub fn unreachable(&mut self) {
         self.is_reachable = false;
--- a/crates/edge/src/control/actor.rs
+++ b/crates/edge/src/control/actor.rs
@@ -12,8 +12,6 @@
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval while adapters are in transit, so that the end of a load is asked for in time.
 const BUSY_INTERVAL: Duration = Duration::from_millis(25);
-/// Interval of reports to daemons of the same region.
-const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Owner of the control state.
 pub struct Actor<Dialect> {
@@ -43,8 +41,9 @@
     }
 
     fn report(&mut self, cx: CX![]) {
-        after!(REPORT_INTERVAL, [cx], report());
         self.core.report(clock::now_ms());
+        let interval = Duration::from_millis(self.core.report_interval_ms());
+        after!(interval, [cx], report());
     }
 
     /// Handles messages from other threads.
--- a/crates/edge/src/control/catalog.rs
+++ b/crates/edge/src/control/catalog.rs
@@ -13,6 +13,9 @@
 use crate::store;
 use crate::view;
 
+/// Keeps the version of the configuration apart from the sum of the adapter versions.
+const DIGEST_FACTOR: u64 = 1 << 32;
+
 /// What news of a table means.
 #[derive(Clone, Debug, Default)]
 pub struct News {
@@ -29,6 +32,8 @@
 pub struct Catalog {
     ingress: Option<Arc<ingress::Ingress>>,
     versions: Arc<IndexMap<name::AdapterName, view::NamedVersion>>,
+    /// Sum over the named versions. A daemon knows the changes up to one moment, and each raises it.
+    version_sum: u64,
     directory: upstream::Directory,
 }
 
@@ -43,6 +48,12 @@
         &self.versions
     }
 
+    /// Returns a number that changes with the configuration and with each adapter version.
+    pub fn operator_digest(&self) -> u64 {
+        let configuration = self.ingress.as_ref().map_or(0, |ingress| ingress.version());
+        configuration.wrapping_mul(DIGEST_FACTOR).wrapping_add(self.version_sum)
+    }
+
     /// Returns the workers.
     pub fn directory(&self) -> &upstream::Directory {
         &self.directory
@@ -56,7 +67,7 @@
         let mut news = News::default();
         let rows = match event {
             FeedEvent::Listed(rows) | FeedEvent::Changed(rows) => rows,
-            FeedEvent::Regained | FeedEvent::Lost(_) => return news,
+            FeedEvent::Stale | FeedEvent::Lost(_) => return news,
         };
         for row in rows {
             // The operator's entries are only ever replaced by newer ones.
@@ -88,7 +99,7 @@
         let mut news = News::default();
         match event {
             FeedEvent::Lost(_) => self.directory.unreachable(),
-            FeedEvent::Regained => self.directory.reachable(now_ms),
+            FeedEvent::Stale => {}
             FeedEvent::Listed(rows) => {
                 self.directory.reachable(now_ms);
                 let upstreams = rows.iter().filter_map(|row| decode(row, dialect));
@@ -135,6 +146,7 @@
             return;
         }
         spdlog::info!("adapter-version adapter={adapter} previous={known}");
+        self.version_sum += u64::from(adapter.version() - known);
         let named = view::NamedVersion { version: adapter.version(), learned_ms: now_ms };
         Arc::make_mut(&mut self.versions).insert(adapter.name().clone(), named);
         news.versions.push(adapter);
--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use jasminetack_domain::adapter;
 use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 
 use super::catalog::{Catalog, News};
+use super::freshness::Freshness;
 use super::holds::Holds;
 use super::outputs::{Letter, Outputs};
 use super::peers::{Peer, Peers};
@@ -22,6 +23,10 @@
 use crate::metrics;
 use crate::store;
 
+/// Interval of reports to daemons of the same region while these are few.
+const REPORT_MS: u64 = 200;
+/// Daemons of a region up to which they are few.
+const FEW_DAEMONS: u64 = 10;
 /// Interval of reports to daemons of other regions, where bytes are paid by volume.
 const FAR_REPORT_MS: u64 = 1_000;
 /// Interval of publishing a complete view, so that silent daemons stop counting as holders.
@@ -34,6 +39,9 @@
     holds: Holds,
     peers: Peers,
     tenancy: Tenancy,
+    operator: Freshness,
+    workers: Freshness,
+    lost_tables: Vec<store::Table>,
     publisher: Publisher,
     outputs: Outputs,
     chooser: Arc<Mutex<dispatch::Chooser>>,
@@ -43,6 +51,9 @@
     is_leaving: bool,
     reported_far_ms: u64,
     viewed_ms: u64,
+    /// Workers that look different from the last view.
+    changed: IndexSet<name::WorkerName>,
+    must_publish_all: bool,
 }
 
 impl<Dialect> Core<Dialect>
@@ -61,12 +72,17 @@
         metrics: Arc<metrics::Metrics>,
         started_unix_ms: u64,
     ) -> Self {
+        let operator = Freshness::new(&identity.host, store::Table::Operator.as_str());
+        let workers = Freshness::new(&identity.host, store::Table::Workers.as_str());
         Self {
             dialect,
             catalog: Catalog::default(),
             holds: Holds::default(),
             peers: Peers::default(),
             tenancy: Tenancy::new(identity, times, clock::now_ms()),
+            operator,
+            workers,
+            lost_tables: Vec::new(),
             publisher,
             outputs,
             chooser,
@@ -76,6 +92,8 @@
             is_leaving: false,
             reported_far_ms: 0,
             viewed_ms: 0,
+            changed: IndexSet::new(),
+            must_publish_all: false,
         }
     }
 
@@ -85,10 +103,17 @@
             self.handle(message, now_ms);
         }
         self.order(now_ms);
+        self.publish_changes(now_ms);
     }
 
     /// Does what is due for its time: calls to the store, claims and orders.
     pub fn watch(&mut self, now_ms: u64) {
+        if self.operator.begin_read(now_ms) {
+            self.outputs.read_operator();
+        }
+        if self.workers.begin_read(now_ms) {
+            self.outputs.read_workers();
+        }
         let news = self.catalog.expire(now_ms);
         self.apply(news, now_ms);
         for job in self.tenancy.due(now_ms) {
@@ -98,16 +123,18 @@
             self.claim(now_ms);
         }
         if now_ms.saturating_sub(self.viewed_ms) >= FULL_VIEW_MS {
-            self.publish(None, now_ms);
+            self.must_publish_all = true;
             self.holds.log_places();
+            self.chooser.lock().loads.expire(now_ms);
         }
         self.order(now_ms);
+        self.publish_changes(now_ms);
     }
 
     /// Tells other daemons the load and the adapters of this one.
     pub fn report(&mut self, now_ms: u64) {
         let loads = self.take_loads(now_ms);
-        let state = self.state(loads);
+        let state = self.state(Some(loads), now_ms);
         let is_far_due = now_ms.saturating_sub(self.reported_far_ms) >= FAR_REPORT_MS;
         if is_far_due {
             self.reported_far_ms = now_ms;
@@ -124,6 +151,15 @@
         self.send_state(state, to);
     }
 
+    /// Returns the interval of reports: longer in regions with many daemons, since each of them
+    /// reports to all others.
+    pub fn report_interval_ms(&self) -> u64 {
+        let region = self.tenancy.identity().place.region();
+        let near = self.peers.iter().filter(|(_, peer)| peer.place.region() == region).count();
+        let scaled = REPORT_MS * u64::try_from(near).unwrap_or(u64::MAX) / FEW_DAEMONS;
+        scaled.clamp(REPORT_MS, FAR_REPORT_MS)
+    }
+
     /// Returns whether orders are waiting, so that time matters.
     pub fn is_busy(&self) -> bool {
         self.holds.iter().any(|(_, hold)| {
@@ -135,7 +171,7 @@
 
     fn handle(&mut self, message: Message, now_ms: u64) {
         match message {
-            Message::Feed(table, event) => self.feed(table, event, now_ms),
+            Message::Feed(table, event, began_ms) => self.feed(table, event, began_ms, now_ms),
             Message::Stored(reply) => self.stored(reply, now_ms),
             Message::Datagram(datagram) => self.datagram(&datagram, now_ms),
             Message::Demand { worker, adapter, is_missing } => {
@@ -148,16 +184,14 @@
             Message::Reported { worker, fence, report } => {
                 let ingress = self.catalog.ingress().cloned();
                 self.holds.reported(&worker, fence, report, ingress.as_ref(), now_ms);
-                self.publish(Some(&[worker]), now_ms);
+                self.changed.insert(worker);
             }
             Message::Terminate => self.terminate(now_ms),
         }
     }
 
-    fn feed(&mut self, table: store::Table, event: FeedEvent, now_ms: u64) {
-        if event == FeedEvent::Regained {
-            spdlog::info!("dependency-regained name=store table={}", table.as_str());
-        }
+    fn feed(&mut self, table: store::Table, event: FeedEvent, began_ms: u64, now_ms: u64) {
+        self.note_reading(table, &event, began_ms, now_ms);
         let news = match table {
             store::Table::Operator => self.catalog.operator(event, &*self.dialect, now_ms),
             store::Table::Workers => self.catalog.workers(event, &*self.dialect, now_ms),
@@ -166,6 +200,36 @@
         self.apply(news, now_ms);
     }
 
+    /// Notes how recent a table is now, and whether the store was lost or regained.
+    fn note_reading(&mut self, table: store::Table, event: &FeedEvent, began_ms: u64, now_ms: u64) {
+        let freshness = match table {
+            store::Table::Operator => &mut self.operator,
+            _ => &mut self.workers,
+        };
+        let name = table.as_str();
+        let was_lost = self.lost_tables.contains(&table);
+        match event {
+            FeedEvent::Listed(_) | FeedEvent::Changed(_) => {
+                freshness.read(began_ms);
+                if was_lost {
+                    self.lost_tables.retain(|lost| *lost != table);
+                    spdlog::info!("dependency-regained name=store table={name}");
+                }
+            }
+            FeedEvent::Stale => freshness.failed(now_ms),
+            FeedEvent::Lost(error) => {
+                freshness.failed(now_ms);
+                if !was_lost {
+                    self.lost_tables.push(table);
+                    let took_ms = now_ms.saturating_sub(began_ms);
+                    spdlog::warn!(
+                        "dependency-lost name=store table={name} took_ms={took_ms} error={error:?}"
+                    );
+                }
+            }
+        }
+    }
+
     fn apply(&mut self, news: News, now_ms: u64) {
         for change in &news.workers {
             match change {
@@ -189,9 +253,7 @@
         for adapter in &news.versions {
             self.holds.renew_version(adapter, now_ms);
         }
-        if news.has_changed {
-            self.publish(None, now_ms);
-        }
+        self.must_publish_all |= news.has_changed;
     }
 
     fn worker_left(&mut self, worker: &name::WorkerName) {
@@ -213,7 +275,7 @@
                     self.outputs.store(job);
                 }
                 self.learn_peers(now_ms);
-                self.drop_lost_holds(now_ms);
+                self.drop_lost_holds();
                 for job in self.tenancy.due(now_ms) {
                     self.outputs.store(job);
                 }
@@ -229,7 +291,7 @@
                 let Some(fence) = self.tenancy.claimed(&worker, result) else { return };
                 let Some(upstream) = self.catalog.directory().get(&worker) else { return };
                 self.holds.begin(Arc::clone(upstream), fence, is_fresh);
-                self.publish(Some(&[worker]), now_ms);
+                self.changed.insert(worker);
             }
             Reply::Written(Err(error)) => spdlog::warn!("write-failed error={error:?}"),
             Reply::Written(Ok(_)) => {}
@@ -250,14 +312,14 @@
         self.peers.retain_listed(&listed, now_ms);
         if is_new {
             // Daemons that know this one answer with their own states at their next report.
-            let state = self.state(Vec::new());
+            let state = self.state(None, now_ms);
             let to = self.peers.addresses(|_| true);
             self.send_state(state, to);
         }
     }
 
     /// Ends holds that the rows do not confirm.
-    fn drop_lost_holds(&mut self, now_ms: u64) {
+    fn drop_lost_holds(&mut self) {
         let own = self.tenancy.host().clone();
         let lost = self.holds.iter().filter(|(worker, hold)| {
             let holder = self.tenancy.holder(worker);
@@ -267,9 +329,7 @@
         for worker in &lost {
             self.holds.end(worker, "taken-over");
         }
-        if !lost.is_empty() {
-            self.publish(Some(&lost), now_ms);
-        }
+        self.changed.extend(lost);
     }
 
     fn datagram(&mut self, datagram: &fleet::Datagram, now_ms: u64) {
@@ -278,7 +338,14 @@
         }
         for demand in &datagram.demands {
             let worker = name::WorkerName::from(demand.worker.as_str());
-            self.holds.want(&worker, &demand.adapter(), demand.is_missing, now_ms);
+            let adapter = demand.adapter();
+            if !self.holds.want(&worker, &adapter, demand.is_missing, now_ms) {
+                continue;
+            }
+            let host = name::HostName::from(datagram.host.as_str());
+            if let Some(hold) = self.holds.get_mut(&worker) {
+                hold.demanded(adapter.name(), &host);
+            }
         }
         let Some(state) = &datagram.state else { return };
         let address = match fleet::read_address(&state.address) {
@@ -290,8 +357,18 @@
         };
         let Some(changed) = self.peers.heard(datagram, state, address, now_ms) else { return };
         let host = name::HostName::from(datagram.host.as_str());
-        let loads: Vec<_> = state.loads.iter().map(fleet::Load::reported).collect();
-        self.chooser.lock().loads.reported(&host, &loads, now_ms);
+        if state.has_loads {
+            let loads = state.loads.iter().map(fleet::Load::reported).collect();
+            self.chooser.lock().loads.reported(&host, loads, now_ms);
+        }
+        if let Some(known) = state.operator {
+            let is_same = known.digest == self.catalog.operator_digest();
+            self.operator.told(is_same, known.age_ms, now_ms);
+        }
+        if let Some(known) = state.workers {
+            let is_same = known.digest == self.catalog.directory().digest();
+            self.workers.told(is_same, known.age_ms, now_ms);
+        }
         for load in &state.loads {
             let worker = name::WorkerName::from(load.worker.as_str());
             let Some(hold) = self.holds.get_mut(&worker) else { continue };
@@ -300,9 +377,7 @@
                 *hold.begun.entry(adapter).or_default() += used.begun;
             }
         }
-        if !changed.is_empty() {
-            self.publish(Some(&changed), now_ms);
-        }
+        self.changed.extend(changed);
     }
 
     fn demand(
@@ -350,26 +425,37 @@
                 self.outputs.order(job);
             }
         }
-        let mut changed = Vec::new();
+        let mut served = IndexSet::new();
         for (worker, hold) in self.holds.iter_mut() {
             let summary = hold.summary();
-            if summary != hold.told {
-                hold.told = summary;
-                changed.push(worker.clone());
+            if summary == hold.published {
+                continue;
             }
+            served.extend(hold.take_served(&summary));
+            hold.published = summary;
+            self.changed.insert(worker.clone());
         }
-        if changed.is_empty() {
+        if served.is_empty() {
             return;
         }
-        self.publish(Some(&changed), now_ms);
-        let loads = self.chooser.lock().loads.report();
-        let loads = loads.iter().map(|load| fleet::Load::new(load, &[])).collect();
-        let state = self.state(loads);
-        let region = self.tenancy.identity().place.region().clone();
-        let to = self.peers.addresses(|peer| *peer.place.region() == region);
+        let state = self.state(None, now_ms);
+        let served = served.iter().filter_map(|host| self.peers.get(host));
+        let to = served.map(|peer| peer.address).collect();
         self.send_state(state, to);
     }
 
+    /// Publishes what has changed since the last view.
+    fn publish_changes(&mut self, now_ms: u64) {
+        let changed = std::mem::take(&mut self.changed);
+        let is_full = std::mem::take(&mut self.must_publish_all);
+        if is_full {
+            self.publish(None, now_ms);
+        } else if !changed.is_empty() {
+            let changed: Vec<_> = changed.into_iter().collect();
+            self.publish(Some(&changed), now_ms);
+        }
+    }
+
     /// Takes this daemon's load for the next report and counts the adapters in use.
     fn take_loads(&mut self, now_ms: u64) -> Vec<fleet::Load> {
         let mut chooser = self.chooser.lock();
@@ -408,7 +494,7 @@
         loads
     }
 
-    fn state(&self, loads: Vec<fleet::Load>) -> fleet::State {
+    fn state(&self, loads: Option<Vec<fleet::Load>>, now_ms: u64) -> fleet::State {
         let identity = self.tenancy.identity();
         let holds = self.holds.iter();
         let holds =
@@ -418,8 +504,11 @@
             region: identity.place.region().to_string(),
             failure_domain: identity.place.failure_domain().to_string(),
             is_leaving: self.is_leaving,
-            loads,
+            has_loads: loads.is_some(),
+            loads: loads.unwrap_or_default(),
             holds: holds.collect(),
+            operator: table_state(&self.operator, self.catalog.operator_digest(), now_ms),
+            workers: table_state(&self.workers, self.catalog.directory().digest(), now_ms),
         }
     }
 
@@ -459,7 +548,12 @@
         if let Some(job) = self.tenancy.release(now_ms) {
             self.outputs.store(job);
         }
-        self.publish(None, now_ms);
+        self.must_publish_all = true;
         self.report(now_ms);
     }
 }
+
+fn table_state(freshness: &Freshness, digest: u64, now_ms: u64) -> Option<fleet::TableState> {
+    let age_ms = freshness.age_ms(now_ms)?;
+    Some(fleet::TableState { digest, age_ms })
+}
--- a/crates/edge/src/control/hold.rs
+++ b/crates/edge/src/control/hold.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
 use jasminetack_domain::placement;
@@ -23,8 +23,10 @@
     pub is_fresh: bool,
     /// Requests that began since the last look at the adapters in use.
     pub begun: IndexMap<name::AdapterName, u32>,
-    /// What other daemons were told last.
-    pub told: placement::Summary,
+    /// State for routing when it was last published.
+    pub published: placement::Summary,
+    /// Daemons that wait for adapters.
+    demanders: IndexMap<name::AdapterName, IndexSet<name::HostName>>,
 }
 
 impl Hold {
@@ -37,7 +39,8 @@
             asked_ms: 0,
             is_fresh,
             begun: IndexMap::new(),
-            told: placement::Summary::default(),
+            published: placement::Summary::default(),
+            demanders: IndexMap::new(),
         }
     }
 
@@ -46,6 +49,20 @@
         self.placement.as_ref().map(placement::Placement::summary).unwrap_or_default()
     }
 
+    /// Notes that another daemon waits for an adapter.
+    pub fn demanded(&mut self, adapter: &name::AdapterName, host: &name::HostName) {
+        self.demanders.entry(adapter.clone()).or_default().insert(host.clone());
+    }
+
+    /// Takes the daemons that wait for adapters which can be used by now.
+    pub fn take_served(&mut self, summary: &placement::Summary) -> IndexSet<name::HostName> {
+        let mut served = IndexSet::new();
+        for held in summary.held.iter().filter(|held| !held.is_loading) {
+            served.extend(self.demanders.swap_remove(held.adapter.name()).unwrap_or_default());
+        }
+        served
+    }
+
     /// Passes the use of adapters on to the placement; `in_flight` counts over all daemons.
     pub fn apply_uses(&mut self, in_flight: &IndexMap<name::AdapterName, u32>, now_ms: u64) {
         let begun = std::mem::take(&mut self.begun);
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -13,8 +13,8 @@
 /// A message to the control thread.
 #[derive(Debug)]
 pub enum Message {
-    /// News of a table.
-    Feed(store::Table, FeedEvent),
+    /// News of a table, from a reading that began at a time.
+    Feed(store::Table, FeedEvent, u64),
     /// The store answered a job.
     Stored(Reply),
     /// Another daemon sent a datagram.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod catalog;
 mod core;
 mod feed;
+mod freshness;
 mod hold;
 mod holds;
 mod job;
--- a/crates/edge/src/control/outputs.rs
+++ b/crates/edge/src/control/outputs.rs
@@ -45,6 +45,10 @@
 pub struct Outputs {
     /// Calls to the store.
     pub jobs: Sender<Job>,
+    /// Readings of the operator's table.
+    pub operator_feed: Sender<()>,
+    /// Readings of the workers' table.
+    pub workers_feed: Sender<()>,
     /// Calls to workers.
     pub orders: mpsc::UnboundedSender<OrderJob>,
     /// Datagrams.
@@ -58,6 +62,16 @@
         let _ = self.jobs.send(job);
     }
 
+    /// Queues a reading of the operator's table.
+    pub fn read_operator(&self) {
+        let _ = self.operator_feed.send(());
+    }
+
+    /// Queues a reading of the workers' table.
+    pub fn read_workers(&self) {
+        let _ = self.workers_feed.send(());
+    }
+
     /// Queues a call to a worker.
     pub fn order(&self, job: OrderJob) {
         let _ = self.orders.send(job);
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -118,12 +118,8 @@
         peer.place = place;
         peer.heard_ms = Some(now_ms);
         peer.is_leaving = state.is_leaving;
-        peer.uses.clear();
-        for load in &state.loads {
-            let uses = load.adapters.iter();
-            let uses =
-                uses.map(|used| (name::AdapterName::from(used.adapter.as_str()), used.in_flight));
-            peer.uses.insert(name::WorkerName::from(load.worker.as_str()), uses.collect());
+        if state.has_loads {
+            peer.uses = uses(state);
         }
         let mut holds = IndexMap::with_capacity(state.holds.len());
         let mut changed = Vec::new();
@@ -168,3 +164,14 @@
         self.peers.values().filter(|peer| test(peer)).map(|peer| peer.address).collect()
     }
 }
+
+fn uses(state: &fleet::State) -> IndexMap<name::WorkerName, Vec<(name::AdapterName, u32)>> {
+    let mut by_worker = IndexMap::with_capacity(state.loads.len());
+    for load in &state.loads {
+        let uses = load.adapters.iter();
+        let uses =
+            uses.map(|used| (name::AdapterName::from(used.adapter.as_str()), used.in_flight));
+        by_worker.insert(name::WorkerName::from(load.worker.as_str()), uses.collect());
+    }
+    by_worker
+}
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -90,12 +90,12 @@
     let (letters, outgoing) = mpsc::unbounded_channel();
     let jobs = control::Writer::start(store.clone(), control_sender.clone());
     let jobs = jobs.context(ThreadSnafu { part: "the writer" })?;
-    let feeds = [(store::Table::Operator, 0), (store::Table::Workers, settings.workers_pause_ms)];
-    for (table, pause_ms) in feeds {
-        let (store, control) = (store.clone(), control_sender.clone());
-        control::Feed::start(store, table, settings.feed_wait_ms, pause_ms, control)
-            .context(ThreadSnafu { part: "a feed" })?;
-    }
+    let feed = |table| {
+        let feed = control::Feed::start(store.clone(), table, control_sender.clone());
+        feed.context(ThreadSnafu { part: "a feed" })
+    };
+    let operator_feed = feed(store::Table::Operator)?;
+    let workers_feed = feed(store::Table::Workers)?;
     let core = control::Core::new(
         Arc::clone(&dialect),
         control::Identity {
@@ -109,7 +109,7 @@
             guard_ms: host.promises.order_guard_ms,
         },
         control::Publisher::new(Arc::clone(&view), revision_sender),
-        control::Outputs { jobs, orders, letters },
+        control::Outputs { jobs, operator_feed, workers_feed, orders, letters },
         Arc::clone(&chooser),
         Arc::clone(&metrics),
         unix_ms(),
--- a/crates/edge/src/settings/flags.rs
+++ b/crates/edge/src/settings/flags.rs
@@ -19,10 +19,6 @@
         optional --lease-ttl-ms milliseconds: String
         /// Interval of renewing the lease.
         optional --lease-renewal-ms milliseconds: String
-        /// Longest wait of a call that follows a table.
-        optional --feed-wait-ms milliseconds: String
-        /// Pause between two calls that follow the workers.
-        optional --workers-pause-ms milliseconds: String
         /// Print the effective settings and exit.
         optional --check
         /// Print the version and exit.
@@ -38,8 +34,6 @@
     pub metrics_port: Option<String>,
     pub lease_ttl_ms: Option<String>,
     pub lease_renewal_ms: Option<String>,
-    pub feed_wait_ms: Option<String>,
-    pub workers_pause_ms: Option<String>,
     pub check: bool,
     pub version: bool,
 }
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -6,9 +6,6 @@
 
 /// Renewals that must fit into a lease, so that one that fails costs nothing.
 const MIN_RENEWALS: u64 = 2;
-/// Longest pause that leaves time to act on what was read.
-const MAX_WORKERS_PAUSE_MS: u64 = 1_500;
-
 /// Settings of the daemon's own.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -20,10 +17,6 @@
     pub lease_ttl_ms: u64,
     /// Interval of renewing the lease.
     pub lease_renewal_ms: u64,
-    /// Longest wait of a call that follows a table.
-    pub feed_wait_ms: u64,
-    /// Pause between two calls that follow the workers' table, whose rows change all the time.
-    pub workers_pause_ms: u64,
     /// Whether to print the effective settings and exit.
     pub check_only: bool,
     /// The effective settings, one a line.
@@ -60,34 +53,19 @@
         let lease_ttl_ms = reader.value("--lease-ttl-ms", flags.lease_ttl_ms, 12_000, ttl);
         let renewal = "milliseconds above 0";
         let lease_renewal_ms =
-            reader.value("--lease-renewal-ms", flags.lease_renewal_ms, 3_000, renewal);
+            reader.value("--lease-renewal-ms", flags.lease_renewal_ms, 4_000, renewal);
         if lease_renewal_ms == 0 {
             reader.problem("--lease-renewal-ms", Some("0".to_owned()), renewal);
         }
         if lease_ttl_ms < lease_renewal_ms * MIN_RENEWALS {
             reader.problem("--lease-ttl-ms", Some(lease_ttl_ms.to_string()), ttl);
         }
-        let wait = "milliseconds from 100 to 30000";
-        // Short enough to notice a silent connection within the bound of a configuration change.
-        let feed_wait_ms = reader.value("--feed-wait-ms", flags.feed_wait_ms, 2_000, wait);
-        if !(100..=30_000).contains(&feed_wait_ms) {
-            reader.problem("--feed-wait-ms", Some(feed_wait_ms.to_string()), wait);
-        }
-        let pause = "milliseconds up to 1500";
-        // A worker that leaves must get no request 2.5 s later.
-        let workers_pause_ms =
-            reader.value("--workers-pause-ms", flags.workers_pause_ms, 1_000, pause);
-        if workers_pause_ms > MAX_WORKERS_PAUSE_MS {
-            reader.problem("--workers-pause-ms", Some(workers_pause_ms.to_string()), pause);
-        }
         reader.finish()?;
         Ok(Self {
             log_level,
             metrics_port,
             lease_ttl_ms,
             lease_renewal_ms,
-            feed_wait_ms,
-            workers_pause_ms,
             check_only: flags.check,
             description: reader.describe(),
         })
--- a/crates/edge/src/store/metadata_store.rs
+++ b/crates/edge/src/store/metadata_store.rs
@@ -13,12 +13,12 @@
     /// Fails when the store refuses or does not answer.
     fn list(&self, table: Table) -> Result<Listing, StoreError>;
 
-    /// Waits up to `wait_ms` for changes after a version.
+    /// Reads the changes after a version.
     ///
     /// # Errors
     ///
     /// Fails when the store refuses or does not answer.
-    fn changes(&self, table: Table, after: u64, wait_ms: u64) -> Result<Changes, StoreError>;
+    fn changes(&self, table: Table, after: u64) -> Result<Changes, StoreError>;
 
     /// Applies a transaction.
     ///
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -48,12 +48,32 @@
     /// Whether the daemon shuts down.
     #[prost(bool, tag = "4")]
     pub is_leaving: bool,
-    /// Load that it puts on workers.
+    /// Load that it puts on workers; meaningful only with `has_loads`.
     #[prost(message, repeated, tag = "5")]
     pub loads: Vec<Load>,
+    /// Whether the datagram replaces what the sender said of its load.
+    #[prost(bool, tag = "9")]
+    pub has_loads: bool,
     /// Workers that it gives orders to.
     #[prost(message, repeated, tag = "6")]
     pub holds: Vec<Hold>,
+    /// What it knows of the operator's table.
+    #[prost(message, optional, tag = "7")]
+    pub operator: Option<TableState>,
+    /// What it knows of the workers' table.
+    #[prost(message, optional, tag = "8")]
+    pub workers: Option<TableState>,
+}
+
+/// Knowledge of a table.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct TableState {
+    /// Digest of what matters in the table.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+    /// Time since the table was known to be so.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 
 /// Load on one worker.
