--- a/crates/domain/src/order_lease/holder_row.rs
+++ b/crates/domain/src/order_lease/holder_row.rs
@@ -7,6 +7,4 @@
 pub struct HolderRow {
     /// Daemon that gives the orders.
     pub host: name::HostName,
-    /// Start of the worker for which the row was written.
-    pub worker_started_unix_ms: u64,
 }
--- a/crates/domain/src/order_lease/mod.rs
+++ b/crates/domain/src/order_lease/mod.rs
@@ -6,11 +6,13 @@
 //! so orders of two holders never alternate, even where the workers do not check fencing tokens.
 
 mod holder_row;
+mod late_row;
 mod lease;
 mod lease_row;
 mod store_clock;
 
 pub use holder_row::HolderRow;
+pub use late_row::LateRow;
 pub use lease::Lease;
 pub use lease_row::LeaseRow;
 pub use store_clock::StoreClock;
--- a/crates/domain/src/placement/mod.rs
+++ b/crates/domain/src/placement/mod.rs
@@ -10,6 +10,6 @@
 
 pub use order::Order;
 pub use order_result::OrderResult;
-pub use place::{Place, PlaceState};
+pub use place::{LATE_ORDER_MS, Place, PlaceState};
 pub use placement::{Limits, Placement};
 pub use summary::{Counts, Held, Summary};
--- a/crates/domain/src/placement/place.rs
+++ b/crates/domain/src/placement/place.rs
@@ -12,7 +12,7 @@
 const POLL_MS: u64 = 30;
 /// Time for which an order without an answer may still be carried out, from the platform's pages,
 /// with a second to spare.
-pub(super) const LATE_ORDER_MS: u64 = 13_000;
+pub const LATE_ORDER_MS: u64 = 13_000;
 /// Time after which a use counts half for the choice of the adapter to drop.
 const HEAT_HALF_LIFE_MS: f64 = 8_000.0;
 
--- a/crates/domain/src/placement/placement.rs
+++ b/crates/domain/src/placement/placement.rs
@@ -3,7 +3,6 @@
 use indexmap::IndexMap;
 use rustc_hash::FxBuildHasher;
 
-use super::place::LATE_ORDER_MS;
 use super::want::Want;
 use super::{Counts, Held, Order, OrderResult, Place, PlaceState, Summary};
 use crate::adapter;
@@ -29,8 +28,6 @@
 const MAX_WARM: usize = 100;
 /// Interval of asking whether the load of a base model has ended.
 const BASE_POLL_MS: u64 = 150;
-/// Places left free while orders of an earlier order-giver may still be carried out.
-const INHERITED_RESERVE: usize = 4;
 
 /// Limits of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -57,16 +54,16 @@
 impl Placement {
     /// Creates the placement of a worker whose orders this daemon gives from now on.
     ///
-    /// `is_fresh` tells that nobody has given orders to the worker since its start.
+    /// `late_until_ms` is the time until which orders of an earlier order-giver, or from before the
+    /// worker's restart, may still be carried out.
     #[must_use]
     pub fn new(
         limits: Limits,
         has_base_model: bool,
         listed: &[adapter::AdapterRef],
-        is_fresh: bool,
+        late_until_ms: u64,
         now_ms: u64,
     ) -> Self {
-        let reserve_until_ms = if is_fresh { 0 } else { now_ms + LATE_ORDER_MS };
         let mut placement = Self {
             limits,
             has_base_model,
@@ -75,9 +72,9 @@
             places: IndexMap::default(),
             wants: IndexMap::default(),
             warm: IndexMap::default(),
-            reserve_until_ms,
+            reserve_until_ms: late_until_ms,
         };
-        placement.adopt(listed, now_ms);
+        placement.adopt(listed, late_until_ms, now_ms);
         placement
     }
 
@@ -88,14 +85,12 @@
     }
 
     /// Takes in what the worker itself reports to hold.
-    pub fn adopt(&mut self, listed: &[adapter::AdapterRef], now_ms: u64) {
+    fn adopt(&mut self, listed: &[adapter::AdapterRef], late_until_ms: u64, now_ms: u64) {
         for adapter in listed {
-            let place = self.places.entry(adapter.name().clone());
-            let place = place
-                .or_insert_with(|| Place::new(adapter.version(), PlaceState::Resident, now_ms));
-            if place.state == PlaceState::Resident {
-                place.version = adapter.version();
-            }
+            let mut place = Place::new(adapter.version(), PlaceState::Resident, now_ms);
+            // A load that arrives late would bring back what was dropped meanwhile.
+            place.late_until_ms = late_until_ms;
+            self.places.insert(adapter.name().clone(), place);
         }
     }
 
@@ -141,6 +136,12 @@
         }
     }
 
+    /// Returns the time until which orders without an answer may still be carried out.
+    #[must_use]
+    pub fn late_until_ms(&self) -> u64 {
+        self.places.values().map(|place| place.late_until_ms).max().unwrap_or(0)
+    }
+
     /// Returns the loads in transit.
     #[must_use]
     pub fn in_transit(&self) -> usize {
@@ -285,7 +286,8 @@
     }
 
     fn capacity(&self, now_ms: u64) -> usize {
-        let reserve = if now_ms < self.reserve_until_ms { INHERITED_RESERVE } else { 0 };
+        // Loads that were in transit need not be in the worker's report yet.
+        let reserve = if now_ms < self.reserve_until_ms { MAX_IN_TRANSIT } else { 0 };
         self.limits.adapter_capacity.saturating_sub(reserve)
     }
 
--- a/crates/domain/src/upstream/mod.rs
+++ b/crates/domain/src/upstream/mod.rs
@@ -4,5 +4,5 @@
 #[allow(clippy::module_inception)]
 mod upstream;
 
-pub use directory::{Change, Directory};
+pub use directory::{Change, Directory, LAPSE_GRACE_MS};
 pub use upstream::Upstream;
--- /dev/null
+++ b/crates/domain/tests/dispatch.rs
@@ -0,0 +1,189 @@
+//! Tests of the choice of workers and of the budget of repeats.
+
+use jasminetack_domain::dispatch;
+use jasminetack_domain::name;
+use jasminetack_domain::place;
+use jasminetack_domain::upstream;
+use proptest::prelude::*;
+
+const GENERATION: dispatch::Work = dispatch::Work { prompt_tokens: 600, answer_tokens: 70 };
+
+fn worker(name: &str, region: &str) -> upstream::Upstream {
+    upstream::Upstream {
+        name: name::WorkerName::from(name),
+        service: name::ServiceName::from("llm"),
+        address: ([127, 0, 0, 1], 80).into(),
+        place: place::Place::new(
+            name::RegionName::from(region),
+            name::FailureDomainName::from("a"),
+        ),
+        slots: 6,
+        is_draining: false,
+        started_unix_ms: 1,
+        base_models: Vec::new(),
+        adapters: Vec::new(),
+    }
+}
+
+struct Scene {
+    workers: Vec<(upstream::Upstream, dispatch::AdapterState)>,
+    chooser: dispatch::Chooser,
+    excluded: Vec<name::WorkerName>,
+    demanded: Option<name::WorkerName>,
+    work: dispatch::Work,
+}
+
+impl Scene {
+    fn new(workers: &[(&str, &str, dispatch::AdapterState)]) -> Self {
+        let workers = workers.iter().map(|(name, region, state)| (worker(name, region), *state));
+        Self {
+            workers: workers.collect(),
+            chooser: dispatch::Chooser::default(),
+            excluded: Vec::new(),
+            demanded: None,
+            work: GENERATION,
+        }
+    }
+
+    fn choose(&mut self, now_ms: u64) -> Option<String> {
+        let adapter = name::AdapterName::from("m/a1");
+        let from =
+            place::Place::new(name::RegionName::from("here"), name::FailureDomainName::from("a"));
+        let candidates: Vec<_> = self
+            .workers
+            .iter()
+            .map(|(upstream, adapter)| dispatch::Candidate { upstream, adapter: *adapter })
+            .collect();
+        let choice = dispatch::Choice {
+            from: &from,
+            adapter: Some(&adapter),
+            parts: &[],
+            work: self.work,
+            demanded: self.demanded.as_ref(),
+            excluded: &self.excluded,
+        };
+        let decision = self.chooser.choose(&choice, &candidates, now_ms)?;
+        Some(decision.worker.to_string())
+    }
+}
+
+const RESIDENT: dispatch::AdapterState = dispatch::AdapterState::Resident;
+const ABSENT: dispatch::AdapterState = dispatch::AdapterState::Absent { waiting_loads: 0 };
+
+#[test]
+fn a_worker_with_the_adapter_goes_before_a_nearer_one_without() {
+    let mut scene = Scene::new(&[("near", "here", ABSENT), ("far", "there", RESIDENT)]);
+    assert_eq!(scene.choose(0).as_deref(), Some("far"));
+}
+
+#[test]
+fn the_nearer_of_two_equal_workers_is_chosen() {
+    let mut scene = Scene::new(&[("far", "there", RESIDENT), ("near", "here", RESIDENT)]);
+    assert_eq!(scene.choose(0).as_deref(), Some("near"));
+}
+
+#[test]
+fn a_request_stays_with_the_worker_that_it_asked_for_a_load() {
+    let mut scene = Scene::new(&[("one", "here", ABSENT), ("two", "here", ABSENT)]);
+    for demanded in ["one", "two"] {
+        scene.demanded = Some(name::WorkerName::from(demanded));
+        assert_eq!(scene.choose(0).as_deref(), Some(demanded));
+    }
+}
+
+#[test]
+fn requests_in_flight_anywhere_make_a_worker_less_attractive() {
+    let mut scene = Scene::new(&[("one", "here", RESIDENT), ("two", "here", RESIDENT)]);
+    let busy = name::WorkerName::from("one");
+    scene.chooser.loads.sent(&busy, None, GENERATION, 0);
+    assert_eq!(scene.choose(0).as_deref(), Some("two"));
+    let host = name::HostName::from("other");
+    let load = dispatch::ReportedLoad {
+        worker: name::WorkerName::from("two"),
+        in_flight: 9,
+        unread_tokens: 4_000,
+    };
+    scene.chooser.loads.reported(&host, vec![load], 0);
+    assert_eq!(scene.choose(0).as_deref(), Some("one"));
+    scene.chooser.loads.expire(60_000);
+    assert_eq!(scene.choose(60_000).as_deref(), Some("two"));
+}
+
+#[test]
+fn failing_workers_are_avoided_and_come_back() {
+    let mut scene = Scene::new(&[("one", "here", RESIDENT), ("two", "there", RESIDENT)]);
+    let failing = name::WorkerName::from("one");
+    for now_ms in [0, 1, 2] {
+        scene.chooser.health.failed(&failing, now_ms);
+    }
+    assert_eq!(scene.choose(10).as_deref(), Some("two"));
+    assert_eq!(scene.choose(30_000).as_deref(), Some("one"));
+}
+
+#[test]
+fn a_silent_worker_gets_no_further_requests() {
+    let mut scene = Scene::new(&[("one", "here", RESIDENT), ("two", "there", RESIDENT)]);
+    scene.chooser.loads.sent(&name::WorkerName::from("one"), None, GENERATION, 0);
+    assert_eq!(scene.choose(100).as_deref(), Some("one"));
+    assert_eq!(scene.choose(2_000).as_deref(), Some("two"));
+}
+
+#[test]
+fn excluded_and_draining_workers_are_never_chosen() {
+    let mut scene = Scene::new(&[("one", "here", RESIDENT), ("two", "here", RESIDENT)]);
+    scene.workers[0].0.is_draining = true;
+    assert_eq!(scene.choose(0).as_deref(), Some("two"));
+    scene.excluded.push(name::WorkerName::from("two"));
+    assert_eq!(scene.choose(0), None);
+}
+
+#[test]
+fn kept_prompt_parts_attract_long_prompts() {
+    let mut memory = dispatch::PromptMemory::default();
+    let parts = [
+        dispatch::PromptPart { id: 1, tokens: 2_500 },
+        dispatch::PromptPart { id: 2, tokens: 3_800 },
+        dispatch::PromptPart { id: 3, tokens: 900 },
+    ];
+    let worker = name::WorkerName::from("w");
+    memory.record(&worker, None, &parts, 0);
+    assert_eq!(memory.kept_tokens(&worker, None, &parts, 1), 6_300);
+    let other = [parts[0], dispatch::PromptPart { id: 9, tokens: 10 }, parts[2]];
+    assert_eq!(memory.kept_tokens(&worker, None, &other, 1), 2_500);
+    let adapter = name::AdapterName::from("m/a");
+    assert_eq!(memory.kept_tokens(&worker, Some(&adapter), &parts, 1), 0);
+    assert_eq!(memory.kept_tokens(&worker, None, &parts, 60_000), 0);
+}
+
+proptest! {
+    /// In every window, the repeats stay within the ratio of its requests and the slack.
+    #[test]
+    fn repeats_stay_within_the_budget_of_every_window(
+        events in proptest::collection::vec((0_u64..400, any::<bool>()), 1..400),
+        slack in 0_u32..8,
+    ) {
+        const WINDOW_MS: u64 = 10_000;
+        const RATIO: f64 = 0.2;
+        let mut budget = dispatch::RetryWindow::new(WINDOW_MS, RATIO);
+        let (mut now_ms, mut requests, mut repeats) = (0, Vec::new(), Vec::new());
+        for (pause_ms, is_request) in events {
+            now_ms += pause_ms;
+            if is_request {
+                budget.count_request(now_ms);
+                requests.push(now_ms);
+            } else if budget.take(f64::from(slack), now_ms) {
+                repeats.push(now_ms);
+            }
+        }
+        for end_ms in &repeats {
+            let start_ms = end_ms.saturating_sub(WINDOW_MS);
+            let inside = |time_ms: &&u64| **time_ms > start_ms && *time_ms <= end_ms;
+            let repeated = repeats.iter().filter(inside).count();
+            // The platform also counts the requests of the window before.
+            let earlier_ms = start_ms.saturating_sub(WINDOW_MS);
+            let counted = |time_ms: &&u64| **time_ms >= earlier_ms && *time_ms <= end_ms;
+            let asked = requests.iter().filter(counted).count();
+            prop_assert!(repeated as f64 <= asked as f64 * RATIO + f64::from(slack));
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/placement.rs
@@ -0,0 +1,193 @@
+//! Tests of the adapter places of a worker.
+
+use std::collections::BTreeMap;
+
+use jasminetack_domain::adapter;
+use jasminetack_domain::dispatch;
+use jasminetack_domain::name;
+use jasminetack_domain::placement;
+use proptest::prelude::*;
+
+const CAPACITY: usize = 4;
+
+fn adapter_ref(name: &str) -> adapter::AdapterRef {
+    adapter::AdapterRef::new(name::AdapterName::from(name), 0)
+}
+
+fn placement(late_until_ms: u64) -> placement::Placement {
+    let base_model = name::BaseModelName::from("m");
+    let limits = placement::Limits { adapter_capacity: CAPACITY, base_model };
+    placement::Placement::new(limits, true, &[], late_until_ms, 0)
+}
+
+/// Loads an adapter with orders that are answered at once.
+fn load(placement: &mut placement::Placement, name: &str, now_ms: u64) {
+    placement.want(&adapter_ref(name), now_ms);
+    let orders = placement.plan(0, now_ms);
+    assert_eq!(orders, [placement::Order::Load(adapter_ref(name))]);
+    placement.ordered(&orders[0], placement::OrderResult::Holds, now_ms);
+}
+
+fn fill(placement: &mut placement::Placement) {
+    for index in 0..CAPACITY {
+        load(placement, &format!("a{index}"), index as u64);
+    }
+}
+
+#[test]
+fn nothing_is_dropped_while_places_are_free() {
+    let mut placement = placement(0);
+    load(&mut placement, "a0", 0);
+    placement.want(&adapter_ref("a1"), 10_000);
+    let orders = placement.plan(0, 10_000);
+    assert_eq!(orders, [placement::Order::Load(adapter_ref("a1"))]);
+}
+
+#[test]
+fn the_adapter_that_was_used_least_makes_room() {
+    let mut placement = placement(0);
+    fill(&mut placement);
+    let often = dispatch::AdapterUse { in_flight: 0, begun: 20 };
+    for name in ["a0", "a2", "a3"] {
+        placement.used(&name::AdapterName::from(name), often, 100);
+    }
+    placement.want(&adapter_ref("new"), 2_000);
+    let unload = placement::Order::Unload(name::AdapterName::from("a1"));
+    assert_eq!(placement.plan(0, 2_000), [unload.clone()]);
+    placement.ordered(&unload, placement::OrderResult::Holds, 2_005);
+    placement.want(&adapter_ref("new"), 2_005);
+    assert_eq!(placement.plan(0, 2_005), [placement::Order::Load(adapter_ref("new"))]);
+}
+
+#[test]
+fn an_adapter_in_use_is_never_dropped() {
+    let mut placement = placement(0);
+    fill(&mut placement);
+    let in_use = dispatch::AdapterUse { in_flight: 1, begun: 0 };
+    for index in 0..CAPACITY {
+        placement.used(&name::AdapterName::from(format!("a{index}")), in_use, 100);
+    }
+    placement.want(&adapter_ref("new"), 9_000);
+    assert_eq!(placement.plan(0, 9_000), []);
+}
+
+#[test]
+fn a_load_without_an_answer_keeps_its_place_for_as_long_as_it_may_be_carried_out() {
+    let mut placement = placement(0);
+    fill(&mut placement);
+    placement.missing(&name::AdapterName::from("a0"), 100);
+    let orders = placement.plan(0, 100);
+    placement.ordered(&orders[0], placement::OrderResult::Unanswered, 500);
+    let again = placement.plan(0, 1_000);
+    placement.ordered(&again[0], placement::OrderResult::Holds, 1_000);
+    let heavy = dispatch::AdapterUse { in_flight: 0, begun: 50 };
+    for name in ["a1", "a2", "a3"] {
+        placement.used(&name::AdapterName::from(name), heavy, 2_000);
+    }
+    placement.want(&adapter_ref("new"), 9_000);
+    let dropped = placement.plan(0, 9_000);
+    assert_ne!(dropped, [placement::Order::Unload(name::AdapterName::from("a0"))]);
+}
+
+#[test]
+fn orders_of_an_earlier_holder_are_given_time_to_arrive() {
+    let base_model = name::BaseModelName::from("m");
+    let limits = placement::Limits { adapter_capacity: CAPACITY, base_model };
+    let listed = [adapter_ref("a0")];
+    let late_until_ms = placement::LATE_ORDER_MS;
+    let mut placement = placement::Placement::new(limits, true, &listed, late_until_ms, 0);
+    for index in 1..=CAPACITY {
+        placement.want(&adapter_ref(&format!("a{index}")), 5_000);
+    }
+    assert_eq!(placement.plan(0, 5_000), []);
+    for index in 1..=CAPACITY {
+        placement.want(&adapter_ref(&format!("a{index}")), late_until_ms);
+    }
+    assert!(!placement.plan(0, late_until_ms).is_empty());
+}
+
+#[test]
+fn a_newer_version_replaces_the_one_that_is_held() {
+    let mut placement = placement(0);
+    load(&mut placement, "a0", 0);
+    let newer = adapter::AdapterRef::new(name::AdapterName::from("a0"), 2);
+    placement.renew_version(&newer, 1_000);
+    assert_eq!(placement.plan(0, 1_000), [placement::Order::Load(newer.clone())]);
+    placement.ordered(&placement::Order::Load(newer.clone()), placement::OrderResult::Holds, 1_300);
+    assert_eq!(placement.summary().held[0].adapter, newer);
+}
+
+#[test]
+fn the_base_model_comes_before_adapters() {
+    let base_model = name::BaseModelName::from("m");
+    let limits = placement::Limits { adapter_capacity: CAPACITY, base_model: base_model.clone() };
+    let mut placement = placement::Placement::new(limits, false, &[], 0, 0);
+    placement.want(&adapter_ref("a0"), 0);
+    let load = placement::Order::LoadBase(base_model);
+    assert_eq!(placement.plan(0, 0), [load.clone()]);
+    placement.ordered(&load, placement::OrderResult::Holds, 2_000);
+    placement.want(&adapter_ref("a0"), 2_000);
+    assert_eq!(placement.plan(0, 2_000), [placement::Order::Load(adapter_ref("a0"))]);
+}
+
+/// A worker that carries orders out, some of them without an answer or later.
+#[derive(Default)]
+struct Worker {
+    held: BTreeMap<String, u32>,
+    late: Vec<(u64, placement::Order)>,
+}
+
+impl Worker {
+    fn carry_out(&mut self, order: &placement::Order) {
+        match order {
+            placement::Order::Load(adapter) => {
+                self.held.insert(adapter.name().to_string(), adapter.version());
+            }
+            placement::Order::Unload(adapter) => {
+                self.held.remove(adapter.as_str());
+            }
+            placement::Order::LoadBase(_) => {}
+        }
+        assert!(self.held.len() <= CAPACITY, "the worker holds too many adapters");
+    }
+
+    fn advance(&mut self, now_ms: u64) {
+        let (due, later) = self.late.drain(..).partition(|(at_ms, _)| *at_ms <= now_ms);
+        self.late = later;
+        let due: Vec<(u64, placement::Order)> = due;
+        for (_, order) in due {
+            self.carry_out(&order);
+        }
+    }
+}
+
+proptest! {
+    /// Whatever is answered late or never, no worker is ordered to hold more than it can.
+    #[test]
+    fn orders_never_exceed_the_capacity(
+        steps in proptest::collection::vec((0_usize..9, 0_u8..4, 1_u64..900), 1..300),
+    ) {
+        let mut placement = placement(0);
+        let mut worker = Worker::default();
+        let mut now_ms = 0;
+        for (wanted, fate, pause_ms) in steps {
+            now_ms += pause_ms;
+            worker.advance(now_ms);
+            placement.want(&adapter_ref(&format!("a{wanted}")), now_ms);
+            for order in placement.plan(0, now_ms) {
+                let result = match fate {
+                    0 => {
+                        worker.late.push((now_ms + 2_000 + pause_ms * 11, order.clone()));
+                        placement::OrderResult::Unanswered
+                    }
+                    1 => placement::OrderResult::Busy,
+                    _ => {
+                        worker.carry_out(&order);
+                        placement::OrderResult::Holds
+                    }
+                };
+                placement.ordered(&order, result, now_ms);
+            }
+        }
+    }
+}
--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -180,6 +180,7 @@
             Message::Ordered { worker, fence, order, result } => {
                 self.metrics.count_order(result.as_str());
                 self.holds.ordered(&worker, fence, &order, result, now_ms);
+                self.note_late_orders(&worker, now_ms);
             }
             Message::Reported { worker, fence, report } => {
                 let ingress = self.catalog.ingress().cloned();
@@ -191,17 +192,31 @@
     }
 
     fn feed(&mut self, table: store::Table, event: FeedEvent, began_ms: u64, now_ms: u64) {
-        self.note_reading(table, &event, began_ms, now_ms);
+        let was_read = self.note_reading(table, &event, began_ms, now_ms);
         let news = match table {
             store::Table::Operator => self.catalog.operator(event, &*self.dialect, now_ms),
             store::Table::Workers => self.catalog.workers(event, &*self.dialect, now_ms),
-            store::Table::Leases | store::Table::Holders => return,
+            store::Table::Leases | store::Table::Holders | store::Table::LateOrders => return,
         };
         self.apply(news, now_ms);
+        if was_read {
+            // The others of the region need not read then.
+            let state = self.state(None, now_ms);
+            let region = self.tenancy.identity().place.region().clone();
+            let to = self.peers.addresses(|peer| *peer.place.region() == region);
+            self.send_state(state, to);
+        }
     }
 
-    /// Notes how recent a table is now, and whether the store was lost or regained.
-    fn note_reading(&mut self, table: store::Table, event: &FeedEvent, began_ms: u64, now_ms: u64) {
+    /// Notes how recent a table is now, and whether the store was lost or regained; returns whether
+    /// it was read.
+    fn note_reading(
+        &mut self,
+        table: store::Table,
+        event: &FeedEvent,
+        began_ms: u64,
+        now_ms: u64,
+    ) -> bool {
         let freshness = match table {
             store::Table::Operator => &mut self.operator,
             _ => &mut self.workers,
@@ -215,6 +230,7 @@
                     self.lost_tables.retain(|lost| *lost != table);
                     spdlog::info!("dependency-regained name=store table={name}");
                 }
+                return true;
             }
             FeedEvent::Stale => freshness.failed(now_ms),
             FeedEvent::Lost(error) => {
@@ -228,6 +244,7 @@
                 }
             }
         }
+        false
     }
 
     fn apply(&mut self, news: News, now_ms: u64) {
@@ -270,8 +287,8 @@
 
     fn stored(&mut self, reply: Reply, now_ms: u64) {
         match reply {
-            Reply::Rows { leases: Ok(leases), holders: Ok(holders), sent_ms } => {
-                if let Some(job) = self.tenancy.rows(leases, holders, sent_ms) {
+            Reply::Rows { leases: Ok(leases), holders: Ok(holders), late: Ok(late), sent_ms } => {
+                if let Some(job) = self.tenancy.rows(leases, holders, late, sent_ms) {
                     self.outputs.store(job);
                 }
                 self.learn_peers(now_ms);
@@ -287,10 +304,10 @@
                 }
             }
             Reply::Claimed(worker, result) => {
-                let is_fresh = self.tenancy.holder(&worker).is_none();
                 let Some(fence) = self.tenancy.claimed(&worker, result) else { return };
                 let Some(upstream) = self.catalog.directory().get(&worker) else { return };
-                self.holds.begin(Arc::clone(upstream), fence, is_fresh);
+                let late_until_ms = self.tenancy.late_until_ms(&worker);
+                self.holds.begin(Arc::clone(upstream), fence, late_until_ms);
                 self.changed.insert(worker);
             }
             Reply::Written(Err(error)) => spdlog::warn!("write-failed error={error:?}"),
@@ -298,6 +315,15 @@
         }
     }
 
+    /// Writes into the store that orders of a worker may still be carried out, for its next holder.
+    fn note_late_orders(&mut self, worker: &name::WorkerName, now_ms: u64) {
+        let Some(hold) = self.holds.get_mut(worker) else { return };
+        let Some(late_until_ms) = hold.take_late_news() else { return };
+        if let Some(job) = self.tenancy.late_orders(worker, late_until_ms, now_ms) {
+            self.outputs.store(job);
+        }
+    }
+
     fn learn_peers(&mut self, now_ms: u64) {
         let own = self.tenancy.host().clone();
         let mut listed = Vec::new();
--- a/crates/edge/src/control/hold.rs
+++ b/crates/edge/src/control/hold.rs
@@ -8,6 +8,9 @@
 use jasminetack_domain::placement;
 use jasminetack_domain::upstream;
 
+/// Time by which the note in the store outlasts the orders without an answer.
+const LATE_NOTE_MARGIN_MS: u64 = 4_000;
+
 /// A worker that this daemon gives orders to.
 #[derive(Clone, Debug)]
 pub struct Hold {
@@ -19,8 +22,11 @@
     pub placement: Option<placement::Placement>,
     /// When the worker was last asked for a report.
     pub asked_ms: u64,
-    /// Whether nobody has given orders to the worker before.
-    pub is_fresh: bool,
+    /// Time until which orders of an earlier holder, or from before a restart of the worker, may still
+    /// be carried out.
+    pub late_until_ms: u64,
+    /// Time of that kind which the store knows.
+    noted_late_until_ms: u64,
     /// Requests that began since the last look at the adapters in use.
     pub begun: IndexMap<name::AdapterName, u32>,
     /// State for routing when it was last published.
@@ -31,13 +37,14 @@
 
 impl Hold {
     /// Creates a hold of a worker that has not reported yet.
-    pub fn new(upstream: Arc<upstream::Upstream>, fence: u64, is_fresh: bool) -> Self {
+    pub fn new(upstream: Arc<upstream::Upstream>, fence: u64, late_until_ms: u64) -> Self {
         Self {
             upstream,
             fence,
             placement: None,
             asked_ms: 0,
-            is_fresh,
+            late_until_ms,
+            noted_late_until_ms: late_until_ms,
             begun: IndexMap::new(),
             published: placement::Summary::default(),
             demanders: IndexMap::new(),
@@ -49,6 +56,18 @@
         self.placement.as_ref().map(placement::Placement::summary).unwrap_or_default()
     }
 
+    /// Returns a time until which orders may be carried out late when the store must be told of it.
+    ///
+    /// The time has a margin, so that a series of such orders costs few writes.
+    pub fn take_late_news(&mut self) -> Option<u64> {
+        let late_until_ms = self.placement.as_ref()?.late_until_ms();
+        if late_until_ms <= self.noted_late_until_ms {
+            return None;
+        }
+        self.noted_late_until_ms = late_until_ms + LATE_NOTE_MARGIN_MS;
+        Some(self.noted_late_until_ms)
+    }
+
     /// Notes that another daemon waits for an adapter.
     pub fn demanded(&mut self, adapter: &name::AdapterName, host: &name::HostName) {
         self.demanders.entry(adapter.clone()).or_default().insert(host.clone());
--- a/crates/edge/src/control/holds.rs
+++ b/crates/edge/src/control/holds.rs
@@ -48,10 +48,10 @@
     }
 
     /// Begins to give orders to a worker.
-    pub fn begin(&mut self, upstream: Arc<upstream::Upstream>, fence: u64, is_fresh: bool) {
+    pub fn begin(&mut self, upstream: Arc<upstream::Upstream>, fence: u64, late_until_ms: u64) {
         let worker = &upstream.name;
-        spdlog::info!("hold-begins worker={worker} fence={fence} fresh={is_fresh}");
-        self.holds.insert(worker.clone(), Hold::new(upstream, fence, is_fresh));
+        spdlog::info!("hold-begins worker={worker} fence={fence} late_until_ms={late_until_ms}");
+        self.holds.insert(worker.clone(), Hold::new(upstream, fence, late_until_ms));
     }
 
     /// Ends giving orders to a worker.
@@ -68,8 +68,9 @@
         hold.upstream = Arc::clone(upstream);
         if is_restarted {
             // Orders from before the restart may still be carried out.
-            hold.is_fresh = false;
-            hold.placement = None;
+            let placement = hold.placement.take();
+            let late_until_ms = placement.map_or(0, |placement| placement.late_until_ms());
+            hold.late_until_ms = hold.late_until_ms.max(late_until_ms);
             hold.asked_ms = 0;
             return;
         }
@@ -101,15 +102,15 @@
         let capacity = engine.adapter_capacity(std::slice::from_ref(&base_model));
         let limits = placement::Limits { adapter_capacity: capacity, base_model };
         let has_base = !report.base_models.is_empty();
-        let (held, fresh) = (report.adapters.len(), hold.is_fresh);
+        let (held, late_until_ms) = (report.adapters.len(), hold.late_until_ms);
         spdlog::info!(
-            "worker-reported worker={worker} fence={fence} has_base={has_base} adapters={held} capacity={capacity} fresh={fresh}"
+            "worker-reported worker={worker} fence={fence} has_base={has_base} adapters={held} capacity={capacity} late_until_ms={late_until_ms}"
         );
         hold.placement = Some(placement::Placement::new(
             limits,
             has_base,
             &report.adapters,
-            hold.is_fresh,
+            late_until_ms,
             now_ms,
         ));
     }
--- a/crates/edge/src/control/job.rs
+++ b/crates/edge/src/control/job.rs
@@ -7,7 +7,7 @@
 /// A call to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Job {
-    /// Reads the leases, then the holders.
+    /// Reads the leases, then the holders and the orders without an answer.
     ReadRows,
     /// Renews this daemon's lease.
     Renew(store::Transaction),
@@ -20,12 +20,14 @@
 /// Answer to a job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
-    /// Leases and holders as of one reading.
+    /// The daemons' rows as of one reading.
     Rows {
         /// The leases, read first.
         leases: Result<store::Listing, store::StoreError>,
         /// The holders.
         holders: Result<store::Listing, store::StoreError>,
+        /// The orders without an answer.
+        late: Result<store::Listing, store::StoreError>,
         /// When the reading of the leases began.
         sent_ms: u64,
     },
--- a/crates/edge/src/control/tenancy.rs
+++ b/crates/edge/src/control/tenancy.rs
@@ -67,6 +67,7 @@
     regained_ms: u64,
     leases: IndexMap<name::HostName, (order_lease::LeaseRow, u64)>,
     holders: IndexMap<name::WorkerName, (order_lease::HolderRow, u64)>,
+    late: IndexMap<name::WorkerName, order_lease::LateRow>,
     rows_store_ms: u64,
     rows_read_ms: Option<u64>,
     next_read_ms: u64,
@@ -98,6 +99,7 @@
             regained_ms: 0,
             leases: IndexMap::new(),
             holders: IndexMap::new(),
+            late: IndexMap::new(),
             rows_store_ms: 0,
             rows_read_ms: None,
             next_read_ms: 0,
@@ -164,6 +166,7 @@
         &mut self,
         leases: store::Listing,
         holders: store::Listing,
+        late: store::Listing,
         sent_ms: u64,
     ) -> Option<Job> {
         self.is_reading = false;
@@ -191,6 +194,16 @@
                 Err(error) => refuse("holders", &row.key, &error),
             }
         }
+        self.late.clear();
+        for row in late.rows {
+            let Some(value) = &row.value else { continue };
+            match fleet::LateOrders::read(value) {
+                Ok(late) => {
+                    self.late.insert(name::WorkerName::from(row.key.as_str()), late);
+                }
+                Err(error) => refuse("late-orders", &row.key, &error),
+            }
+        }
         let own = self.leases.get(&self.identity.host).map_or(0, |(_, version)| *version);
         if !self.is_renewing {
             self.row_version = Some(own);
@@ -300,24 +313,50 @@
         if let Some(vacancy) = self.vacant.get_mut(worker) {
             vacancy.is_claiming = false;
         }
-        // Whatever happened, the rows that are known are out of date.
-        self.rows_read_ms = None;
         match result {
             Ok(store::Outcome::Committed { version, .. }) => {
                 self.vacant.shift_remove(worker);
+                let row = order_lease::HolderRow { host: self.identity.host.clone() };
+                self.holders.insert(worker.clone(), (row, version));
                 Some(version)
             }
             Ok(store::Outcome::Conflict(_)) => {
+                self.rows_read_ms = None;
                 spdlog::info!("claim worker={worker} outcome=conflict");
                 None
             }
             Err(error) => {
+                // The claim may have taken effect.
+                self.rows_read_ms = None;
                 spdlog::warn!("claim worker={worker} outcome=failed error={error:?}");
                 None
             }
         }
     }
 
+    /// Returns the time until which orders of earlier holders of a worker may be carried out.
+    pub fn late_until_ms(&self, worker: &name::WorkerName) -> u64 {
+        let late = self.late.get(worker);
+        late.and_then(|late| self.clock.passes_boot_ms(late.until_store_ms)).unwrap_or(0)
+    }
+
+    /// Returns the note that orders of a worker may be carried out until a time.
+    pub fn late_orders(
+        &self,
+        worker: &name::WorkerName,
+        late_until_ms: u64,
+        now_ms: u64,
+    ) -> Option<Job> {
+        let left_ms = late_until_ms.saturating_sub(now_ms);
+        let row = order_lease::LateRow { until_store_ms: self.clock.latest_ms(now_ms)? + left_ms };
+        let write = store::Write {
+            table: store::Table::LateOrders,
+            key: worker.to_string(),
+            value: Some(fleet::LateOrders::from(&row).encode_to_vec()),
+        };
+        Some(Job::Write(store::Transaction { conditions: Vec::new(), writes: vec![write] }))
+    }
+
     /// Returns the removal of the holder row of a worker that is gone.
     pub fn removal(&self, worker: &name::WorkerName, fence: u64) -> Job {
         let condition = store::Condition {
@@ -325,9 +364,10 @@
             key: worker.to_string(),
             version: fence,
         };
-        let write =
-            store::Write { table: store::Table::Holders, key: worker.to_string(), value: None };
-        Job::Write(store::Transaction { conditions: vec![condition], writes: vec![write] })
+        let tables = [store::Table::Holders, store::Table::LateOrders];
+        let writes =
+            tables.map(|table| store::Write { table, key: worker.to_string(), value: None });
+        Job::Write(store::Transaction { conditions: vec![condition], writes: writes.into() })
     }
 
     fn read_rows(&mut self) -> Option<Job> {
@@ -384,11 +424,13 @@
 
     /// Returns the claim of a worker, or the reading of the rows that must come before.
     fn claim(&mut self, upstream: &upstream::Upstream, now_ms: u64) -> Option<Job> {
+        let worker = &upstream.name;
         let age_ms = self.rows_read_ms.map(|read_ms| now_ms.saturating_sub(read_ms));
-        if age_ms.is_none_or(|age_ms| age_ms > ROWS_FRESH_MS) {
+        let is_fresh = age_ms.is_some_and(|age_ms| age_ms <= ROWS_FRESH_MS);
+        // Without a known holder a claim that comes too late does no harm: it conflicts.
+        if !is_fresh && self.holders.contains_key(worker) {
             return self.read_rows();
         }
-        let worker = &upstream.name;
         let mut conditions = Vec::new();
         let held = self.holders.get(worker);
         if let Some((holder, _)) = held
@@ -409,10 +451,7 @@
         let (table, key) = (store::Table::Holders, worker.to_string());
         let version = held.map_or(0, |(_, version)| *version);
         conditions.push(store::Condition { table, key: key.clone(), version });
-        let row = order_lease::HolderRow {
-            host: self.identity.host.clone(),
-            worker_started_unix_ms: upstream.started_unix_ms,
-        };
+        let row = order_lease::HolderRow { host: self.identity.host.clone() };
         let value = Some(fleet::Holder::from(&row).encode_to_vec());
         let writes = vec![store::Write { table, key, value }];
         Some(Job::Claim(worker.clone(), store::Transaction { conditions, writes }))
--- a/crates/edge/src/store/table.rs
+++ b/crates/edge/src/store/table.rs
@@ -11,6 +11,8 @@
     Leases,
     /// Holders of workers.
     Holders,
+    /// Orders without an answer, by worker.
+    LateOrders,
 }
 
 impl Table {
@@ -22,6 +24,7 @@
             Self::Workers => "workers",
             Self::Leases => "leases",
             Self::Holders => "holders",
+            Self::LateOrders => "late-orders",
         }
     }
 }
--- /dev/null
+++ b/crates/standins/src/fleet/http_server.rs
@@ -0,0 +1,82 @@
+//! HTTP server of a stand-in, on a thread of its own.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use bytes::Bytes;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+/// Body of an answer; an error breaks the connection.
+pub type Body = BoxBody<Bytes, io::Error>;
+
+/// Answers requests; `None` breaks the connection without an answer.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers a request.
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Option<Response<Body>>> + Send;
+}
+
+/// Serves until the process ends and returns the address.
+///
+/// # Errors
+///
+/// Fails when the port is not available.
+pub fn serve<Service>(handler: Arc<Service>, address: SocketAddr) -> io::Result<SocketAddr>
+where
+    Service: Handler,
+{
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    thread::Builder::new().name("stand-in".to_owned()).spawn(move || {
+        runtime.block_on(async move {
+            let listener = TcpListener::from_std(listener).expect("the listener is ready");
+            loop {
+                let Ok((stream, _)) = listener.accept().await else { continue };
+                let _ = stream.set_nodelay(true);
+                let handler = Arc::clone(&handler);
+                let service = service_fn(move |request| {
+                    let handler = Arc::clone(&handler);
+                    async move {
+                        handler.handle(request).await.ok_or(io::Error::other("connection broken"))
+                    }
+                });
+                tokio::spawn(async move {
+                    let connection = http1::Builder::new();
+                    // The other side may leave at any time.
+                    let _ = connection.serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+    })?;
+    Ok(address)
+}
+
+/// Creates an answer with a complete body.
+pub fn answer<Data>(status: StatusCode, body: Data) -> Response<Body>
+where
+    Data: Into<Bytes>,
+{
+    let body = Full::new(body.into()).map_err(|never: Infallible| match never {}).boxed();
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+}
+
+/// Creates an answer with a JSON body.
+pub fn json(status: StatusCode, value: &serde_json::Value) -> Response<Body> {
+    answer(status, value.to_string())
+}
--- /dev/null
+++ b/crates/standins/src/fleet/row_store.rs
@@ -0,0 +1,88 @@
+//! Rows with versions and their history.
+
+use std::collections::BTreeMap;
+
+/// A row of a table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredRow {
+    /// Content.
+    pub value: Vec<u8>,
+    /// Version of the transaction that wrote it.
+    pub version: u64,
+}
+
+/// A change of one row; without a value it was removed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Table of the row.
+    pub table: String,
+    /// Key of the row.
+    pub key: String,
+    /// New content.
+    pub value: Option<Vec<u8>>,
+    /// Version of the transaction.
+    pub version: u64,
+}
+
+/// Rows with versions and their history.
+#[derive(Clone, Debug, Default)]
+pub struct RowStore {
+    rows: BTreeMap<(String, String), StoredRow>,
+    history: Vec<Change>,
+    version: u64,
+    forgotten: u64,
+}
+
+impl RowStore {
+    /// Returns the newest version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns a row.
+    pub fn get(&self, table: &str, key: &str) -> Option<&StoredRow> {
+        self.rows.get(&(table.to_owned(), key.to_owned()))
+    }
+
+    /// Lists the rows of a table from a key on.
+    pub fn list(&self, table: &str, from: &str) -> Vec<(String, StoredRow)> {
+        let begin = (table.to_owned(), from.to_owned());
+        let rows = self.rows.range(begin..).take_while(|((other, _), _)| other == table);
+        rows.map(|((_, key), row)| (key.clone(), row.clone())).collect()
+    }
+
+    /// Returns the changes of a table after a version, or `None` when they are forgotten.
+    pub fn changes(&self, table: &str, after: u64) -> Option<Vec<Change>> {
+        if after < self.forgotten {
+            return None;
+        }
+        let changes = self.history.iter();
+        let changes = changes.filter(|change| change.table == table && change.version > after);
+        Some(changes.cloned().collect())
+    }
+
+    /// Forgets the history.
+    pub fn forget_history(&mut self) {
+        self.forgotten = self.version;
+        self.history.clear();
+    }
+
+    /// Writes rows in one transaction; a write without a value removes the row.
+    pub fn write(&mut self, writes: Vec<(String, String, Option<Vec<u8>>)>) -> u64 {
+        self.version += 1;
+        let version = self.version;
+        for (table, key, value) in writes {
+            match &value {
+                Some(value) => {
+                    let row = StoredRow { value: value.clone(), version };
+                    self.rows.insert((table.clone(), key.clone()), row);
+                }
+                None => {
+                    self.rows.remove(&(table.clone(), key.clone()));
+                }
+            }
+            self.history.push(Change { table, key, value, version });
+        }
+        version
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fleet/store.rs
@@ -0,0 +1,201 @@
+//! Stand-in for the platform's store.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::time;
+
+use super::http_server::{self, Body, Handler};
+use super::row_store::RowStore;
+use super::store_faults::StoreFaults;
+
+/// Longer than any test waits for an answer.
+const SILENCE: Duration = Duration::from_secs(600);
+
+/// Stand-in for the platform's store.
+#[derive(Debug)]
+pub struct Store {
+    rows: Mutex<RowStore>,
+    faults: Mutex<StoreFaults>,
+    started: Instant,
+}
+
+impl Store {
+    /// Starts a store and returns it with its address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is available.
+    pub fn start() -> io::Result<(Arc<Self>, SocketAddr)> {
+        let store = Arc::new(Self {
+            rows: Mutex::default(),
+            faults: Mutex::default(),
+            started: Instant::now(),
+        });
+        let address = http_server::serve(Arc::clone(&store), ([127, 0, 0, 1], 0).into())?;
+        Ok((store, address))
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        *self.faults.lock() = faults;
+    }
+
+    /// Writes a row as the operator or a worker does.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        let value = Some(value.to_string().into_bytes());
+        self.rows.lock().write(vec![(table.to_owned(), key.to_owned(), value)]);
+    }
+
+    /// Writes a row that is not JSON.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        let value = Some(value.to_vec());
+        self.rows.lock().write(vec![(table.to_owned(), key.to_owned(), value)]);
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.rows.lock().write(vec![(table.to_owned(), key.to_owned(), None)]);
+    }
+
+    /// Lists the keys of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        self.rows.lock().list(table, "").into_iter().map(|(key, _)| key).collect()
+    }
+
+    /// Forgets the history, so that followers must list again.
+    pub fn forget_history(&self) {
+        self.rows.lock().forget_history();
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn list(&self, query: &str) -> Response<Body> {
+        let (table, from) = (parameter(query, "Table"), parameter(query, "From"));
+        let rows = self.rows.lock();
+        let listed = rows.list(&table, &from).into_iter();
+        let listed = listed.map(|(key, row)| row_json(&table, &key, Some(&row.value), row.version));
+        let body = json!({
+            "Rows": listed.collect::<Vec<_>>(),
+            "HasMore": false,
+            "SchemaVersion": rows.version(),
+            "NowMs": self.now_ms(),
+        });
+        http_server::json(StatusCode::OK, &body)
+    }
+
+    fn feed(&self, query: &str) -> Response<Body> {
+        let table = parameter(query, "Table");
+        let after = parameter(query, "after").parse().unwrap_or(0);
+        let rows = self.rows.lock();
+        let Some(changes) = rows.changes(&table, after) else {
+            return http_server::answer(StatusCode::GONE, "");
+        };
+        let changed = changes
+            .iter()
+            .map(|change| row_json(&table, &change.key, change.value.as_deref(), change.version));
+        let body = json!({
+            "Rows": changed.collect::<Vec<_>>(),
+            "SchemaVersion": rows.version(),
+            "NowMs": self.now_ms(),
+        });
+        http_server::json(StatusCode::OK, &body)
+    }
+
+    fn transact(&self, body: &[u8]) -> Response<Body> {
+        let Ok(transaction) = serde_json::from_slice::<Value>(body) else {
+            return http_server::answer(StatusCode::BAD_REQUEST, "not JSON");
+        };
+        let mut rows = self.rows.lock();
+        let mut present = Vec::new();
+        let mut holds = true;
+        for condition in entries(&transaction, "Precondition") {
+            let (table, key) = (text(condition, "Table"), text(condition, "Key"));
+            let row = rows.get(&table, &key);
+            let version = row.map_or(0, |row| row.version);
+            holds &= condition["SchemaVersion"].as_u64() == Some(version);
+            if let Some(row) = row {
+                present.push(row_json(&table, &key, Some(&row.value), row.version));
+            }
+        }
+        if !holds {
+            return http_server::json(StatusCode::PRECONDITION_FAILED, &json!({"Rows": present}));
+        }
+        let mut writes = Vec::new();
+        for put in entries(&transaction, "Put") {
+            let value = STANDARD.decode(text(put, "Value")).unwrap_or_default();
+            writes.push((text(put, "Table"), text(put, "Key"), Some(value)));
+        }
+        for removal in entries(&transaction, "Remove") {
+            writes.push((text(removal, "Table"), text(removal, "Key"), None));
+        }
+        let version = rows.write(writes);
+        let body = json!({"SchemaVersion": version, "NowMs": self.now_ms()});
+        http_server::json(StatusCode::OK, &body)
+    }
+}
+
+impl Handler for Store {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        let faults = *self.faults.lock();
+        time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        if faults.is_silent {
+            time::sleep(SILENCE).await;
+            return None;
+        }
+        if faults.is_down {
+            return Some(http_server::answer(StatusCode::SERVICE_UNAVAILABLE, ""));
+        }
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        let query = head.uri.query().unwrap_or("");
+        Some(match head.uri.path() {
+            "/v1/rows-get" => self.list(query),
+            "/v1/rows-feed" => self.feed(query),
+            "/v1/rows-tx" => {
+                let response = self.transact(&body);
+                if faults.loses_answers {
+                    return None;
+                }
+                response
+            }
+            _ => http_server::answer(StatusCode::NOT_FOUND, ""),
+        })
+    }
+}
+
+fn row_json(table: &str, key: &str, value: Option<&[u8]>, version: u64) -> Value {
+    let row = json!({"Table": table, "part": "", "Key": key, "SchemaVersion": version});
+    let Value::Object(mut row) = row else { return row };
+    match value {
+        Some(value) => row.insert("Value".to_owned(), json!(STANDARD.encode(value))),
+        None => row.insert("Deleted".to_owned(), json!(true)),
+    };
+    Value::Object(row)
+}
+
+fn entries<'a>(transaction: &'a Value, field: &str) -> impl Iterator<Item = &'a Value> {
+    transaction[field].as_array().into_iter().flatten()
+}
+
+fn text(entry: &Value, field: &str) -> String {
+    entry[field].as_str().unwrap_or_default().to_owned()
+}
+
+/// Returns a parameter of a query; the keys that tests use need no decoding beyond slashes.
+fn parameter(query: &str, name: &str) -> String {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let value = pairs.into_iter().find(|(key, _)| *key == name).map_or("", |(_, value)| value);
+    value.replace("%2F", "/").replace("%00", "\0")
+}
--- /dev/null
+++ b/crates/standins/src/fleet/worker.rs
@@ -0,0 +1,344 @@
+//! Stand-in for a worker that queues by itself: a model engine or a plain service.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use tokio::time;
+
+use super::http_server::{self, Body, Handler};
+use super::worker_faults::WorkerFaults;
+use super::worker_log::{OrderSeen, Run, WorkerLog};
+
+/// Longer than any test waits for an answer.
+const SILENCE: Duration = Duration::from_secs(600);
+
+/// What a worker is.
+#[derive(Clone, Debug)]
+pub struct WorkerConfig {
+    /// Identifier.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Failure domain.
+    pub zone: String,
+    /// Base model of an engine; `None` for a plain service.
+    pub model: Option<String>,
+    /// Adapters that it can hold.
+    pub adapter_slots: usize,
+    /// Time to load an adapter.
+    pub load_time: Duration,
+    /// Events of each stream.
+    pub events: u32,
+    /// Pause between events, and work of a plain request.
+    pub pace: Duration,
+    /// Time within which two holders may not take turns.
+    pub lease: Duration,
+}
+
+/// Stand-in for a worker.
+#[derive(Debug)]
+pub struct Worker {
+    config: WorkerConfig,
+    faults: Mutex<WorkerFaults>,
+    /// Versions of adapters, with the time from which they can be used.
+    adapters: Mutex<BTreeMap<String, (u64, Instant)>>,
+    newest: Mutex<BTreeMap<String, u64>>,
+    log: Mutex<WorkerLog>,
+}
+
+impl Worker {
+    /// Starts a worker and returns it with its address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is available.
+    pub fn start(config: WorkerConfig) -> io::Result<(Arc<Self>, SocketAddr)> {
+        let worker = Arc::new(Self {
+            config,
+            faults: Mutex::default(),
+            adapters: Mutex::default(),
+            newest: Mutex::default(),
+            log: Mutex::default(),
+        });
+        let address = http_server::serve(Arc::clone(&worker), ([127, 0, 0, 1], 0).into())?;
+        Ok((worker, address))
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: WorkerFaults) {
+        *self.faults.lock() = faults;
+    }
+
+    /// Returns what the worker saw.
+    pub fn log(&self) -> WorkerLog {
+        self.log.lock().clone()
+    }
+
+    /// Names a newer version of an adapter in the weight store.
+    pub fn name_version(&self, adapter: &str, version: u64) {
+        self.newest.lock().insert(adapter.to_owned(), version);
+    }
+
+    /// Forgets everything, as after a restart.
+    pub fn forget(&self) {
+        self.adapters.lock().clear();
+    }
+
+    /// Returns the entry of the worker in the store.
+    pub fn entry(&self, address: SocketAddr, state: &str, born: u64) -> Value {
+        json!({
+            "Service": self.config.service,
+            "Address": address.to_string(),
+            "Zone": self.config.zone,
+            "Version": "v1",
+            "Slots": 6,
+            "State": state,
+            "ColdLeftMs": 0,
+            "Models": self.models(),
+            "Sequence": 0,
+            "born": born,
+        })
+    }
+
+    fn models(&self) -> Value {
+        let Some(model) = &self.config.model else { return json!([]) };
+        let adapters = self.adapters.lock();
+        let adapters = adapters.iter().map(|(name, (version, _))| format!("{name}@{version}"));
+        json!([{"Name": model, "Version": 1, "Adapters": adapters.collect::<Vec<_>>()}])
+    }
+
+    fn violate(&self, violation: String) {
+        self.log.lock().violations.push(violation);
+    }
+
+    fn order(&self, body: &[u8]) -> Response<Body> {
+        let order: Value = serde_json::from_slice(body).unwrap_or_default();
+        let text = |field: &str| order[field].as_str().unwrap_or_default().to_owned();
+        let (operation, adapter) = (text("Operation"), text("Adapter"));
+        let fence = order["FencingToken"].as_u64().unwrap_or(0);
+        let seen = OrderSeen {
+            holder: text("Holder"),
+            fence,
+            order: format!("{operation} {adapter}"),
+            at: Instant::now(),
+        };
+        self.check_holder(&seen);
+        self.log.lock().orders.push(seen);
+        let mut adapters = self.adapters.lock();
+        if operation == "unload" {
+            adapters.remove(&adapter);
+            return http_server::answer(StatusCode::OK, "");
+        }
+        let newest = self.newest.lock().get(&adapter).copied().unwrap_or(1);
+        let version = order["Version"].as_u64().unwrap_or(newest);
+        if let Some((held, ready)) = adapters.get(&adapter)
+            && *held == version
+        {
+            let is_ready = *ready <= Instant::now();
+            let status = if is_ready { StatusCode::OK } else { StatusCode::ACCEPTED };
+            return http_server::answer(status, "");
+        }
+        adapters.insert(adapter, (version, Instant::now() + self.config.load_time));
+        if adapters.len() > self.config.adapter_slots {
+            let held = adapters.len();
+            drop(adapters);
+            self.violate(format!("{held} adapters were ordered"));
+        }
+        http_server::answer(StatusCode::ACCEPTED, "")
+    }
+
+    fn check_holder(&self, order: &OrderSeen) {
+        let mut violations = Vec::new();
+        let mut log = self.log.lock();
+        if let Some(last) = log.orders.last() {
+            if order.fence < last.fence {
+                violations.push(format!("fence {} after {}", order.fence, last.fence));
+            }
+            let is_other = order.holder != last.holder;
+            if is_other && order.at.duration_since(last.at) < self.config.lease {
+                violations.push(format!("{} ordered right after {}", order.holder, last.holder));
+            }
+        }
+        log.violations.extend(violations);
+    }
+
+    /// Returns why a request is not run, as an answer, or the adapter version that runs it.
+    fn admit(&self, headers: &HeaderMap) -> Result<Option<String>, StatusCode> {
+        let header = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        if header("Expected-Instance").is_some_and(|id| id != self.config.id) {
+            return Err(StatusCode::MISDIRECTED_REQUEST);
+        }
+        for reserved in ["Hold", "Pin-Ms", "Kv-Backup", "Kv-From"] {
+            if headers.contains_key(reserved) {
+                self.violate(format!("{reserved} reached the worker"));
+            }
+        }
+        let Some((_, adapter)) = header("Model").and_then(|model| model.split_once('/')) else {
+            return Ok(None);
+        };
+        let adapters = self.adapters.lock();
+        let held = adapters.get(adapter).filter(|(_, ready)| *ready <= Instant::now());
+        let (version, _) = held.ok_or(StatusCode::MISDIRECTED_REQUEST)?;
+        let expected = header("Expected-Version").and_then(|version| version.parse().ok());
+        if expected.is_some_and(|expected: u64| expected != *version) {
+            return Err(StatusCode::MISDIRECTED_REQUEST);
+        }
+        Ok(Some(format!("{adapter}@{version}")))
+    }
+
+    fn begin_run(&self, attempt_id: &str, adapter: Option<String>, after_event: u32) -> usize {
+        let run = Run {
+            attempt_id: attempt_id.to_owned(),
+            adapter,
+            after_event,
+            began: Instant::now(),
+            ended: None,
+        };
+        let mut log = self.log.lock();
+        log.runs.push(run);
+        log.runs.len() - 1
+    }
+
+    fn end_run(&self, run: usize) {
+        self.log.lock().runs[run].ended = Some(Instant::now());
+    }
+
+    async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        let faults = *self.faults.lock();
+        let (head, body) = request.into_parts();
+        body.collect().await.ok()?;
+        let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let attempt_id = header("Attempt-Id").unwrap_or_default().to_owned();
+        let named = if faults.mixes_answers { "another" } else { &attempt_id };
+        if faults.refuses {
+            return Some(not_executed(StatusCode::SERVICE_UNAVAILABLE, named));
+        }
+        let adapter = match self.admit(&head.headers) {
+            Ok(adapter) => adapter,
+            Err(status) => return Some(not_executed(status, named)),
+        };
+        let after_event = header("Last-Event-Id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let run = self.begin_run(&attempt_id, adapter.clone(), after_event);
+        let guard = RunGuard { worker: Arc::clone(&self), run };
+        if faults.loses_answers {
+            return None;
+        }
+        if self.config.model.is_none() {
+            time::sleep(self.config.pace).await;
+            drop(guard);
+            let status =
+                if faults.fails { StatusCode::INTERNAL_SERVER_ERROR } else { StatusCode::OK };
+            return Some(signed(http_server::answer(status, format!("done {attempt_id}")), named));
+        }
+        let (parts, receiver) = mpsc::channel(1);
+        let label = adapter.unwrap_or_else(|| "base".to_owned());
+        tokio::spawn(self.stream(guard, label, after_event, faults.breaks_after, parts));
+        let stream = ReceiverStream { receiver };
+        let body = StreamBody::new(stream).boxed();
+        Some(signed(Response::new(body), named))
+    }
+
+    async fn stream(
+        self: Arc<Self>,
+        guard: RunGuard,
+        label: String,
+        after_event: u32,
+        breaks_after: Option<u32>,
+        parts: mpsc::Sender<Result<Frame<Bytes>, io::Error>>,
+    ) {
+        for event in after_event + 1..=self.config.events {
+            tokio::select! {
+                () = time::sleep(self.config.pace) => {}
+                () = parts.closed() => return,
+            }
+            if breaks_after.is_some_and(|limit| event - after_event > limit) {
+                let torn = Bytes::from(format!("id: {event}\nda"));
+                let _ = parts.send(Ok(Frame::data(torn))).await;
+                let _ = parts.send(Err(io::Error::other("broken"))).await;
+                return;
+            }
+            let data = Bytes::from(format!("id: {event}\ndata: {label} {event}\n\n"));
+            if parts.send(Ok(Frame::data(data))).await.is_err() {
+                return;
+            }
+        }
+        drop(guard);
+    }
+}
+
+impl Handler for Worker {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        let faults = *self.faults.lock();
+        if faults.is_silent {
+            time::sleep(SILENCE).await;
+            return None;
+        }
+        match request.uri().path() {
+            "/v1/order" => {
+                let body = request.into_body().collect().await.ok()?.to_bytes();
+                let response = self.order(&body);
+                if faults.mutes_orders {
+                    time::sleep(SILENCE).await;
+                }
+                Some(response)
+            }
+            "/v1/report" => {
+                let body = json!({"Phase": "colocated", "Models": self.models(), "Pending": []});
+                Some(http_server::json(StatusCode::OK, &body))
+            }
+            _ => self.serve(request).await,
+        }
+    }
+}
+
+/// Notes the end of a run, however it ends.
+struct RunGuard {
+    worker: Arc<Worker>,
+    run: usize,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.worker.end_run(self.run);
+    }
+}
+
+struct ReceiverStream {
+    receiver: mpsc::Receiver<Result<Frame<Bytes>, io::Error>>,
+}
+
+impl futures_util::Stream for ReceiverStream {
+    type Item = Result<Frame<Bytes>, io::Error>;
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Self::Item>> {
+        self.receiver.poll_recv(context)
+    }
+}
+
+fn signed(mut response: Response<Body>, attempt_id: &str) -> Response<Body> {
+    let headers = response.headers_mut();
+    headers.insert("Attempt-Id", attempt_id.parse().expect("an identifier is visible ASCII"));
+    headers.insert("Server-Signature", "s1.g2".parse().expect("a constant"));
+    response
+}
+
+fn not_executed(status: StatusCode, attempt_id: &str) -> Response<Body> {
+    let mut response = http_server::answer(status, "");
+    let headers = response.headers_mut();
+    headers.insert("Attempt-Id", attempt_id.parse().expect("an identifier is visible ASCII"));
+    headers.insert("Not-Executed", "1".parse().expect("a constant"));
+    response
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod app;
 pub mod clock;
 pub mod engine;
+pub mod fleet;
 pub mod http;
 pub mod platform;
 pub mod relay;
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -181,9 +181,14 @@
     /// Daemon that gives the orders.
     #[prost(string, tag = "1")]
     pub host: String,
-    /// Start of the worker.
-    #[prost(uint64, tag = "2")]
-    pub worker_started_unix_ms: u64,
+}
+
+/// Row of a worker's orders without an answer.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct LateOrders {
+    /// Time of the store's clock after which none of them is carried out.
+    #[prost(uint64, tag = "1")]
+    pub until_store_ms: u64,
 }
 
 /// A message that cannot be used.
@@ -316,7 +321,7 @@
 
 impl From<&order_lease::HolderRow> for Holder {
     fn from(row: &order_lease::HolderRow) -> Self {
-        Self { host: row.host.to_string(), worker_started_unix_ms: row.worker_started_unix_ms }
+        Self { host: row.host.to_string() }
     }
 }
 
@@ -328,10 +333,25 @@
     /// Fails when the bytes are no holder.
     pub fn read(bytes: &[u8]) -> Result<order_lease::HolderRow, FleetError> {
         let row = Self::decode(bytes).context(DecodeSnafu)?;
-        Ok(order_lease::HolderRow {
-            host: name::HostName::from(row.host),
-            worker_started_unix_ms: row.worker_started_unix_ms,
-        })
+        Ok(order_lease::HolderRow { host: name::HostName::from(row.host) })
+    }
+}
+
+impl From<&order_lease::LateRow> for LateOrders {
+    fn from(row: &order_lease::LateRow) -> Self {
+        Self { until_store_ms: row.until_store_ms }
+    }
+}
+
+impl LateOrders {
+    /// Decodes a row.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are no such row.
+    pub fn read(bytes: &[u8]) -> Result<order_lease::LateRow, FleetError> {
+        let row = Self::decode(bytes).context(DecodeSnafu)?;
+        Ok(order_lease::LateRow { until_store_ms: row.until_store_ms })
     }
 }
 
