--- a/crates/edge/src/traffic/event_buffer.rs
+++ b/crates/edge/src/traffic/event_buffer.rs
@@ -63,8 +63,7 @@
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = ids.last()?.trim_ascii();
+    let mut lines = events.split(|byte| *byte == b'\n').rev();
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?.trim_ascii();
     (!id.is_empty()).then(|| String::from_utf8_lossy(id).into_owned())
 }
--- a/crates/edge/src/traffic/health_port.rs
+++ b/crates/edge/src/traffic/health_port.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 
 use super::server;
-use super::traffic::Traffic;
+use super::shared::Traffic;
 use crate::dialect;
 
 /// Path of the metrics.
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -14,11 +14,11 @@
 mod refusal;
 mod relay;
 mod server;
+mod shared;
 mod stream_relay;
-mod traffic;
 
 pub use datagrams::Datagrams;
 pub use health_port::HealthPort;
 pub use order_sender::OrderSender;
 pub use server::{Server, listen};
-pub use traffic::Traffic;
+pub use shared::Traffic;
--- a/crates/edge/src/traffic/order_sender.rs
+++ b/crates/edge/src/traffic/order_sender.rs
@@ -11,7 +11,7 @@
 use tokio::time::{self, Duration};
 
 use super::connection::Connection;
-use super::traffic::Traffic;
+use super::shared::Traffic;
 use crate::clock;
 use crate::control;
 use crate::dialect;
--- a/crates/edge/src/traffic/server.rs
+++ b/crates/edge/src/traffic/server.rs
@@ -15,7 +15,7 @@
 use tokio::time;
 
 use super::answer_body::AnswerBody;
-use super::traffic::Traffic;
+use super::shared::Traffic;
 use super::{call, connection};
 use crate::dialect;
 
