--- a/crates/domain/src/placement/placement.rs
+++ b/crates/domain/src/placement/placement.rs
@@ -100,14 +100,26 @@
     }
 
     /// Notes that a request needs an adapter version here; version 0 stands for the newest.
-    pub fn want(&mut self, adapter: &adapter::AdapterRef, now_ms: u64) {
+    ///
+    /// `is_new` tells that the request has not asked before.
+    pub fn want(&mut self, adapter: &adapter::AdapterRef, is_new: bool, now_ms: u64) {
         if self.holds(adapter) {
             return;
         }
-        let new = Want { version: adapter.version(), since_ms: now_ms, confirmed_ms: now_ms };
+        let new = Want {
+            version: adapter.version(),
+            since_ms: now_ms,
+            confirmed_ms: now_ms,
+            newest_ms: now_ms,
+            requests: 0,
+        };
         let want = self.wants.entry(adapter.name().clone()).or_insert(new);
         want.version = want.version.max(adapter.version());
         want.confirmed_ms = now_ms;
+        if is_new {
+            want.newest_ms = now_ms;
+            want.requests += 1;
+        }
     }
 
     /// Notes that the worker answered that it does not hold an adapter.
@@ -122,7 +134,7 @@
     pub fn renew_version(&mut self, adapter: &adapter::AdapterRef, now_ms: u64) {
         let Some(place) = self.places.get(adapter.name()) else { return };
         if place.state != PlaceState::Unloading && place.version != adapter.version() {
-            self.want(adapter, now_ms);
+            self.want(adapter, true, now_ms);
         }
     }
 
@@ -294,10 +306,9 @@
     fn start_loads(&mut self, others_in_transit: usize, now_ms: u64) {
         let mut in_transit = self.in_transit();
         let mut started = Vec::new();
-        // The longest wait goes first.
         let mut waiting: Vec<_> =
             self.wants.iter().map(|(name, want)| (name.clone(), *want)).collect();
-        waiting.sort_by_key(|(_, want)| want.since_ms);
+        waiting.sort_by_key(|(_, want)| want.rank(now_ms));
         let capacity = self.capacity(now_ms);
         for (name, want) in waiting {
             let has_room = self.places.len() < capacity;
--- a/crates/domain/tests/placement.rs
+++ b/crates/domain/tests/placement.rs
@@ -22,7 +22,7 @@
 
 /// Loads an adapter with orders that are answered at once.
 fn load(placement: &mut placement::Placement, name: &str, now_ms: u64) {
-    placement.want(&adapter_ref(name), now_ms);
+    placement.want(&adapter_ref(name), true, now_ms);
     let orders = placement.plan(0, now_ms);
     assert_eq!(orders, [placement::Order::Load(adapter_ref(name))]);
     placement.ordered(&orders[0], placement::OrderResult::Holds, now_ms);
@@ -38,7 +38,7 @@
 fn nothing_is_dropped_while_places_are_free() {
     let mut placement = placement(0);
     load(&mut placement, "a0", 0);
-    placement.want(&adapter_ref("a1"), 10_000);
+    placement.want(&adapter_ref("a1"), true, 10_000);
     let orders = placement.plan(0, 10_000);
     assert_eq!(orders, [placement::Order::Load(adapter_ref("a1"))]);
 }
@@ -51,14 +51,27 @@
     for name in ["a0", "a2", "a3"] {
         placement.used(&name::AdapterName::from(name), often, 100);
     }
-    placement.want(&adapter_ref("new"), 2_000);
+    placement.want(&adapter_ref("new"), true, 2_000);
     let unload = placement::Order::Unload(name::AdapterName::from("a1"));
-    assert_eq!(placement.plan(0, 2_000), [unload.clone()]);
+    assert_eq!(placement.plan(0, 2_000), std::slice::from_ref(&unload));
     placement.ordered(&unload, placement::OrderResult::Holds, 2_005);
-    placement.want(&adapter_ref("new"), 2_005);
+    placement.want(&adapter_ref("new"), true, 2_005);
     assert_eq!(placement.plan(0, 2_005), [placement::Order::Load(adapter_ref("new"))]);
 }
 
+#[test]
+fn requests_that_can_be_in_time_go_first_and_then_the_most_wanted() {
+    let mut placement = placement(0);
+    placement.want(&adapter_ref("late"), true, 0);
+    placement.want(&adapter_ref("late"), true, 0);
+    placement.want(&adapter_ref("late"), false, 690);
+    placement.want(&adapter_ref("one"), true, 690);
+    placement.want(&adapter_ref("two"), true, 695);
+    placement.want(&adapter_ref("two"), true, 695);
+    let loads = ["two", "one", "late"].map(|name| placement::Order::Load(adapter_ref(name)));
+    assert_eq!(placement.plan(0, 695), loads);
+}
+
 #[test]
 fn an_adapter_in_use_is_never_dropped() {
     let mut placement = placement(0);
@@ -67,7 +80,7 @@
     for index in 0..CAPACITY {
         placement.used(&name::AdapterName::from(format!("a{index}")), in_use, 100);
     }
-    placement.want(&adapter_ref("new"), 9_000);
+    placement.want(&adapter_ref("new"), true, 9_000);
     assert_eq!(placement.plan(0, 9_000), []);
 }
 
@@ -84,7 +97,7 @@
     for name in ["a1", "a2", "a3"] {
         placement.used(&name::AdapterName::from(name), heavy, 2_000);
     }
-    placement.want(&adapter_ref("new"), 9_000);
+    placement.want(&adapter_ref("new"), true, 9_000);
     let dropped = placement.plan(0, 9_000);
     assert_ne!(dropped, [placement::Order::Unload(name::AdapterName::from("a0"))]);
 }
@@ -97,11 +110,11 @@
     let late_until_ms = placement::LATE_ORDER_MS;
     let mut placement = placement::Placement::new(limits, true, &listed, late_until_ms, 0);
     for index in 1..=CAPACITY {
-        placement.want(&adapter_ref(&format!("a{index}")), 5_000);
+        placement.want(&adapter_ref(&format!("a{index}")), true, 5_000);
     }
     assert_eq!(placement.plan(0, 5_000), []);
     for index in 1..=CAPACITY {
-        placement.want(&adapter_ref(&format!("a{index}")), late_until_ms);
+        placement.want(&adapter_ref(&format!("a{index}")), true, late_until_ms);
     }
     assert!(!placement.plan(0, late_until_ms).is_empty());
 }
@@ -122,11 +135,11 @@
     let base_model = name::BaseModelName::from("m");
     let limits = placement::Limits { adapter_capacity: CAPACITY, base_model: base_model.clone() };
     let mut placement = placement::Placement::new(limits, false, &[], 0, 0);
-    placement.want(&adapter_ref("a0"), 0);
+    placement.want(&adapter_ref("a0"), true, 0);
     let load = placement::Order::LoadBase(base_model);
-    assert_eq!(placement.plan(0, 0), [load.clone()]);
+    assert_eq!(placement.plan(0, 0), std::slice::from_ref(&load));
     placement.ordered(&load, placement::OrderResult::Holds, 2_000);
-    placement.want(&adapter_ref("a0"), 2_000);
+    placement.want(&adapter_ref("a0"), true, 2_000);
     assert_eq!(placement.plan(0, 2_000), [placement::Order::Load(adapter_ref("a0"))]);
 }
 
@@ -173,7 +186,7 @@
         for (wanted, fate, pause_ms) in steps {
             now_ms += pause_ms;
             worker.advance(now_ms);
-            placement.want(&adapter_ref(&format!("a{wanted}")), now_ms);
+            placement.want(&adapter_ref(&format!("a{wanted}")), true, now_ms);
             for order in placement.plan(0, now_ms) {
                 let result = match fate {
                     0 => {
--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
-use jasminetack_domain::adapter;
 use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
 use jasminetack_domain::upstream;
@@ -174,8 +173,15 @@
             Message::Feed(table, event, began_ms) => self.feed(table, event, began_ms, now_ms),
             Message::Stored(reply) => self.stored(reply, now_ms),
             Message::Datagram(datagram) => self.datagram(&datagram, now_ms),
-            Message::Demand { worker, adapter, is_missing } => {
-                self.demand(&worker, &adapter, is_missing, now_ms);
+            Message::Demand { worker, adapter, is_missing, is_new } => {
+                let demand = fleet::Demand {
+                    worker: worker.to_string(),
+                    adapter: adapter.name().to_string(),
+                    version: adapter.version(),
+                    is_missing,
+                    is_new,
+                };
+                self.demand(&worker, demand, now_ms);
             }
             Message::Ordered { worker, fence, order, result } => {
                 self.metrics.count_order(result.as_str());
@@ -365,7 +371,7 @@
         for demand in &datagram.demands {
             let worker = name::WorkerName::from(demand.worker.as_str());
             let adapter = demand.adapter();
-            if !self.holds.want(&worker, &adapter, demand.is_missing, now_ms) {
+            if !self.holds.want(&worker, demand, now_ms) {
                 continue;
             }
             let host = name::HostName::from(datagram.host.as_str());
@@ -406,24 +412,13 @@
         self.changed.extend(changed);
     }
 
-    fn demand(
-        &mut self,
-        worker: &name::WorkerName,
-        adapter: &adapter::AdapterRef,
-        is_missing: bool,
-        now_ms: u64,
-    ) {
-        if self.holds.want(worker, adapter, is_missing, now_ms) {
+    /// Has a worker's holder load an adapter.
+    fn demand(&mut self, worker: &name::WorkerName, demand: fleet::Demand, now_ms: u64) {
+        if self.holds.want(worker, &demand, now_ms) {
             return;
         }
         let Some((_, peer, _, _)) = self.peers.holder(worker) else { return };
         let to = vec![peer.address];
-        let demand = fleet::Demand {
-            worker: worker.to_string(),
-            adapter: adapter.name().to_string(),
-            version: adapter.version(),
-            is_missing,
-        };
         let datagram = self.next_datagram(None, vec![demand]);
         self.outputs.send(Letter { to, datagram });
     }
--- a/crates/edge/src/control/holds.rs
+++ b/crates/edge/src/control/holds.rs
@@ -8,6 +8,7 @@
 use jasminetack_domain::name;
 use jasminetack_domain::placement;
 use jasminetack_domain::upstream;
+use jasminetack_wire::fleet;
 
 use super::{Hold, OrderJob, WorkerCall};
 use crate::dialect;
@@ -134,19 +135,14 @@
     }
 
     /// Notes that an adapter is needed at a worker; returns whether this daemon gives it orders.
-    pub fn want(
-        &mut self,
-        worker: &name::WorkerName,
-        adapter: &adapter::AdapterRef,
-        is_missing: bool,
-        now_ms: u64,
-    ) -> bool {
+    pub fn want(&mut self, worker: &name::WorkerName, demand: &fleet::Demand, now_ms: u64) -> bool {
         let Some(hold) = self.holds.get_mut(worker) else { return false };
         let Some(placement) = &mut hold.placement else { return true };
-        if is_missing {
+        let adapter = demand.adapter();
+        if demand.is_missing {
             placement.missing(adapter.name(), now_ms);
         }
-        placement.want(adapter, now_ms);
+        placement.want(&adapter, demand.is_new, now_ms);
         true
     }
 
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -27,6 +27,8 @@
         adapter: adapter::AdapterRef,
         /// Whether the worker answered that it does not hold the adapter.
         is_missing: bool,
+        /// Whether the request has not asked before.
+        is_new: bool,
     },
     /// A worker answered an order.
     Ordered {
--- a/crates/edge/src/traffic/call.rs
+++ b/crates/edge/src/traffic/call.rs
@@ -299,11 +299,13 @@
         {
             return;
         }
+        let is_new = self.demanded.as_ref().is_none_or(|(demanded, _)| demanded != worker);
         self.demanded = Some((worker.clone(), now_ms));
         let view = self.traffic.view.load();
         let version = view.versions.get(adapter).map_or(0, |named| named.version);
         let adapter = adapter::AdapterRef::new(adapter.clone(), version);
-        let demand = control::Message::Demand { worker: worker.clone(), adapter, is_missing };
+        let worker = worker.clone();
+        let demand = control::Message::Demand { worker, adapter, is_missing, is_new };
         // The control thread ends only with the process.
         let _ = self.traffic.control.send(demand);
     }
--- a/crates/edge/src/traffic/order_sender.rs
+++ b/crates/edge/src/traffic/order_sender.rs
@@ -17,7 +17,7 @@
 use crate::dialect;
 
 /// Longest wait for the answer to an order or a report.
-const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+const CALL_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Sends orders to workers.
 pub struct OrderSender<Dialect> {
--- a/crates/edge/src/traffic/server.rs
+++ b/crates/edge/src/traffic/server.rs
@@ -30,7 +30,7 @@
 /// of its checks, which come once a second.
 const LEAVING_ACCEPT: Duration = Duration::from_millis(2_600);
 /// Part of the grace period that is kept for the end of the process.
-const GRACE_RESERVE_MS: u64 = 400;
+const GRACE_RESERVE_MS: u64 = 900;
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
 
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -156,6 +156,9 @@
     /// Whether the worker answered that it does not hold the adapter.
     #[prost(bool, tag = "4")]
     pub is_missing: bool,
+    /// Whether the request has not asked before.
+    #[prost(bool, tag = "5")]
+    pub is_new: bool,
 }
 
 /// Row of a daemon's lease.
