Refuse a request after 2.5 s without its adapter

Cause: requests waited for adapters until their callers left after 4 s, untried and held to the end.

--- a/crates/edge/src/traffic/call.rs
+++ b/crates/edge/src/traffic/call.rs
@@ -38,7 +38,7 @@
 /// Part of the deadline that may pass while an adapter is loaded; the rest is for the generation.
 const LOAD_WAIT_PART: f64 = 0.6;
 /// Longest wait for an adapter.
-const MAX_LOAD_WAIT_MS: u64 = 4_000;
+const MAX_LOAD_WAIT_MS: u64 = 2_500;
 /// Pause after which a demand for an adapter is repeated; datagrams may be lost.
 const DEMAND_INTERVAL_MS: u64 = 250;
 /// Longest sleep between two looks at the fleet while a request waits.
