--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -9,7 +9,9 @@
 /// Time of a load at the worker that an adapter prefers, which is likely to have a copy of it.
 const PREFERRED_LOAD_COST_MS: f64 = 200.0;
 /// Time of a load from the weight store, and its price expressed as time.
-const STORE_LOAD_COST_MS: f64 = 1_000.0;
+const STORE_LOAD_COST_MS: f64 = 2000.0;
+/// Least cost of one more copy of a popular adapter: the time of its load.
+const MIN_LOAD_COST_MS: f64 = 200.0;
 /// Time left of a load that is under way, on average.
 const LOADING_COST_MS: f64 = 130.0;
 /// Time that each load that waits at a worker adds.
@@ -152,7 +154,7 @@
             return PREFERRED_LOAD_COST_MS + wait_ms;
         }
         let uses = choice.adapter.map_or(0.0, |adapter| self.popularity.weight(adapter, now_ms));
-        STORE_LOAD_COST_MS / uses.max(1.0) + wait_ms
+        (STORE_LOAD_COST_MS / uses.max(1.0)).max(MIN_LOAD_COST_MS) + wait_ms
     }
 
     /// Returns what failures, silence and slowness of a worker add.
