--- a/crates/edge/src/control/holds.rs
+++ b/crates/edge/src/control/holds.rs
@@ -130,8 +130,13 @@
         };
         let Some(placement) = &mut hold.placement else { return };
         placement.ordered(order, result, now_ms);
-        let result = result.as_str();
-        spdlog::info!("order worker={worker} fence={fence} order={order} result={result}");
+        let text = result.as_str();
+        // A load is asked for until it has ended; only the last answer is news.
+        if result == placement::OrderResult::Accepted {
+            spdlog::debug!("order worker={worker} fence={fence} order={order} result={text}");
+            return;
+        }
+        spdlog::info!("order worker={worker} fence={fence} order={order} result={text}");
     }
 
     /// Notes that an adapter is needed at a worker; returns whether this daemon gives it orders.
--- a/crates/edge/src/traffic/call.rs
+++ b/crates/edge/src/traffic/call.rs
@@ -145,6 +145,7 @@
         let route = ingress.resolve(host, head.uri.path());
         let route = route.ok_or(Refusal::rejected(StatusCode::NOT_FOUND, "no such route"))?;
         record.routed(route, ingress.version());
+        record.needs(facts.adapter.as_ref());
         let service = route.service(rand::random());
         let service = service.ok_or(Refusal::not_run("no service", RETRY_AFTER_MS))?.clone();
         traffic.count_request(&service, received_ms);
@@ -214,6 +215,7 @@
                     record.waited(now_ms.saturating_sub(began_ms));
                     return Ok(target);
                 }
+                record.asked(&target.decision.worker);
                 self.demand(&target.decision.worker, false, now_ms);
             } else if !self.excluded.is_empty() {
                 return Err(self.give_up("no other worker"));
--- a/crates/edge/src/traffic/call_record.rs
+++ b/crates/edge/src/traffic/call_record.rs
@@ -9,6 +9,9 @@
 use crate::clock;
 use crate::metrics;
 
+/// Workers that were not chosen and are named in the log.
+const MAX_LISTED: usize = 2;
+
 /// Record of one request; dropping it writes its last line.
 #[derive(Debug)]
 pub struct CallRecord {
@@ -20,6 +23,11 @@
     sent: u32,
     waited_load_ms: u64,
     worker: Option<name::WorkerName>,
+    adapter: Option<name::AdapterName>,
+    /// Worker that was asked to load the adapter.
+    asked: Option<name::WorkerName>,
+    /// Predicted time at the chosen worker, and the next best ones.
+    choice: String,
     first_ms: Option<u64>,
     status: u16,
     outcome: &'static str,
@@ -42,6 +50,9 @@
             sent: 0,
             waited_load_ms: 0,
             worker: None,
+            adapter: None,
+            asked: None,
+            choice: String::new(),
             first_ms: None,
             status: 0,
             outcome: "caller-left",
@@ -54,6 +65,16 @@
         self.configuration = configuration;
     }
 
+    /// Notes the adapter that must answer.
+    pub fn needs(&mut self, adapter: Option<&name::AdapterName>) {
+        self.adapter = adapter.cloned();
+    }
+
+    /// Notes the worker that is asked to load the adapter.
+    pub fn asked(&mut self, worker: &name::WorkerName) {
+        self.asked = Some(worker.clone());
+    }
+
     /// Notes for how long the request has waited for an adapter.
     pub fn waited(&mut self, waited_ms: u64) {
         self.waited_load_ms = waited_ms;
@@ -63,11 +84,12 @@
     pub fn sent(&mut self, decision: &route::Decision) {
         self.sent += 1;
         self.worker = Some(decision.worker.clone());
+        self.choice = describe(decision);
         if self.sent > 1 {
-            let (id, worker, cost_ms) = (&self.request_id, &decision.worker, decision.cost_ms);
-            let (attempt, reason) = (self.sent, decision.reason);
+            let (id, worker, attempt) = (&self.request_id, &decision.worker, self.sent);
+            let (choice, reason) = (&self.choice, decision.reason);
             spdlog::info!(
-                "repeat request={id} attempt={attempt} worker={worker} cost_ms={cost_ms} reason=\"{reason}\""
+                "repeat request={id} attempt={attempt} worker={worker} predicted_ms={choice} reason={reason:?}"
             );
         }
     }
@@ -105,8 +127,22 @@
         let worker = self.worker.as_ref().map_or("none", name::WorkerName::as_str);
         let (version, waited) = (self.configuration, self.waited_load_ms);
         let first_ms = self.first_ms.unwrap_or(0);
+        let adapter = self.adapter.as_ref().map_or("none", name::AdapterName::as_str);
+        let asked = self.asked.as_ref().map_or("none", name::WorkerName::as_str);
+        let choice = if self.choice.is_empty() { "none" } else { &self.choice };
         spdlog::info!(
-            "request request={id} outcome={outcome} status={status} route={route} kind={kind} worker={worker} attempts={sent} load_wait_ms={waited} first_ms={first_ms} total_ms={total_ms} configuration={version}"
+            "request request={id} outcome={outcome:?} status={status} route={route} kind={kind} adapter={adapter} worker={worker} predicted_ms={choice} attempts={sent} asked={asked} load_wait_ms={waited} first_ms={first_ms} total_ms={total_ms} configuration={version}"
         );
     }
 }
+
+/// Lists the predicted times at the chosen worker and at the next best ones.
+fn describe(decision: &route::Decision) -> String {
+    let mut others: Vec<_> = decision.considered.iter().collect();
+    others.sort_by_key(|(_, cost_ms)| *cost_ms);
+    let mut text = decision.cost_ms.to_string();
+    for (worker, cost_ms) in others.into_iter().take(MAX_LISTED) {
+        text.push_str(&format!(",{worker}:{cost_ms}"));
+    }
+    text
+}
