--- a/crates/edge/src/control/catalog.rs
+++ b/crates/edge/src/control/catalog.rs
@@ -66,7 +66,7 @@
     {
         let mut news = News::default();
         let rows = match event {
-            FeedEvent::Listed(rows) | FeedEvent::Changed(rows) => rows,
+            FeedEvent::Listed(rows, _) | FeedEvent::Changed(rows, _) => rows,
             FeedEvent::Stale | FeedEvent::Lost(_) => return news,
         };
         for row in rows {
@@ -100,12 +100,12 @@
         match event {
             FeedEvent::Lost(_) => self.directory.unreachable(),
             FeedEvent::Stale => {}
-            FeedEvent::Listed(rows) => {
+            FeedEvent::Listed(rows, _) => {
                 self.directory.reachable(now_ms);
                 let upstreams = rows.iter().filter_map(|row| decode(row, dialect));
                 news.workers = self.directory.replace(upstreams.collect(), now_ms);
             }
-            FeedEvent::Changed(rows) => {
+            FeedEvent::Changed(rows, _) => {
                 self.directory.reachable(now_ms);
                 for row in rows {
                     let change = match decode(&row, dialect) {
--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -107,10 +107,11 @@
 
     /// Does what is due for its time: calls to the store, claims and orders.
     pub fn watch(&mut self, now_ms: u64) {
-        if self.operator.begin_read(now_ms) {
+        let store_ms = self.tenancy.store_clock().latest_ms(now_ms);
+        if self.operator.begin_read(store_ms, now_ms) {
             self.outputs.read_operator();
         }
-        if self.workers.begin_read(now_ms) {
+        if self.workers.begin_read(store_ms, now_ms) {
             self.outputs.read_workers();
         }
         let news = self.catalog.expire(now_ms);
@@ -133,7 +134,7 @@
     /// Tells other daemons the load and the adapters of this one.
     pub fn report(&mut self, now_ms: u64) {
         let loads = self.take_loads(now_ms);
-        let state = self.state(Some(loads), now_ms);
+        let state = self.state(Some(loads));
         let is_far_due = now_ms.saturating_sub(self.reported_far_ms) >= FAR_REPORT_MS;
         if is_far_due {
             self.reported_far_ms = now_ms;
@@ -202,12 +203,12 @@
         let news = match table {
             store::Table::Operator => self.catalog.operator(event, &*self.dialect, now_ms),
             store::Table::Workers => self.catalog.workers(event, &*self.dialect, now_ms),
-            store::Table::Leases | store::Table::Holders | store::Table::LateOrders => return,
+            store::Table::Leases | store::Table::Holders => return,
         };
         self.apply(news, now_ms);
         if was_read {
             // The others of the region need not read then.
-            let state = self.state(None, now_ms);
+            let state = self.state(None);
             let region = self.tenancy.identity().place.region().clone();
             let to = self.peers.addresses(|peer| *peer.place.region() == region);
             self.send_state(state, to);
@@ -230,8 +231,9 @@
         let name = table.as_str();
         let was_lost = self.lost_tables.contains(&table);
         match event {
-            FeedEvent::Listed(_) | FeedEvent::Changed(_) => {
-                freshness.read(began_ms);
+            FeedEvent::Listed(_, store_ms) | FeedEvent::Changed(_, store_ms) => {
+                freshness.read(*store_ms);
+                self.tenancy.observe_clock(*store_ms, began_ms);
                 if was_lost {
                     self.lost_tables.retain(|lost| *lost != table);
                     spdlog::info!("dependency-regained name=store table={name}");
@@ -293,8 +295,8 @@
 
     fn stored(&mut self, reply: Reply, now_ms: u64) {
         match reply {
-            Reply::Rows { leases: Ok(leases), holders: Ok(holders), late: Ok(late), sent_ms } => {
-                if let Some(job) = self.tenancy.rows(leases, holders, late, sent_ms) {
+            Reply::Rows { leases: Ok(leases), holders: Ok(holders), sent_ms } => {
+                if let Some(job) = self.tenancy.rows(leases, holders, sent_ms) {
                     self.outputs.store(job);
                 }
                 self.learn_peers(now_ms);
@@ -344,7 +346,7 @@
         self.peers.retain_listed(&listed, now_ms);
         if is_new {
             // Daemons that know this one answer with their own states at their next report.
-            let state = self.state(None, now_ms);
+            let state = self.state(None);
             let to = self.peers.addresses(|_| true);
             self.send_state(state, to);
         }
@@ -395,11 +397,11 @@
         }
         if let Some(known) = state.operator {
             let is_same = known.digest == self.catalog.operator_digest();
-            self.operator.told(is_same, known.age_ms, now_ms);
+            self.operator.told(is_same, known.as_of_store_ms);
         }
         if let Some(known) = state.workers {
             let is_same = known.digest == self.catalog.directory().digest();
-            self.workers.told(is_same, known.age_ms, now_ms);
+            self.workers.told(is_same, known.as_of_store_ms);
         }
         for load in &state.loads {
             let worker = name::WorkerName::from(load.worker.as_str());
@@ -459,7 +461,7 @@
         if served.is_empty() {
             return;
         }
-        let state = self.state(None, now_ms);
+        let state = self.state(None);
         let served = served.iter().filter_map(|host| self.peers.get(host));
         let to = served.map(|peer| peer.address).collect();
         self.send_state(state, to);
@@ -515,7 +517,7 @@
         loads
     }
 
-    fn state(&self, loads: Option<Vec<fleet::Load>>, now_ms: u64) -> fleet::State {
+    fn state(&self, loads: Option<Vec<fleet::Load>>) -> fleet::State {
         let identity = self.tenancy.identity();
         let holds = self.holds.iter();
         let holds =
@@ -528,8 +530,8 @@
             has_loads: loads.is_some(),
             loads: loads.unwrap_or_default(),
             holds: holds.collect(),
-            operator: table_state(&self.operator, self.catalog.operator_digest(), now_ms),
-            workers: table_state(&self.workers, self.catalog.directory().digest(), now_ms),
+            operator: table_state(&self.operator, self.catalog.operator_digest()),
+            workers: table_state(&self.workers, self.catalog.directory().digest()),
         }
     }
 
@@ -574,7 +576,7 @@
     }
 }
 
-fn table_state(freshness: &Freshness, digest: u64, now_ms: u64) -> Option<fleet::TableState> {
-    let age_ms = freshness.age_ms(now_ms)?;
-    Some(fleet::TableState { digest, age_ms })
+fn table_state(freshness: &Freshness, digest: u64) -> Option<fleet::TableState> {
+    let as_of_store_ms = freshness.as_of_store_ms()?;
+    Some(fleet::TableState { digest, as_of_store_ms })
 }
--- a/crates/edge/src/control/feed.rs
+++ b/crates/edge/src/control/feed.rs
@@ -13,10 +13,10 @@
 /// News of a table.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FeedEvent {
-    /// The whole table.
-    Listed(Vec<store::Row>),
-    /// Changed rows in order, possibly none.
-    Changed(Vec<store::Row>),
+    /// The whole table, as of a time of the store's clock.
+    Listed(Vec<store::Row>, u64),
+    /// Changed rows in order, possibly none, as of a time of the store's clock.
+    Changed(Vec<store::Row>, u64),
     /// The table cannot be read.
     Lost(store::StoreError),
     /// The answer is older than what is known.
@@ -84,15 +84,15 @@
         }
         self.newest = listing.version;
         self.version = Some(listing.version);
-        Ok(FeedEvent::Listed(listing.rows))
+        Ok(FeedEvent::Listed(listing.rows, listing.store_ms))
     }
 
     fn follow(&mut self, after: u64) -> Result<FeedEvent, store::StoreError> {
         match self.store.changes(self.table, after)? {
-            store::Changes::Rows { rows, version } => {
+            store::Changes::Rows { rows, version, store_ms } => {
                 self.version = Some(version.max(after));
                 self.newest = self.newest.max(version);
-                Ok(FeedEvent::Changed(rows))
+                Ok(FeedEvent::Changed(rows, store_ms))
             }
             store::Changes::HistoryLost => {
                 let table = self.table.as_str();
--- a/crates/edge/src/control/freshness.rs
+++ b/crates/edge/src/control/freshness.rs
@@ -15,12 +15,13 @@
 
 /// How recent this daemon's knowledge of one table is.
 ///
-/// Whoever has read the table tells the others a digest of it; a daemon whose own digest is the same
-/// is as well informed as the one that read.
+/// Whoever has read the table tells the others a digest of it and the time of the store's clock as of
+/// which it holds; a daemon whose own digest is the same is as well informed as the one that read.
+/// The time is the store's, since an age would grow younger with each daemon that passes it on.
 #[derive(Clone, Copy, Debug)]
 pub struct Freshness {
     max_age_ms: u64,
-    confirmed_ms: Option<u64>,
+    as_of_store_ms: Option<u64>,
     is_reading: bool,
     is_hinted: bool,
     next_read_ms: u64,
@@ -32,16 +33,19 @@
         let spread_ms = member::rendezvous::score(host.as_str(), table) % SPREAD_MS;
         Self {
             max_age_ms: MAX_AGE_MS + spread_ms,
-            confirmed_ms: None,
+            as_of_store_ms: None,
             is_reading: false,
             is_hinted: false,
             next_read_ms: 0,
         }
     }
 
-    /// Returns whether the table must be read now, and notes that it is.
-    pub fn begin_read(&mut self, now_ms: u64) -> bool {
-        let is_old = self.age_ms(now_ms).is_none_or(|age_ms| age_ms >= self.max_age_ms);
+    /// Returns whether the table must be read now, and notes that it is; `store_ms` is the latest
+    /// time that the store's clock may show.
+    pub fn begin_read(&mut self, store_ms: Option<u64>, now_ms: u64) -> bool {
+        let age_ms = self.as_of_store_ms.zip(store_ms);
+        let age_ms = age_ms.map(|(as_of_ms, store_ms)| store_ms.saturating_sub(as_of_ms));
+        let is_old = age_ms.is_none_or(|age_ms| age_ms >= self.max_age_ms);
         if self.is_reading || !is_old && !self.is_hinted || now_ms < self.next_read_ms {
             return false;
         }
@@ -51,10 +55,10 @@
         true
     }
 
-    /// Takes in a successful reading that began at `began_ms`.
-    pub fn read(&mut self, began_ms: u64) {
+    /// Takes in a successful reading.
+    pub fn read(&mut self, as_of_store_ms: u64) {
         self.is_reading = false;
-        self.confirm(began_ms);
+        self.confirm(as_of_store_ms);
     }
 
     /// Notes that a reading failed.
@@ -63,25 +67,24 @@
         self.next_read_ms = now_ms + FAILURE_PAUSE_MS;
     }
 
-    /// Takes in the knowledge of another daemon as of a time before now.
-    pub fn told(&mut self, is_same: bool, age_ms: u64, now_ms: u64) {
-        let Some(own_age_ms) = self.age_ms(now_ms) else { return };
+    /// Takes in the knowledge of another daemon.
+    pub fn told(&mut self, is_same: bool, as_of_store_ms: u64) {
+        let Some(own_ms) = self.as_of_store_ms else { return };
         if is_same {
-            self.confirm(now_ms.saturating_sub(age_ms));
+            self.confirm(as_of_store_ms);
             return;
         }
         // The one whose knowledge is older has missed a change.
-        if age_ms < own_age_ms {
-            self.is_hinted = true;
-        }
+        self.is_hinted |= as_of_store_ms > own_ms;
     }
 
-    /// Returns the age of the knowledge.
-    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
-        self.confirmed_ms.map(|confirmed_ms| now_ms.saturating_sub(confirmed_ms))
+    /// Returns the time of the store's clock as of which the table is known.
+    pub fn as_of_store_ms(&self) -> Option<u64> {
+        self.as_of_store_ms
     }
 
-    fn confirm(&mut self, at_ms: u64) {
-        self.confirmed_ms = Some(self.confirmed_ms.map_or(at_ms, |known_ms| known_ms.max(at_ms)));
+    fn confirm(&mut self, store_ms: u64) {
+        self.as_of_store_ms =
+            Some(self.as_of_store_ms.map_or(store_ms, |known| known.max(store_ms)));
     }
 }
--- a/crates/edge/src/control/job.rs
+++ b/crates/edge/src/control/job.rs
@@ -7,7 +7,7 @@
 /// A call to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Job {
-    /// Reads the leases, then the holders and the orders without an answer.
+    /// Reads the leases, then the holders.
     ReadRows,
     /// Renews this daemon's lease.
     Renew(store::Transaction),
@@ -26,8 +26,6 @@
         leases: Result<store::Listing, store::StoreError>,
         /// The holders.
         holders: Result<store::Listing, store::StoreError>,
-        /// The orders without an answer.
-        late: Result<store::Listing, store::StoreError>,
         /// When the reading of the leases began.
         sent_ms: u64,
     },
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -23,6 +23,7 @@
 pub use self::core::Core;
 pub use actor::Actor;
 pub use feed::{Feed, FeedEvent};
+pub use freshness::Freshness;
 pub use hold::Hold;
 pub use job::{Job, Reply};
 pub use message::Message;
--- a/crates/edge/src/control/tenancy.rs
+++ b/crates/edge/src/control/tenancy.rs
@@ -18,7 +18,7 @@
 /// Age of the rows from which they are read again before a decision.
 const ROWS_FRESH_MS: u64 = 900;
 /// Interval of reading all rows, to find daemons that no datagram has come from.
-const ROWS_INTERVAL_MS: u64 = 15_000;
+const ROWS_INTERVAL_MS: u64 = 60_000;
 /// Pause before a failed call is repeated.
 const RENEWAL_PAUSE_MS: u64 = 500;
 /// Time for which a worker without a holder is left to each daemon that ranks before this one.
@@ -28,6 +28,9 @@
 /// Pause between two looks at a worker whose lease has not expired.
 const CLAIM_PAUSE_MS: u64 = 700;
 
+/// Begins the keys of notes about orders without an answer; the rest is the worker.
+const LATE_PREFIX: &str = "late/";
+
 /// Times of the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseTimes {
@@ -114,6 +117,16 @@
         &self.identity.host
     }
 
+    /// Returns the estimate of the store's clock.
+    pub fn store_clock(&self) -> &order_lease::StoreClock {
+        &self.clock
+    }
+
+    /// Takes in a time of the store's clock from the answer to a call.
+    pub fn observe_clock(&mut self, store_ms: u64, sent_ms: u64) {
+        self.clock.observe(store_ms, sent_ms);
+    }
+
     /// Returns who this daemon is.
     pub fn identity(&self) -> &Identity {
         &self.identity
@@ -166,7 +179,6 @@
         &mut self,
         leases: store::Listing,
         holders: store::Listing,
-        late: store::Listing,
         sent_ms: u64,
     ) -> Option<Job> {
         self.is_reading = false;
@@ -184,24 +196,11 @@
             }
         }
         self.holders.clear();
-        for row in holders.rows {
-            let Some(value) = &row.value else { continue };
-            match fleet::Holder::read(value) {
-                Ok(holder) => {
-                    let worker = name::WorkerName::from(row.key.as_str());
-                    self.holders.insert(worker, (holder, row.version));
-                }
-                Err(error) => refuse("holders", &row.key, &error),
-            }
-        }
         self.late.clear();
-        for row in late.rows {
+        for row in holders.rows {
             let Some(value) = &row.value else { continue };
-            match fleet::LateOrders::read(value) {
-                Ok(late) => {
-                    self.late.insert(name::WorkerName::from(row.key.as_str()), late);
-                }
-                Err(error) => refuse("late-orders", &row.key, &error),
+            if let Err(error) = self.holder_row(&row.key, value, row.version) {
+                refuse("holders", &row.key, &error);
             }
         }
         let own = self.leases.get(&self.identity.host).map_or(0, |(_, version)| *version);
@@ -221,6 +220,21 @@
         None
     }
 
+    fn holder_row(
+        &mut self,
+        key: &str,
+        value: &[u8],
+        version: u64,
+    ) -> Result<(), fleet::FleetError> {
+        if let Some(worker) = key.strip_prefix(LATE_PREFIX) {
+            self.late.insert(name::WorkerName::from(worker), fleet::LateOrders::read(value)?);
+            return Ok(());
+        }
+        let holder = fleet::Holder::read(value)?;
+        self.holders.insert(name::WorkerName::from(key), (holder, version));
+        Ok(())
+    }
+
     /// Notes that the rows could not be read.
     pub fn rows_failed(&mut self, now_ms: u64) {
         self.is_reading = false;
@@ -350,8 +364,8 @@
         let left_ms = late_until_ms.saturating_sub(now_ms);
         let row = order_lease::LateRow { until_store_ms: self.clock.latest_ms(now_ms)? + left_ms };
         let write = store::Write {
-            table: store::Table::LateOrders,
-            key: worker.to_string(),
+            table: store::Table::Holders,
+            key: format!("{LATE_PREFIX}{worker}"),
             value: Some(fleet::LateOrders::from(&row).encode_to_vec()),
         };
         Some(Job::Write(store::Transaction { conditions: Vec::new(), writes: vec![write] }))
@@ -364,9 +378,9 @@
             key: worker.to_string(),
             version: fence,
         };
-        let tables = [store::Table::Holders, store::Table::LateOrders];
-        let writes =
-            tables.map(|table| store::Write { table, key: worker.to_string(), value: None });
+        let keys = [worker.to_string(), format!("{LATE_PREFIX}{worker}")];
+        let table = store::Table::Holders;
+        let writes = keys.map(|key| store::Write { table, key, value: None });
         Job::Write(store::Transaction { conditions: vec![condition], writes: writes.into() })
     }
 
--- a/crates/edge/src/control/writer.rs
+++ b/crates/edge/src/control/writer.rs
@@ -49,8 +49,7 @@
             Job::ReadRows => {
                 let leases = self.store.list(store::Table::Leases);
                 let holders = self.store.list(store::Table::Holders);
-                let late = self.store.list(store::Table::LateOrders);
-                Reply::Rows { leases, holders, late, sent_ms }
+                Reply::Rows { leases, holders, sent_ms }
             }
             Job::Renew(transaction) => Reply::Renewed(self.store.transact(&transaction), sent_ms),
             Job::Claim(worker, transaction) => {
--- a/crates/edge/src/store/changes.rs
+++ b/crates/edge/src/store/changes.rs
@@ -11,6 +11,8 @@
         rows: Vec<Row>,
         /// Version after which to go on.
         version: u64,
+        /// Time of the store's clock up to which the changes are complete.
+        store_ms: u64,
     },
     /// The store no longer has the changes; the table must be listed again.
     HistoryLost,
--- a/crates/edge/src/store/table.rs
+++ b/crates/edge/src/store/table.rs
@@ -9,10 +9,8 @@
     Workers,
     /// Leases of daemons.
     Leases,
-    /// Holders of workers.
+    /// Holders of workers, and notes of orders without an answer.
     Holders,
-    /// Orders without an answer, by worker.
-    LateOrders,
 }
 
 impl Table {
@@ -24,7 +22,6 @@
             Self::Workers => "workers",
             Self::Leases => "leases",
             Self::Holders => "holders",
-            Self::LateOrders => "late-orders",
         }
     }
 }
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -51,11 +51,6 @@
         })
     }
 
-    /// Returns the version of a subject's state.
-    pub fn version(&self, subject: &str) -> u64 {
-        self.rumors.version(subject).unwrap_or(0)
-    }
-
     /// Passes new events on.
     pub fn forward(
         &self,
--- a/crates/entry/src/control/owners.rs
+++ b/crates/entry/src/control/owners.rs
@@ -245,11 +245,6 @@
         }
         changed
     }
-
-    /// Records that the reading of an owner's session ended.
-    pub fn session_read(&mut self, host: &name::HostName) {
-        self.reading.swap_remove(host);
-    }
 }
 
 fn choose<'a>(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,8 +12,6 @@
 //! daemon::run(settings).expect("the daemon starts");
 //! ```
 
-#![allow(dead_code)]
-
 pub mod clock;
 pub mod control;
 pub mod daemon;
--- a/crates/entry/src/platform/claim_closer.rs
+++ b/crates/entry/src/platform/claim_closer.rs
@@ -27,8 +27,8 @@
     pub(super) version: u64,
     /// The claim with its answer; `None` removes the claim.
     pub(super) row: Option<wire::ClaimRow>,
-    /// Keeps a stopping daemon alive until the claim is closed.
-    pub(super) guard: Option<in_flight::Guard>,
+    /// Keeps a stopping daemon alive until the claim is closed; only its drop matters.
+    pub(super) _guard: Option<in_flight::Guard>,
 }
 
 /// Closes claims on a thread of its own.
@@ -126,7 +126,7 @@
                 version = row.version;
                 if row.value.is_some() {
                     let (key, version) = (row.key, row.version);
-                    expired.push(Closing { key, version, row: None, guard: None });
+                    expired.push(Closing { key, version, row: None, _guard: None });
                 }
             }
             let count = expired.len();
--- a/crates/entry/src/platform/held_claim.rs
+++ b/crates/entry/src/platform/held_claim.rs
@@ -43,7 +43,7 @@
     fn close(&mut self, row: Option<wire::ClaimRow>) {
         let (key, guard) = (self.key.clone(), self.guard.take());
         // The receiver lives as long as the process.
-        let _ = self.closings.send(Closing { key, version: self.version, row, guard });
+        let _ = self.closings.send(Closing { key, version: self.version, row, _guard: guard });
     }
 }
 
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -71,9 +71,9 @@
     /// Digest of what matters in the table.
     #[prost(fixed64, tag = "1")]
     pub digest: u64,
-    /// Time since the table was known to be so.
+    /// Time of the store's clock as of which the table is so.
     #[prost(uint64, tag = "2")]
-    pub age_ms: u64,
+    pub as_of_store_ms: u64,
 }
 
 /// Load on one worker.
