Report to other regions more rarely, keep a worker's failure without a repeat, break import circles

Cause: on the grown site 0.28 GB between regions were datagrams; callers got 502 in place of a worker's own 500 when the budget allowed no repeat; a session that could not be read was never read again by the entry daemon (found while removing dead code; no test of its own yet).

--- a/crates/domain/src/dispatch/loads.rs
+++ b/crates/domain/src/dispatch/loads.rs
@@ -6,10 +6,6 @@
 use super::{AdapterUse, ReportedLoad, Work};
 use crate::name;
 
-/// Age at which the report of another daemon no longer counts; more than twice the slowest report
-/// interval.
-const REPORT_LIFETIME_MS: u64 = 3_000;
-
 /// Requests in flight at each worker: this daemon's own, and those that others reported.
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
@@ -31,7 +27,7 @@
 
 #[derive(Clone, Debug)]
 struct Report {
-    at_ms: u64,
+    until_ms: u64,
     loads: Vec<ReportedLoad>,
 }
 
@@ -80,8 +76,9 @@
         used.in_flight = used.in_flight.saturating_sub(1);
     }
 
-    /// Takes in the load that another daemon reports, in place of its earlier report.
-    pub fn reported(&mut self, host: &name::HostName, loads: Vec<ReportedLoad>, now_ms: u64) {
+    /// Takes in the load that another daemon reports, in place of its earlier report; it counts until
+    /// a time, unless another report comes before.
+    pub fn reported(&mut self, host: &name::HostName, loads: Vec<ReportedLoad>, until_ms: u64) {
         if let Some(earlier) = self.reports.remove(host) {
             self.subtract(&earlier);
         }
@@ -90,13 +87,12 @@
             *requests += load.in_flight;
             *tokens = tokens.saturating_add(load.unread_tokens);
         }
-        self.reports.insert(host.clone(), Report { at_ms: now_ms, loads });
+        self.reports.insert(host.clone(), Report { until_ms, loads });
     }
 
     /// Forgets reports of daemons that have fallen silent.
     pub fn expire(&mut self, now_ms: u64) {
-        let is_old = |report: &Report| now_ms.saturating_sub(report.at_ms) > REPORT_LIFETIME_MS;
-        let old = self.reports.iter().filter(|(_, report)| is_old(report));
+        let old = self.reports.iter().filter(|(_, report)| report.until_ms < now_ms);
         let old: Vec<_> = old.map(|(host, _)| host.clone()).collect();
         for host in old {
             if let Some(report) = self.reports.remove(&host) {
--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -26,8 +26,13 @@
 const REPORT_MS: u64 = 200;
 /// Daemons of a region up to which they are few.
 const FEW_DAEMONS: u64 = 10;
-/// Interval of reports to daemons of other regions, where bytes are paid by volume.
+/// Interval of reports to daemons of other regions, where bytes are paid by volume, while the
+/// daemons are few.
 const FAR_REPORT_MS: u64 = 1_000;
+/// Longest interval of reports to daemons of the same region.
+const MAX_REPORT_MS: u64 = 1_000;
+/// Longest interval of reports to daemons of other regions.
+const MAX_FAR_REPORT_MS: u64 = 8_000;
 /// Interval of publishing a complete view, so that silent daemons stop counting as holders.
 const FULL_VIEW_MS: u64 = 1_000;
 
@@ -135,7 +140,7 @@
     pub fn report(&mut self, now_ms: u64) {
         let loads = self.take_loads(now_ms);
         let state = self.state(Some(loads));
-        let is_far_due = now_ms.saturating_sub(self.reported_far_ms) >= FAR_REPORT_MS;
+        let is_far_due = now_ms.saturating_sub(self.reported_far_ms) >= self.far_interval_ms();
         if is_far_due {
             self.reported_far_ms = now_ms;
         }
@@ -157,7 +162,13 @@
         let region = self.tenancy.identity().place.region();
         let near = self.peers.iter().filter(|(_, peer)| peer.place.region() == region).count();
         let scaled = REPORT_MS * u64::try_from(near).unwrap_or(u64::MAX) / FEW_DAEMONS;
-        scaled.clamp(REPORT_MS, FAR_REPORT_MS)
+        scaled.clamp(REPORT_MS, MAX_REPORT_MS)
+    }
+
+    /// Returns the interval of reports to daemons of other regions.
+    fn far_interval_ms(&self) -> u64 {
+        let all = u64::try_from(self.peers.len()).unwrap_or(u64::MAX);
+        (FAR_REPORT_MS * all / FEW_DAEMONS).clamp(FAR_REPORT_MS, MAX_FAR_REPORT_MS)
     }
 
     /// Returns whether orders are waiting, so that time matters.
@@ -377,8 +388,12 @@
                 continue;
             }
             let host = name::HostName::from(datagram.host.as_str());
-            if let Some(hold) = self.holds.get_mut(&worker) {
-                hold.demanded(adapter.name(), &host);
+            let Some(hold) = self.holds.get_mut(&worker) else { continue };
+            if hold.demanded(&adapter, &host) {
+                // The daemon does not know yet that the adapter can be used.
+                let to = self.peers.get(&host).map(|peer| peer.address).into_iter().collect();
+                let state = self.state(None);
+                self.send_state(state, to);
             }
         }
         let Some(state) = &datagram.state else { return };
@@ -393,7 +408,8 @@
         let host = name::HostName::from(datagram.host.as_str());
         if state.has_loads {
             let loads = state.loads.iter().map(fleet::Load::reported).collect();
-            self.chooser.lock().loads.reported(&host, loads, now_ms);
+            let until_ms = self.peers.get(&host).map_or(0, |peer| now_ms + peer.silence_limit_ms);
+            self.chooser.lock().loads.reported(&host, loads, until_ms);
         }
         if let Some(known) = state.operator {
             let is_same = known.digest == self.catalog.operator_digest();
@@ -527,6 +543,7 @@
             region: identity.place.region().to_string(),
             failure_domain: identity.place.failure_domain().to_string(),
             is_leaving: self.is_leaving,
+            interval_ms: self.far_interval_ms(),
             has_loads: loads.is_some(),
             loads: loads.unwrap_or_default(),
             holds: holds.collect(),
--- a/crates/edge/src/control/hold.rs
+++ b/crates/edge/src/control/hold.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
+use jasminetack_domain::adapter;
 use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
 use jasminetack_domain::placement;
@@ -68,9 +69,17 @@
         Some(self.noted_late_until_ms)
     }
 
-    /// Notes that another daemon waits for an adapter.
-    pub fn demanded(&mut self, adapter: &name::AdapterName, host: &name::HostName) {
-        self.demanders.entry(adapter.clone()).or_default().insert(host.clone());
+    /// Notes that another daemon waits for an adapter; returns whether it can be used already.
+    pub fn demanded(&mut self, adapter: &adapter::AdapterRef, host: &name::HostName) -> bool {
+        let is_usable = self.published.held.iter().any(|held| {
+            !held.is_loading
+                && held.adapter.name() == adapter.name()
+                && held.adapter.version() >= adapter.version()
+        });
+        if !is_usable {
+            self.demanders.entry(adapter.name().clone()).or_default().insert(host.clone());
+        }
+        is_usable
     }
 
     /// Takes the daemons that wait for adapters which can be used by now.
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -9,8 +9,10 @@
 use jasminetack_domain::placement;
 use jasminetack_wire::fleet;
 
-/// Silence after which a daemon counts as failed; several times the slowest report interval.
-const SILENCE_MS: u64 = 3_500;
+/// Least silence after which a daemon counts as failed; datagrams may be lost or late.
+const MIN_SILENCE_MS: u64 = 3_500;
+/// Reports that may be missed before a daemon counts as failed.
+const MISSED_REPORTS: u64 = 3;
 
 /// Another daemon.
 #[derive(Clone, Debug)]
@@ -27,15 +29,31 @@
     pub holds: IndexMap<name::WorkerName, (u64, placement::Summary)>,
     /// Adapters in use by worker.
     pub uses: IndexMap<name::WorkerName, Vec<(name::AdapterName, u32)>>,
+    /// Silence after which it counts as failed.
+    pub silence_limit_ms: u64,
     started_unix_ms: u64,
     sequence: u64,
 }
 
 impl Peer {
+    fn new(address: SocketAddr, place: place::Place) -> Self {
+        Self {
+            address,
+            place,
+            heard_ms: None,
+            is_leaving: false,
+            holds: IndexMap::new(),
+            uses: IndexMap::new(),
+            silence_limit_ms: MIN_SILENCE_MS,
+            started_unix_ms: 0,
+            sequence: 0,
+        }
+    }
+
     /// Returns whether the daemon has sent a datagram lately.
     pub fn is_live(&self, now_ms: u64) -> bool {
         let silence_ms = self.heard_ms.map(|heard_ms| now_ms.saturating_sub(heard_ms));
-        silence_ms.is_some_and(|silence_ms| silence_ms < SILENCE_MS)
+        silence_ms.is_some_and(|silence_ms| silence_ms < self.silence_limit_ms)
     }
 }
 
@@ -67,17 +85,7 @@
             peer.address = row.address;
             return false;
         }
-        let peer = Peer {
-            address: row.address,
-            place: row.place.clone(),
-            heard_ms: None,
-            is_leaving: false,
-            holds: IndexMap::new(),
-            uses: IndexMap::new(),
-            started_unix_ms: 0,
-            sequence: 0,
-        };
-        self.peers.insert(row.host.clone(), peer);
+        self.peers.insert(row.host.clone(), Peer::new(row.address, row.place.clone()));
         true
     }
 
@@ -99,16 +107,8 @@
     ) -> Option<Vec<name::WorkerName>> {
         let host = name::HostName::from(datagram.host.as_str());
         let place = fleet::read_place(&state.region, &state.failure_domain);
-        let peer = self.peers.entry(host).or_insert_with(|| Peer {
-            address,
-            place: place.clone(),
-            heard_ms: None,
-            is_leaving: false,
-            holds: IndexMap::new(),
-            uses: IndexMap::new(),
-            started_unix_ms: 0,
-            sequence: 0,
-        });
+        let new = || Peer::new(address, place.clone());
+        let peer = self.peers.entry(host).or_insert_with(new);
         let received = (datagram.started_unix_ms, datagram.sequence);
         if received <= (peer.started_unix_ms, peer.sequence) {
             return None;
@@ -118,6 +118,7 @@
         peer.place = place;
         peer.heard_ms = Some(now_ms);
         peer.is_leaving = state.is_leaving;
+        peer.silence_limit_ms = (state.interval_ms * MISSED_REPORTS).max(MIN_SILENCE_MS);
         if state.has_loads {
             peer.uses = uses(state);
         }
--- a/crates/edge/src/traffic/call.rs
+++ b/crates/edge/src/traffic/call.rs
@@ -67,6 +67,8 @@
     possible_runs: u32,
     /// Whether a repeat must be paid for from the budget.
     has_arrived: bool,
+    /// Whether the next repeat is paid for.
+    is_prepaid: bool,
     revision: watch::Receiver<u64>,
     demanded: Option<(name::WorkerName, u64)>,
 }
@@ -180,6 +182,7 @@
             excluded: Vec::new(),
             possible_runs: 0,
             has_arrived: false,
+            is_prepaid: false,
             revision,
             demanded: None,
         })
@@ -321,7 +324,7 @@
     ) -> Result<(Response<Incoming>, Exchange), Next> {
         let now_ms = clock::now_ms();
         let worker = &target.decision.worker;
-        if self.has_arrived && !self.traffic.take_repeat(&self.service, now_ms) {
+        if !self.pay_repeat(now_ms) {
             record.attempt_failed(worker, "no-budget");
             return Err(Next::GiveUp(self.give_up("no budget for a repeat")));
         }
@@ -353,7 +356,9 @@
         }
         self.possible_runs += 1;
         let is_failure = head.status.is_server_error();
-        if is_failure && self.may_run_again() {
+        // An answer is dropped only when another one can be asked for.
+        if is_failure && self.may_run_again() && self.pay_repeat(clock::now_ms()) {
+            self.is_prepaid = true;
             exchange.load.failed(clock::now_ms());
             record.attempt_failed(worker, "worker-error");
             self.excluded.push(worker.clone());
@@ -362,6 +367,13 @@
         Ok((Response::from_parts(head, body), exchange))
     }
 
+    /// Returns whether the next attempt may be sent: it is the first, or the budget pays for it.
+    fn pay_repeat(&mut self, now_ms: u64) -> bool {
+        !self.has_arrived
+            || std::mem::take(&mut self.is_prepaid)
+            || self.traffic.take_repeat(&self.service, now_ms)
+    }
+
     /// Returns how long to wait for the head of an answer.
     fn attempt_limit_ms(&self, now_ms: u64) -> u64 {
         let left_ms = (self.deadline_ms + DEADLINE_SLACK_MS).saturating_sub(now_ms);
--- a/crates/entry/src/control/owners.rs
+++ b/crates/entry/src/control/owners.rs
@@ -245,6 +245,11 @@
         }
         changed
     }
+
+    /// Notes that the reading of an owner's session ended, so that it may be read again.
+    pub fn session_read(&mut self, host: &name::HostName) {
+        self.reading.swap_remove(host);
+    }
 }
 
 fn choose<'a>(
--- a/crates/entry/src/control/replies.rs
+++ b/crates/entry/src/control/replies.rs
@@ -64,6 +64,7 @@
             core.changes.owners = true;
         }
         Call::ReadSession(host) => {
+            core.owners.session_read(&host);
             for stored in core.sessions.read_ended(&host, result) {
                 observe_session(core, stored);
             }
--- a/crates/entry/src/traffic/caller_error.rs
+++ b/crates/entry/src/traffic/caller_error.rs
@@ -8,6 +8,10 @@
 
 use super::answer_event::Refusal;
 use super::body::Body;
+use super::ceilings::CeilingReached;
+
+/// When a request above a ceiling may be sent again.
+const CEILING_RETRY_AFTER_MS: u64 = 1_000;
 
 /// A failure to report to a caller.
 #[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
@@ -25,6 +29,15 @@
     pub retry_after_ms: Option<u64>,
 }
 
+impl From<CeilingReached> for CallerError {
+    fn from(reached: CeilingReached) -> Self {
+        let status = StatusCode::TOO_MANY_REQUESTS;
+        let mut error = Self::not_run(status, "ceiling_reached", reached.to_string());
+        error.retry_after_ms = Some(CEILING_RETRY_AFTER_MS);
+        error
+    }
+}
+
 impl CallerError {
     /// A request that is refused before any work was done.
     pub fn not_run<Message>(status: StatusCode, code: &str, message: Message) -> Self
--- a/crates/entry/src/traffic/ceilings.rs
+++ b/crates/entry/src/traffic/ceilings.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use hyper::StatusCode;
 use indexmap::IndexSet;
 use jasminetack_domain::name;
 use jasminetack_domain::quota;
@@ -15,13 +14,10 @@
 use tokio::sync::Notify;
 use tokio::time;
 
-use super::caller_error::CallerError;
 use super::peer_client::PeerClient;
 use crate::clock;
 use crate::snapshot;
 
-/// When a request above a ceiling may be sent again.
-const RETRY_AFTER_MS: u64 = 1_000;
 /// Longest wait for a permit. It covers the time that a home which has just taken over needs, and
 /// the return of a permit whose request ended at another daemon.
 const MAX_WAIT_MS: u64 = 1_500;
@@ -52,6 +48,16 @@
     shared: Arc<Shared>,
 }
 
+/// A row runs as many requests as its ceiling allows.
+#[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
+#[snafu(display("row {row} runs {ceiling} requests, which is its ceiling"))]
+pub struct CeilingReached {
+    /// The row.
+    pub row: table::RowKey,
+    /// Its ceiling.
+    pub ceiling: u32,
+}
+
 impl Ceilings {
     /// Creates the permits of a daemon.
     pub fn new(
@@ -74,12 +80,12 @@
         &self,
         row: table::RowKey,
         limits: &table::Limits,
-    ) -> Result<Option<CeilingGuard>, CallerError> {
+    ) -> Result<Option<CeilingGuard>, CeilingReached> {
         let Some(ceiling) = limits.ceiling else { return Ok(None) };
         let give_up_ms = self.shared.clock.now_ms() + MAX_WAIT_MS;
         while !self.shared.try_enter(&row, ceiling).await {
             if ceiling == 0 || self.shared.clock.now_ms() >= give_up_ms {
-                return Err(reached(&row, ceiling));
+                return Err(CeilingReached { row, ceiling });
             }
             time::sleep(ASK_INTERVAL).await;
         }
@@ -165,11 +171,3 @@
         self.shared.changed.notify_one();
     }
 }
-
-fn reached(row: &table::RowKey, ceiling: u32) -> CallerError {
-    let message = format!("row {row} runs {ceiling} requests, which is its ceiling");
-    let status = StatusCode::TOO_MANY_REQUESTS;
-    let mut error = CallerError::not_run(status, "ceiling_reached", message);
-    error.retry_after_ms = Some(RETRY_AFTER_MS);
-    error
-}
--- a/crates/entry/src/traffic/mod.rs
+++ b/crates/entry/src/traffic/mod.rs
@@ -37,6 +37,7 @@
 mod server;
 mod service_call;
 mod service_client;
+mod service_run;
 mod services;
 mod start_order;
 mod worker_event;
--- a/crates/entry/src/traffic/server.rs
+++ b/crates/entry/src/traffic/server.rs
@@ -29,6 +29,7 @@
 use super::request_guard::{AnsweredRequests, RequestGuard};
 use super::request_ids::RequestIds;
 use super::service_call::{SERVICES_PREFIX, ServiceCall};
+use super::service_run;
 use super::services::Services;
 use super::start_order::StartOrder;
 use crate::snapshot;
@@ -207,7 +208,7 @@
         }
         if !is_model {
             let call = ServiceCall::new(&snapshot.table, admitted, head, body)?;
-            return Arc::clone(&self.services).run(call).await;
+            return service_run::run(Arc::clone(&self.services), call).await;
         }
         let path = head.uri.path().to_owned();
         let models = Arc::clone(&self.models);
--- /dev/null
+++ b/crates/entry/src/traffic/service_run.rs
@@ -0,0 +1,29 @@
+//! Start of a call to an app service.
+
+use std::sync::Arc;
+
+use hyper::Response;
+use jasminetack_domain::table;
+
+use super::body::Body;
+use super::caller_error::CallerError;
+use super::claimed_call::ClaimedCall;
+use super::service_call::ServiceCall;
+use super::services::Services;
+
+/// Serves a call.
+///
+/// # Errors
+///
+/// Fails when no host answers before the deadline, or the key of the call was used.
+pub async fn run(
+    services: Arc<Services>,
+    call: ServiceCall,
+) -> Result<Response<Body>, CallerError> {
+    let row = table::RowKey::new(table::RowKind::Service, call.service.as_str());
+    let ceiling = services.ceilings.enter(row, &call.limits).await?;
+    match call.key.clone() {
+        Some(key) => ClaimedCall::new(services, call, ceiling).run(&key).await,
+        None => services.run_repeatable(call, ceiling).await,
+    }
+}
--- a/crates/entry/src/traffic/services.rs
+++ b/crates/entry/src/traffic/services.rs
@@ -11,7 +11,6 @@
 use jasminetack_domain::name;
 use jasminetack_domain::request;
 use jasminetack_domain::service;
-use jasminetack_domain::table;
 use jasminetack_wire::failure;
 use parking_lot::Mutex;
 use tokio::time;
@@ -19,7 +18,6 @@
 use super::body::Body;
 use super::caller_error::CallerError;
 use super::ceilings::{CeilingGuard, Ceilings};
-use super::claimed_call::ClaimedCall;
 use super::service_call::{self, ServiceCall};
 use super::service_client::ServiceClient;
 use crate::clock;
@@ -37,7 +35,7 @@
     pub(super) journal: Arc<journal::Journal>,
     pub(super) claims: platform::Claims,
     pub(super) client: ServiceClient,
-    ceilings: Ceilings,
+    pub(super) ceilings: Ceilings,
     balance: Mutex<service::Balance>,
     retries: Mutex<request::RetryBudget>,
 }
@@ -67,21 +65,8 @@
         Self { settings, snapshot, clock, journal, claims, client, ceilings, balance, retries }
     }
 
-    /// Serves a call.
-    ///
-    /// # Errors
-    ///
-    /// Fails when no host answers before the deadline, or the key of the call was used.
-    pub async fn run(self: Arc<Self>, call: ServiceCall) -> Result<Response<Body>, CallerError> {
-        let row = table::RowKey::new(table::RowKind::Service, call.service.as_str());
-        let ceiling = self.ceilings.enter(row, &call.limits).await?;
-        match call.key.clone() {
-            Some(key) => ClaimedCall::new(self, call, ceiling).run(&key).await,
-            None => self.run_repeatable(call, ceiling).await,
-        }
-    }
-
-    async fn run_repeatable(
+    /// Serves a call that may be repeated.
+    pub(super) async fn run_repeatable(
         self: Arc<Self>,
         call: ServiceCall,
         ceiling: Option<CeilingGuard>,
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -51,6 +51,9 @@
     /// Load that it puts on workers; meaningful only with `has_loads`.
     #[prost(message, repeated, tag = "5")]
     pub loads: Vec<Load>,
+    /// Time until the receiver gets the next state.
+    #[prost(uint64, tag = "10")]
+    pub interval_ms: u64,
     /// Whether the datagram replaces what the sender said of its load.
     #[prost(bool, tag = "9")]
     pub has_loads: bool,
