--- a/crates/edge/src/traffic/call.rs
+++ b/crates/edge/src/traffic/call.rs
@@ -45,6 +45,10 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// When a caller should come back after a refusal.
 const RETRY_AFTER_MS: u64 = 250;
+/// When a caller should come back while the store that has the configuration is away.
+const START_MS: u64 = 1_500;
+/// Callers wait for at most a third of their time; a quarter leaves time for the way.
+const RETRY_PART: u64 = 4;
 /// Factor of the route's goal after which an idempotent request is tried elsewhere.
 const PATIENCE: f64 = 1.5;
 /// Rank that workers assume for requests without one; the least urgent routes stay above it.
@@ -139,7 +143,11 @@
     ) -> Result<Self, Refusal> {
         let view = traffic.view.load_full();
         let ingress = view.ingress.as_ref();
-        let ingress = ingress.ok_or(Refusal::not_run("no configuration yet", RETRY_AFTER_MS))?;
+        let ingress = ingress.ok_or_else(|| {
+            let waits_ms = facts.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+            let retry_after_ms = (waits_ms / RETRY_PART).min(START_MS);
+            Refusal::not_run("no configuration yet", retry_after_ms)
+        })?;
         let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
         let host = host.map_or("", |host| host.split(':').next().unwrap_or(host));
         let route = ingress.resolve(host, head.uri.path());
