--- a/crates/domain/src/upstream/directory.rs
+++ b/crates/domain/src/upstream/directory.rs
@@ -73,15 +73,18 @@
     }
 
     /// Takes in the entry of a worker.
+    ///
+    /// Other adapters alone are no change: the holder of a worker knows them better.
     pub fn put(&mut self, upstream: Upstream) -> Option<Change> {
         self.lapsed_until_ms.swap_remove(&upstream.name);
         let known = self.upstreams.get(&upstream.name);
-        if known.is_some_and(|known| **known == upstream) {
-            return None;
-        }
+        let is_same = known.is_some_and(|known| known.is_used_like(&upstream));
         let is_new = known.is_none_or(|known| known.started_unix_ms != upstream.started_unix_ms);
         let upstream = Arc::new(upstream);
         self.upstreams.insert(upstream.name.clone(), Arc::clone(&upstream));
+        if is_same {
+            return None;
+        }
         Some(if is_new { Change::Joined(upstream) } else { Change::Updated(upstream) })
     }
 
@@ -102,20 +105,6 @@
         Some(Change::Left(worker.clone()))
     }
 
-    /// Replaces the list by a complete new one.
-    pub fn replace(&mut self, upstreams: Vec<Upstream>, now_ms: u64) -> Vec<Change> {
-        let mut changes = Vec::new();
-        let mut missing: Vec<_> = self.upstreams.keys().cloned().collect();
-        missing.retain(|worker| !upstreams.iter().any(|upstream| upstream.name == *worker));
-        for worker in missing {
-            changes.extend(self.remove(&worker, now_ms));
-        }
-        for upstream in upstreams {
-            changes.extend(self.put(upstream));
-        }
-        changes
-    }
-
     /// Removes lapsed entries that did not come back in time.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Change> {
         let mut changes = Vec::new();
--- a/crates/domain/src/upstream/upstream.rs
+++ b/crates/domain/src/upstream/upstream.rs
@@ -29,3 +29,12 @@
     /// Adapters that it held when the entry was written.
     pub adapters: Vec<adapter::AdapterRef>,
 }
+
+impl Upstream {
+    /// Returns whether two entries of a worker differ at most in the adapters that they list.
+    #[must_use]
+    pub fn is_used_like(&self, other: &Self) -> bool {
+        let without_adapters = Self { adapters: other.adapters.clone(), ..self.clone() };
+        without_adapters == *other
+    }
+}
--- a/crates/domain/tests/upstream.rs
+++ b/crates/domain/tests/upstream.rs
@@ -49,7 +49,9 @@
     directory.put(worker("gone", 1, false));
     directory.unreachable();
     directory.reachable(20_000);
-    assert!(directory.replace(Vec::new(), 20_000).is_empty());
+    for name in ["back", "gone"] {
+        assert_eq!(directory.remove(&name::WorkerName::from(name), 20_000), None);
+    }
     assert!(directory.expire(21_000).is_empty());
     directory.put(worker("back", 1, false));
     let left = directory.expire(20_000 + upstream::LAPSE_GRACE_MS);
@@ -64,7 +66,7 @@
     directory.put(worker("w", 1, true));
     directory.unreachable();
     directory.reachable(20_000);
-    assert_eq!(directory.replace(Vec::new(), 20_000).len(), 1);
+    assert!(directory.remove(&name::WorkerName::from("w"), 20_000).is_some());
 }
 
 #[test]
--- a/crates/edge/src/control/catalog.rs
+++ b/crates/edge/src/control/catalog.rs
@@ -7,6 +7,7 @@
 use jasminetack_domain::ingress;
 use jasminetack_domain::name;
 use jasminetack_domain::upstream;
+use rustc_hash::FxHashMap;
 
 use super::FeedEvent;
 use crate::dialect;
@@ -22,6 +23,8 @@
     pub workers: Vec<upstream::Change>,
     /// Adapter versions that were named.
     pub versions: Vec<adapter::AdapterRef>,
+    /// Rows that brought the changes.
+    pub rows: Vec<store::Row>,
     /// Whether anything changed that traffic must know.
     pub has_changed: bool,
 }
@@ -34,6 +37,8 @@
     /// Sum over the named versions. A daemon knows the changes up to one moment, and each raises it.
     version_sum: u64,
     directory: upstream::Directory,
+    /// Versions of the workers' rows; a row may come from the store and from other daemons.
+    row_versions: FxHashMap<String, u64>,
 }
 
 impl Catalog {
@@ -58,97 +63,154 @@
         &self.directory
     }
 
-    /// Takes in news of the operator's table.
-    pub fn operator<Dialect>(&mut self, event: FeedEvent, dialect: &Dialect) -> News
+    /// Takes in a reading of the operator's table.
+    pub fn operator_read<Dialect>(&mut self, event: FeedEvent, dialect: &Dialect) -> News
+    where
+        Dialect: dialect::Dialect,
+    {
+        match event {
+            FeedEvent::Listed(store::Listing { rows, .. }) | FeedEvent::Changed(rows, _) => {
+                self.operator_rows(rows, dialect)
+            }
+            FeedEvent::Stale | FeedEvent::Lost(_) => News::default(),
+        }
+    }
+
+    /// Takes in rows of the operator's table; its entries are only ever replaced by newer ones.
+    pub fn operator_rows<Dialect>(&mut self, rows: Vec<store::Row>, dialect: &Dialect) -> News
     where
         Dialect: dialect::Dialect,
     {
         let mut news = News::default();
-        let rows = match event {
-            FeedEvent::Listed(rows, _) | FeedEvent::Changed(rows, _) => rows,
-            FeedEvent::Stale | FeedEvent::Lost(_) => return news,
-        };
         for row in rows {
-            // The operator's entries are only ever replaced by newer ones.
             let Some(value) = &row.value else { continue };
-            match dialect.operator_entry(&row.key, value) {
-                Ok(dialect::OperatorEntry::Ingress(ingress)) => {
-                    self.put_ingress(ingress, &mut news)
-                }
+            let has_changed = match dialect.operator_entry(&row.key, value) {
+                Ok(dialect::OperatorEntry::Ingress(ingress)) => self.put_ingress(ingress),
                 Ok(dialect::OperatorEntry::AdapterVersion(adapter)) => {
-                    self.put_version(adapter, &mut news);
+                    self.put_version(adapter, &mut news)
                 }
-                Ok(dialect::OperatorEntry::Other) => {}
+                Ok(dialect::OperatorEntry::Other) => false,
                 Err(problem) => {
                     let (key, version) = (&row.key, row.version);
                     spdlog::error!(
                         "entry-refused table=operator key={key} row_version={version} problem={problem:?} outcome=last-good-stays"
                     );
+                    false
                 }
+            };
+            if has_changed {
+                news.has_changed = true;
+                news.rows.push(row);
             }
         }
         news
     }
 
-    /// Takes in news of the workers' table.
-    pub fn workers<Dialect>(&mut self, event: FeedEvent, dialect: &Dialect, now_ms: u64) -> News
+    /// Takes in a reading of the workers' table.
+    pub fn workers_read<Dialect>(
+        &mut self,
+        event: FeedEvent,
+        dialect: &Dialect,
+        now_ms: u64,
+    ) -> News
     where
         Dialect: dialect::Dialect,
     {
-        let mut news = News::default();
         match event {
-            FeedEvent::Lost(_) => self.directory.unreachable(),
-            FeedEvent::Stale => {}
-            FeedEvent::Listed(rows, _) => {
-                self.directory.reachable(now_ms);
-                let upstreams = rows.iter().filter_map(|row| decode(row, dialect));
-                news.workers = self.directory.replace(upstreams.collect(), now_ms);
+            FeedEvent::Stale => News::default(),
+            FeedEvent::Lost(_) => {
+                self.directory.unreachable();
+                News::default()
             }
             FeedEvent::Changed(rows, _) => {
                 self.directory.reachable(now_ms);
-                for row in rows {
-                    let change = match decode(&row, dialect) {
-                        Some(upstream) => self.directory.put(upstream),
-                        None => {
-                            let worker = name::WorkerName::from(row.key.as_str());
-                            self.directory.remove(&worker, now_ms)
-                        }
-                    };
-                    news.workers.extend(change);
+                self.workers_rows(rows, dialect, now_ms)
+            }
+            FeedEvent::Listed(listing) => {
+                self.directory.reachable(now_ms);
+                let gone = self.missing(&listing);
+                let mut news = self.workers_rows(listing.rows, dialect, now_ms);
+                for worker in gone {
+                    news.workers.extend(self.directory.remove(&worker, now_ms));
                 }
+                news.has_changed = !news.workers.is_empty();
+                news
+            }
+        }
+    }
+
+    /// Takes in rows of the workers' table; those that are older than what is known are left out.
+    pub fn workers_rows<Dialect>(
+        &mut self,
+        rows: Vec<store::Row>,
+        dialect: &Dialect,
+        now_ms: u64,
+    ) -> News
+    where
+        Dialect: dialect::Dialect,
+    {
+        let mut news = News::default();
+        for row in rows {
+            let known = self.row_versions.entry(row.key.clone()).or_default();
+            if row.version <= *known {
+                continue;
+            }
+            *known = row.version;
+            let change = match decode(&row, dialect) {
+                Some(upstream) => self.directory.put(upstream),
+                None => self.directory.remove(&name::WorkerName::from(row.key.as_str()), now_ms),
+            };
+            if let Some(change) = change {
+                news.workers.push(change);
+                news.rows.push(row);
             }
         }
         news.has_changed = !news.workers.is_empty();
         news
     }
 
+    /// Returns the workers that a listing no longer has.
+    fn missing(&self, listing: &store::Listing) -> Vec<name::WorkerName> {
+        let mut missing = Vec::new();
+        for upstream in self.directory.iter() {
+            let worker = upstream.name.as_str();
+            // Another daemon may have told of an entry that is younger than the listing.
+            let is_younger =
+                self.row_versions.get(worker).is_some_and(|version| *version > listing.version);
+            if !is_younger && !listing.rows.iter().any(|row| row.key == worker) {
+                missing.push(upstream.name.clone());
+            }
+        }
+        missing
+    }
+
     /// Removes workers whose entries vanished during an outage and did not come back.
     pub fn expire(&mut self, now_ms: u64) -> News {
         let workers = self.directory.expire(now_ms);
-        News { has_changed: !workers.is_empty(), workers, versions: Vec::new() }
+        News { has_changed: !workers.is_empty(), workers, ..News::default() }
     }
 
-    fn put_ingress(&mut self, ingress: ingress::Ingress, news: &mut News) {
+    fn put_ingress(&mut self, ingress: ingress::Ingress) -> bool {
         let known = self.ingress.as_ref().map_or(0, |known| known.version());
         let (version, routes) = (ingress.version(), ingress.route_count());
         if self.ingress.is_some() && version <= known {
-            return;
+            return false;
         }
         spdlog::info!("configuration-in-force version={version} previous={known} routes={routes}");
         self.ingress = Some(Arc::new(ingress));
-        news.has_changed = true;
+        true
     }
 
-    fn put_version(&mut self, adapter: adapter::AdapterRef, news: &mut News) {
+    fn put_version(&mut self, adapter: adapter::AdapterRef, news: &mut News) -> bool {
         let known = self.versions.get(adapter.name()).copied().unwrap_or(0);
         if adapter.version() <= known {
-            return;
+            return false;
         }
         spdlog::info!("adapter-version adapter={adapter} previous={known}");
         self.version_sum += u64::from(adapter.version() - known);
         Arc::make_mut(&mut self.versions).insert(adapter.name().clone(), adapter.version());
         news.versions.push(adapter);
-        news.has_changed = true;
+        true
     }
 }
 
--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -34,6 +34,8 @@
 const MAX_REPORT_MS: u64 = 1_000;
 /// Longest interval of reports to daemons of other regions.
 const MAX_FAR_REPORT_MS: u64 = 8_000;
+/// Rows that fit into a datagram together with the state of a daemon.
+const MAX_SHARED_BYTES: usize = 24 * 1024;
 /// Interval of publishing a complete view, so that silent daemons stop counting as holders.
 const FULL_VIEW_MS: u64 = 1_000;
 
@@ -188,7 +190,7 @@
         match message {
             Message::Feed(table, event, began_ms) => self.feed(table, event, began_ms, now_ms),
             Message::Stored(reply) => self.stored(reply, now_ms),
-            Message::Datagram(datagram) => self.datagram(&datagram, now_ms),
+            Message::Datagram(datagram) => self.datagram(datagram, now_ms),
             Message::Demand { worker, adapter, is_missing, is_new } => {
                 let demand = fleet::Demand {
                     worker: worker.to_string(),
@@ -216,19 +218,34 @@
 
     fn feed(&mut self, table: store::Table, event: FeedEvent, began_ms: u64, now_ms: u64) {
         let was_read = self.note_reading(table, &event, began_ms, now_ms);
-        let news = match table {
-            store::Table::Operator => self.catalog.operator(event, &*self.dialect),
-            store::Table::Workers => self.catalog.workers(event, &*self.dialect, now_ms),
+        let mut news = match table {
+            store::Table::Operator => self.catalog.operator_read(event, &*self.dialect),
+            store::Table::Workers => self.catalog.workers_read(event, &*self.dialect, now_ms),
             store::Table::Leases | store::Table::Holders => return,
         };
+        let rows = std::mem::take(&mut news.rows);
         self.apply(news, now_ms);
         if was_read {
-            // The others of the region need not read then.
-            let state = self.state(None);
-            let region = self.tenancy.identity().place.region().clone();
-            let to = self.peers.addresses(|peer| *peer.place.region() == region);
-            self.send_state(state, to);
+            self.share(table, rows);
+        }
+    }
+
+    /// Tells the other daemons of the region what was read, so that they need not read.
+    fn share(&mut self, table: store::Table, rows: Vec<store::Row>) {
+        let state = self.state(None);
+        let mut datagram = self.next_datagram(Some(state), Vec::new());
+        let size: usize = rows.iter().filter_map(|row| row.value.as_ref()).map(Vec::len).sum();
+        // What does not fit into a datagram is read by each daemon.
+        if size <= MAX_SHARED_BYTES {
+            let rows = rows.into_iter().map(fleet::Row::from).collect();
+            match table {
+                store::Table::Operator => datagram.operator_rows = rows,
+                _ => datagram.workers_rows = rows,
+            }
         }
+        let region = self.tenancy.identity().place.region().clone();
+        let to = self.peers.addresses(|peer| *peer.place.region() == region);
+        self.outputs.send(Letter { to, datagram });
     }
 
     /// Notes how recent a table is now, and whether the store was lost or regained; returns whether
@@ -247,7 +264,8 @@
         let name = table.as_str();
         let was_lost = self.lost_tables.contains(&table);
         match event {
-            FeedEvent::Listed(_, store_ms) | FeedEvent::Changed(_, store_ms) => {
+            FeedEvent::Listed(store::Listing { store_ms, .. })
+            | FeedEvent::Changed(_, store_ms) => {
                 freshness.read(*store_ms);
                 self.tenancy.observe_clock(*store_ms, began_ms);
                 if was_lost {
@@ -386,10 +404,11 @@
         self.changed.extend(lost);
     }
 
-    fn datagram(&mut self, datagram: &fleet::Datagram, now_ms: u64) {
+    fn datagram(&mut self, mut datagram: fleet::Datagram, now_ms: u64) {
         if datagram.host == self.tenancy.host().as_str() {
             return;
         }
+        self.shared_rows(&mut datagram, now_ms);
         for demand in &datagram.demands {
             let worker = name::WorkerName::from(demand.worker.as_str());
             let adapter = demand.adapter();
@@ -413,7 +432,7 @@
                 return;
             }
         };
-        let Some(changed) = self.peers.heard(datagram, state, address, now_ms) else { return };
+        let Some(changed) = self.peers.heard(&datagram, state, address, now_ms) else { return };
         let host = name::HostName::from(datagram.host.as_str());
         if state.has_loads {
             let loads = state.loads.iter().map(fleet::Load::reported).collect();
@@ -439,6 +458,23 @@
         self.changed.extend(changed);
     }
 
+    /// Takes in rows that another daemon has read.
+    fn shared_rows(&mut self, datagram: &mut fleet::Datagram, now_ms: u64) {
+        let decode = |rows: &mut Vec<fleet::Row>| -> Vec<store::Row> {
+            rows.drain(..).map(store::Row::from).collect()
+        };
+        let operator = decode(&mut datagram.operator_rows);
+        let workers = decode(&mut datagram.workers_rows);
+        if !operator.is_empty() {
+            let news = self.catalog.operator_rows(operator, &*self.dialect);
+            self.apply(news, now_ms);
+        }
+        if !workers.is_empty() {
+            let news = self.catalog.workers_rows(workers, &*self.dialect, now_ms);
+            self.apply(news, now_ms);
+        }
+    }
+
     /// Has a worker's holder load an adapter.
     fn demand(&mut self, worker: &name::WorkerName, demand: fleet::Demand, now_ms: u64) {
         if self.holds.want(worker, &demand, now_ms) {
@@ -578,6 +614,8 @@
             sequence: self.sequence,
             state,
             demands,
+            operator_rows: Vec::new(),
+            workers_rows: Vec::new(),
         }
     }
 
--- a/crates/edge/src/control/feed.rs
+++ b/crates/edge/src/control/feed.rs
@@ -13,8 +13,8 @@
 /// News of a table.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FeedEvent {
-    /// The whole table, as of a time of the store's clock.
-    Listed(Vec<store::Row>, u64),
+    /// The whole table.
+    Listed(store::Listing),
     /// Changed rows in order, possibly none, as of a time of the store's clock.
     Changed(Vec<store::Row>, u64),
     /// The table cannot be read.
@@ -84,7 +84,7 @@
         }
         self.newest = listing.version;
         self.version = Some(listing.version);
-        Ok(FeedEvent::Listed(listing.rows, listing.store_ms))
+        Ok(FeedEvent::Listed(listing))
     }
 
     fn follow(&mut self, after: u64) -> Result<FeedEvent, store::StoreError> {
--- a/crates/edge/src/control/freshness.rs
+++ b/crates/edge/src/control/freshness.rs
@@ -7,8 +7,9 @@
 const MAX_AGE_MS: u64 = 1_100;
 /// Largest part by which the daemons differ, so that mostly one of them reads for all.
 const SPREAD_MS: u64 = 500;
-/// Pause after a failed reading.
+/// Pause after a failed reading; it doubles up to the longest one.
 const FAILURE_PAUSE_MS: u64 = 250;
+const MAX_FAILURE_PAUSE_MS: u64 = 1_000;
 
 /// Least time between two readings, however often others tell of changes.
 const MIN_INTERVAL_MS: u64 = 300;
@@ -25,6 +26,7 @@
     is_reading: bool,
     is_hinted: bool,
     next_read_ms: u64,
+    failure_pause_ms: u64,
 }
 
 impl Freshness {
@@ -37,6 +39,7 @@
             is_reading: false,
             is_hinted: false,
             next_read_ms: 0,
+            failure_pause_ms: FAILURE_PAUSE_MS,
         }
     }
 
@@ -58,13 +61,15 @@
     /// Takes in a successful reading.
     pub fn read(&mut self, as_of_store_ms: u64) {
         self.is_reading = false;
+        self.failure_pause_ms = FAILURE_PAUSE_MS;
         self.confirm(as_of_store_ms);
     }
 
     /// Notes that a reading failed.
     pub fn failed(&mut self, now_ms: u64) {
         self.is_reading = false;
-        self.next_read_ms = now_ms + FAILURE_PAUSE_MS;
+        self.next_read_ms = now_ms + self.failure_pause_ms;
+        self.failure_pause_ms = (self.failure_pause_ms * 2).min(MAX_FAILURE_PAUSE_MS);
     }
 
     /// Takes in the knowledge of another daemon.
--- a/crates/edge/src/control/tenancy.rs
+++ b/crates/edge/src/control/tenancy.rs
@@ -20,7 +20,7 @@
 /// Interval of reading all rows, to find daemons that no datagram has come from.
 const ROWS_INTERVAL_MS: u64 = 60_000;
 /// Pause before a failed call is repeated.
-const RENEWAL_PAUSE_MS: u64 = 500;
+const RENEWAL_PAUSE_MS: u64 = 1_000;
 /// Time for which a worker without a holder is left to each daemon that ranks before this one.
 const RANK_DELAY_MS: u64 = 500;
 /// Time after the start in which other daemons are heard before anything is claimed.
--- a/crates/edge/src/store/row.rs
+++ b/crates/edge/src/store/row.rs
@@ -1,5 +1,7 @@
 //! Rows of the store.
 
+use jasminetack_wire::fleet;
+
 /// One row.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
@@ -10,3 +12,15 @@
     /// Version of the transaction that wrote the row.
     pub version: u64,
 }
+
+impl From<fleet::Row> for Row {
+    fn from(row: fleet::Row) -> Self {
+        Self { key: row.key, value: row.value, version: row.version }
+    }
+}
+
+impl From<Row> for fleet::Row {
+    fn from(row: Row) -> Self {
+        Self { key: row.key, value: row.value, version: row.version }
+    }
+}
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -31,6 +31,26 @@
     /// Adapters that the receiver is asked to load.
     #[prost(message, repeated, tag = "5")]
     pub demands: Vec<Demand>,
+    /// Rows of the operator's table that the sender has just read.
+    #[prost(message, repeated, tag = "6")]
+    pub operator_rows: Vec<Row>,
+    /// Rows of the workers' table that the sender has just read.
+    #[prost(message, repeated, tag = "7")]
+    pub workers_rows: Vec<Row>,
+}
+
+/// Row of a table.
+#[derive(Clone, PartialEq, Message)]
+pub struct Row {
+    /// Key of the row.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Content; missing when the row was removed.
+    #[prost(bytes = "vec", optional, tag = "2")]
+    pub value: Option<Vec<u8>>,
+    /// Version of the transaction that wrote it.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
 }
 
 /// State of a daemon.
