--- a/crates/domain/src/dispatch/candidate.rs
+++ b/crates/domain/src/dispatch/candidate.rs
@@ -7,6 +7,8 @@
 pub enum AdapterState {
     /// The worker holds the adapter, or the request needs none.
     Resident,
+    /// The worker held the adapter some time ago; its holder must confirm it.
+    Unconfirmed,
     /// The adapter is on its way to the worker.
     Loading,
     /// The adapter can be loaded; the number of loads that wait there.
--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -14,6 +14,8 @@
 const MIN_LOAD_COST_MS: f64 = 200.0;
 /// Time left of a load that is under way, on average.
 const LOADING_COST_MS: f64 = 130.0;
+/// Two ways to the holder of a worker in another region, and the risk that the adapter is gone.
+const CONFIRMATION_COST_MS: f64 = 80.0;
 /// Time that each load that waits at a worker adds.
 const WAITING_LOAD_COST_MS: f64 = 40.0;
 /// Time that a generation in the batch adds to the steps of all others until it ends.
@@ -146,6 +148,7 @@
     ) -> f64 {
         let waiting_loads = match state {
             AdapterState::Resident => return 0.0,
+            AdapterState::Unconfirmed => return CONFIRMATION_COST_MS,
             AdapterState::Loading => return LOADING_COST_MS,
             AdapterState::Absent { waiting_loads } => waiting_loads,
         };
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -11,6 +11,8 @@
 
 /// Least silence after which a daemon counts as failed; datagrams may be lost or late.
 const MIN_SILENCE_MS: u64 = 3_500;
+/// Silence after which an unchanged state is news, too.
+const LONG_SILENCE_MS: u64 = 1_000;
 /// Reports that may be missed before a daemon counts as failed.
 const MISSED_REPORTS: u64 = 3;
 
@@ -116,6 +118,7 @@
         (peer.started_unix_ms, peer.sequence) = received;
         peer.address = address;
         peer.place = place;
+        let silence_ms = peer.heard_ms.map_or(u64::MAX, |heard_ms| now_ms.saturating_sub(heard_ms));
         peer.heard_ms = Some(now_ms);
         peer.is_leaving = state.is_leaving;
         peer.silence_limit_ms = (state.interval_ms * MISSED_REPORTS).max(MIN_SILENCE_MS);
@@ -127,7 +130,8 @@
         for hold in &state.holds {
             let worker = name::WorkerName::from(hold.worker.as_str());
             let held = (hold.fence, placement::Summary::from(hold));
-            if peer.holds.get(&worker) != Some(&held) {
+            // After a long silence the news is that all is as before.
+            if peer.holds.get(&worker) != Some(&held) || silence_ms > LONG_SILENCE_MS {
                 changed.push(worker.clone());
             }
             holds.insert(worker, held);
--- a/crates/edge/src/control/publisher.rs
+++ b/crates/edge/src/control/publisher.rs
@@ -77,15 +77,16 @@
     ) {
         let worker = &upstream.name;
         let held = peers.holder(worker).map(|(_, peer, fence, summary)| {
-            (fence, summary.clone(), peer.is_live(now_ms) && !peer.is_leaving)
+            (fence, summary.clone(), peer.is_live(now_ms) && !peer.is_leaving, peer.heard_ms)
         });
-        let own = holds.get(worker).map(|hold| (hold.fence, hold.summary(), true));
-        let newest = held.into_iter().chain(own).max_by_key(|(fence, _, _)| *fence);
+        let own = holds.get(worker).map(|hold| (hold.fence, hold.summary(), true, None));
+        let newest = held.into_iter().chain(own).max_by_key(|(fence, ..)| *fence);
         let is_known = newest.is_some();
-        let (_, summary, has_holder) = newest.unwrap_or_default();
+        let (_, summary, has_holder, told_ms) = newest.unwrap_or_default();
         let view = view::WorkerView {
             upstream: Arc::clone(upstream),
             has_holder,
+            told_ms,
             has_base_model: summary.has_base_model || !upstream.base_models.is_empty(),
             adapters: adapters(upstream, &summary, is_known),
             waiting_loads: summary.waiting_loads,
--- a/crates/edge/src/traffic/call.rs
+++ b/crates/edge/src/traffic/call.rs
@@ -39,6 +39,9 @@
 const LOAD_WAIT_PART: f64 = 0.6;
 /// Longest wait for an adapter.
 const MAX_LOAD_WAIT_MS: u64 = 2_500;
+/// Age from which the adapters of a worker must be confirmed; daemons of the same region report at
+/// least every second.
+const STALE_MS: u64 = 1_500;
 /// Pause after which a demand for an adapter is repeated; datagrams may be lost.
 const DEMAND_INTERVAL_MS: u64 = 250;
 /// Longest sleep between two looks at the fleet while a request waits.
@@ -243,7 +246,7 @@
         let workers = view.workers(&self.service);
         let mut candidates = Vec::with_capacity(workers.len());
         for worker in workers {
-            let Some(adapter) = self.adapter_state(worker, &view) else { continue };
+            let Some(adapter) = self.adapter_state(worker, &view, now_ms) else { continue };
             candidates.push(dispatch::Candidate { upstream: &worker.upstream, adapter });
         }
         let choice = dispatch::Choice {
@@ -266,6 +269,7 @@
         &self,
         worker: &view::WorkerView,
         view: &view::View,
+        now_ms: u64,
     ) -> Option<dispatch::AdapterState> {
         let Some(adapter) = &self.facts.adapter else {
             let needs_model = self.facts.base_model.is_some();
@@ -282,6 +286,7 @@
         {
             return Some(match held.is_loading {
                 true => dispatch::AdapterState::Loading,
+                false if is_stale(worker, now_ms) => dispatch::AdapterState::Unconfirmed,
                 false => dispatch::AdapterState::Resident,
             });
         }
@@ -539,6 +544,12 @@
     }
 }
 
+/// Returns whether what is known of a worker's adapters is so old that its holder must confirm it.
+fn is_stale(worker: &view::WorkerView, now_ms: u64) -> bool {
+    let told_ms = worker.told_ms.filter(|_| worker.has_holder);
+    told_ms.is_some_and(|told_ms| now_ms.saturating_sub(told_ms) > STALE_MS)
+}
+
 /// Removes the headers that concern one connection.
 fn remove_connection_headers(headers: &mut hyper::HeaderMap) {
     let named: Vec<_> = headers
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -30,6 +30,8 @@
     pub upstream: Arc<upstream::Upstream>,
     /// Whether somebody can order it to load adapters.
     pub has_holder: bool,
+    /// When its holder last told which adapters it has; `None` for a worker of this daemon's own.
+    pub told_ms: Option<u64>,
     /// Whether it holds a base model.
     pub has_base_model: bool,
     /// Adapters there.
