--- a/crates/domain/src/placement/placement.rs
+++ b/crates/domain/src/placement/placement.rs
@@ -17,9 +17,6 @@
 const MAX_IN_TRANSIT: usize = 3;
 /// Loads in transit over all workers beyond which each takes longer.
 const FLEET_IN_TRANSIT: usize = 8;
-/// Time for which an adapter stays after its last use: a worker that is ordered to drop an adapter
-/// in use takes no other order until its runs have ended, and reports of use are late.
-const MIN_IDLE_MS: u64 = 600;
 /// Time of a load from the weight store, after which its end is asked for.
 const COLD_LOAD_MS: u64 = 245;
 /// Time of a load that the worker has a copy of.
@@ -192,8 +189,12 @@
         counts
     }
 
-    /// Decides on the orders to send now; `others_in_transit` counts the loads of all other workers.
-    pub fn plan(&mut self, others_in_transit: usize, now_ms: u64) -> Vec<Order> {
+    /// Decides on the orders to send now.
+    ///
+    /// `others_in_transit` counts the loads of all other workers. An adapter stays for `min_idle_ms`
+    /// after its last use: a worker that is ordered to drop an adapter in use takes no other order
+    /// until its runs have ended, and reports of use are late.
+    pub fn plan(&mut self, others_in_transit: usize, min_idle_ms: u64, now_ms: u64) -> Vec<Order> {
         let mut orders = Vec::new();
         self.wants.retain(|_, want| now_ms.saturating_sub(want.confirmed_ms) < WANT_LIFETIME_MS);
         if !self.has_base_model {
@@ -204,7 +205,7 @@
             return orders;
         }
         self.start_loads(others_in_transit, now_ms);
-        self.make_room(now_ms);
+        self.make_room(min_idle_ms, now_ms);
         for (name, place) in &mut self.places {
             if place.awaits_answer || place.next_order_ms > now_ms {
                 continue;
@@ -338,7 +339,7 @@
     }
 
     /// Begins to drop idle adapters for those that wait.
-    fn make_room(&mut self, now_ms: u64) {
+    fn make_room(&mut self, min_idle_ms: u64, now_ms: u64) {
         let waiting = self.wants.keys().filter(|name| !self.places.contains_key(*name)).count();
         let unloading = self.places.values().filter(|place| place.state == PlaceState::Unloading);
         let free = self.capacity(now_ms) + unloading.count();
@@ -348,7 +349,7 @@
                 place.state == PlaceState::Resident
                     && place.in_use == 0
                     && place.late_until_ms <= now_ms
-                    && now_ms.saturating_sub(place.used_ms) >= MIN_IDLE_MS
+                    && now_ms.saturating_sub(place.used_ms) >= min_idle_ms
                     && !self.wants.contains_key(*name)
             });
             let coldest = idle
--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -26,7 +26,11 @@
 /// Interval of reports to daemons of the same region while these are few.
 const REPORT_MS: u64 = 200;
 /// Daemons of a region up to which they are few.
-const FEW_DAEMONS: u64 = 10;
+const FEW_DAEMONS: u64 = 5;
+/// Reports without a use after which an adapter counts as idle.
+const IDLE_REPORTS: u64 = 3;
+/// Daemons of all regions up to which they are few.
+const MANY_DAEMONS: u64 = 10;
 /// Interval of reports to daemons of other regions, where bytes are paid by volume, while the
 /// daemons are few.
 const FAR_REPORT_MS: u64 = 1_000;
@@ -174,7 +178,7 @@
     /// Returns the interval of reports to daemons of other regions.
     fn far_interval_ms(&self) -> u64 {
         let all = u64::try_from(self.peers.len()).unwrap_or(u64::MAX);
-        (FAR_REPORT_MS * all / FEW_DAEMONS).clamp(FAR_REPORT_MS, MAX_FAR_REPORT_MS)
+        (FAR_REPORT_MS * all / MANY_DAEMONS).clamp(FAR_REPORT_MS, MAX_FAR_REPORT_MS)
     }
 
     /// Returns whether orders are waiting, so that time matters.
@@ -190,7 +194,7 @@
         match message {
             Message::Feed(table, event, began_ms) => self.feed(table, event, began_ms, now_ms),
             Message::Stored(reply) => self.stored(reply, now_ms),
-            Message::Datagram(datagram) => self.datagram(datagram, now_ms),
+            Message::Datagram(datagram) => self.datagram(*datagram, now_ms),
             Message::Demand { worker, adapter, is_missing, is_new } => {
                 let demand = fleet::Demand {
                     worker: worker.to_string(),
@@ -505,7 +509,8 @@
     fn order(&mut self, now_ms: u64) {
         if self.tenancy.may_order(now_ms) {
             let others = self.peers.in_transit(now_ms);
-            for job in self.holds.plan(others, now_ms) {
+            let min_idle_ms = self.report_interval_ms() * IDLE_REPORTS;
+            for job in self.holds.plan(others, min_idle_ms, now_ms) {
                 self.outputs.order(job);
             }
         }
--- a/crates/edge/src/control/holds.rs
+++ b/crates/edge/src/control/holds.rs
@@ -180,7 +180,12 @@
     }
 
     /// Decides on the calls to make now; `others_in_transit` counts the loads at other workers.
-    pub fn plan(&mut self, others_in_transit: usize, now_ms: u64) -> Vec<OrderJob> {
+    pub fn plan(
+        &mut self,
+        others_in_transit: usize,
+        min_idle_ms: u64,
+        now_ms: u64,
+    ) -> Vec<OrderJob> {
         let all = others_in_transit + self.in_transit();
         let mut jobs = Vec::new();
         for hold in self.holds.values_mut() {
@@ -197,7 +202,7 @@
                 continue;
             }
             let others = all - placement.in_transit().min(all);
-            for order in placement.plan(others, now_ms) {
+            for order in placement.plan(others, min_idle_ms, now_ms) {
                 jobs.push(job(WorkerCall::Order(order)));
             }
         }
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -19,7 +19,7 @@
     /// The store answered a job.
     Stored(Reply),
     /// Another daemon sent a datagram.
-    Datagram(fleet::Datagram),
+    Datagram(Box<fleet::Datagram>),
     /// A request of this daemon needs an adapter at a worker.
     Demand {
         /// The worker.
--- a/crates/edge/src/traffic/datagrams.rs
+++ b/crates/edge/src/traffic/datagrams.rs
@@ -64,7 +64,7 @@
             };
             match fleet::Datagram::decode(&buffer[..length]) {
                 Ok(datagram) => {
-                    if control.send(control::Message::Datagram(datagram)).is_err() {
+                    if control.send(control::Message::Datagram(Box::new(datagram))).is_err() {
                         return;
                     }
                 }
--- a/crates/program/tests/bounded_sink.rs
+++ b/crates/program/tests/bounded_sink.rs
@@ -25,7 +25,7 @@
         while !self.is_reading.load(Ordering::Relaxed) {
             thread::sleep(Duration::from_millis(5));
         }
-        self.text.lock().unwrap().push_str(&String::from_utf8_lossy(data));
+        self.text.lock().expect("no writer panicked").push_str(&String::from_utf8_lossy(data));
         Ok(data.len())
     }
 
--- a/crates/table/src/commands/status.rs
+++ b/crates/table/src/commands/status.rs
@@ -1,6 +1,8 @@
 //! Command `status`.
 
 use std::io::Write;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use jasminetack_wire::lease_row;
 use jasminetack_wire::row;
@@ -10,6 +12,39 @@
 use crate::platform;
 use crate::session_view;
 
+/// Interval of looking again while hosts have not confirmed.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Shows where changes are in force, once every host has confirmed them or after a time.
+///
+/// Daemons confirm with the renewals of their sessions, so a change is in force before that shows.
+///
+/// # Errors
+///
+/// Fails when the platform cannot be read or a host has not confirmed a change in time.
+pub fn run_within<TableService, Output>(
+    service: &TableService,
+    output: &mut Output,
+    wait: Duration,
+) -> Result<(), CommandError>
+where
+    TableService: platform::Platform,
+    Output: Write,
+{
+    let end = Instant::now() + wait;
+    loop {
+        let mut text = Vec::new();
+        let result = run(service, &mut text);
+        let may_change = matches!(result, Err(CommandError::NotConfirmed { .. }));
+        if may_change && Instant::now() < end {
+            thread::sleep(LOOK_INTERVAL);
+            continue;
+        }
+        output.write_all(&text).context(command_error::OutputSnafu)?;
+        return result;
+    }
+}
+
 /// Shows where changes are in force and which hosts have not confirmed them.
 ///
 /// # Errors
--- a/crates/table/src/flags.rs
+++ b/crates/table/src/flags.rs
@@ -91,7 +91,10 @@
             optional row: String
         }
         /// Shows where changes are in force and which hosts have not confirmed them.
-        cmd status {}
+        cmd status {
+            /// Longest wait for the confirmation of every host.
+            optional --wait-ms milliseconds: String
+        }
         /// Shows the decisions taken for one request, in order.
         cmd explain {
             /// Value of the header Jasminetack-Request-Id.
@@ -154,7 +157,9 @@
 }
 
 #[derive(Debug)]
-pub struct Status;
+pub struct Status {
+    pub wait_ms: Option<String>,
+}
 
 #[derive(Debug)]
 pub struct Explain {
--- a/crates/table/src/program.rs
+++ b/crates/table/src/program.rs
@@ -63,7 +63,13 @@
         flags::JasminetackTableCmd::History(flags) => {
             history::run(&service, flags.row.as_deref(), output)
         }
-        flags::JasminetackTableCmd::Status(_) => status::run(&service, output),
+        flags::JasminetackTableCmd::Status(flags) => {
+            let wait_ms = flags.wait_ms.as_deref().unwrap_or("0").parse().map_err(|_| {
+                let message = "--wait-ms must be a number of milliseconds".to_owned();
+                CommandError::Input { message }
+            })?;
+            status::run_within(&service, output, Duration::from_millis(wait_ms))
+        }
         flags::JasminetackTableCmd::Explain(flags) => {
             explain_request(&service, &settings, &flags, output)
         }
--- a/crates/table/tests/races.rs
+++ b/crates/table/tests/races.rs
@@ -5,6 +5,7 @@
 use std::sync::Barrier;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use jasminetack_domain::table;
@@ -157,6 +158,26 @@
     insta::assert_snapshot!(String::from_utf8(text).unwrap());
 }
 
+/// Guards against a status that is shown before daemons had time to confirm an edit.
+#[test]
+fn status_waits_for_hosts_that_confirm_later() {
+    let fixture = Fixture::start();
+    fixture.write("ann", "team/desk", &["weight=2"]).unwrap();
+    let session = |version| serde_json::json!({ "state": "live", "table_version": version });
+    fixture.put("session/e1", session(0));
+    let mut text = Vec::new();
+    assert!(status::run_within(&fixture.service, &mut text, Duration::ZERO).is_err());
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            std::thread::sleep(Duration::from_millis(400));
+            fixture.put("session/e1", session(1));
+        });
+        text.clear();
+        status::run_within(&fixture.service, &mut text, Duration::from_secs(5)).unwrap();
+    });
+    assert!(String::from_utf8(text).unwrap().contains("e1 live version in force 1: confirmed"));
+}
+
 /// Guards against lost updates and lost or doubled history under many races and lost replies.
 #[test]
 fn seeded_races_have_one_winner_each() {
