--- a/crates/domain/src/dispatch/loads.rs
+++ b/crates/domain/src/dispatch/loads.rs
@@ -120,12 +120,6 @@
         (requests + own.in_flight, tokens.saturating_add(own.unread_tokens))
     }
 
-    /// Returns the requests of this daemon at a worker.
-    #[must_use]
-    pub fn own_in_flight(&self, worker: &name::WorkerName) -> u32 {
-        self.own.get(worker).map_or(0, |load| load.in_flight)
-    }
-
     /// Returns for how long a worker has sent nothing although a request waits for an answer.
     #[must_use]
     pub fn silence_ms(&self, worker: &name::WorkerName, now_ms: u64) -> u64 {
--- a/crates/domain/src/ingress/base_model.rs
+++ b/crates/domain/src/ingress/base_model.rs
@@ -9,8 +9,6 @@
     pub name: name::BaseModelName,
     /// Size of the weights in megabytes.
     pub weights_mb: f64,
-    /// Time to load the weights from the weight store.
-    pub load_ms: u64,
     /// Size of one adapter in megabytes.
     pub adapter_mb: f64,
 }
--- a/crates/domain/src/ingress/client_limits.rs
+++ b/crates/domain/src/ingress/client_limits.rs
@@ -7,8 +7,6 @@
     pub max_header_bytes: usize,
     /// Longest request body.
     pub max_body_bytes: usize,
-    /// Longest time between two parts of a request.
-    pub header_timeout_ms: u64,
     /// Longest time without a request on an open connection.
     pub idle_timeout_ms: u64,
 }
--- a/crates/domain/src/ingress/engine_profile.rs
+++ b/crates/domain/src/ingress/engine_profile.rs
@@ -6,27 +6,15 @@
 /// Capacity of each model engine of one service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineProfile {
-    /// Requests that an engine runs at one time.
-    pub batch_places: u32,
-    /// Tokens that fit into an engine's memory.
-    pub kv_capacity_tokens: u64,
     /// Adapters that an engine can hold, those in transit included.
     pub adapter_slots: usize,
     /// Memory for weights and adapters together in megabytes.
     pub weights_mb: f64,
-    /// Weight loads that the weight store allows each second over all engines.
-    pub loads_per_s: f64,
     /// Base models of the service.
     pub base_models: Vec<BaseModel>,
 }
 
 impl EngineProfile {
-    /// Returns a base model by name.
-    #[must_use]
-    pub fn base_model(&self, name: &name::BaseModelName) -> Option<&BaseModel> {
-        self.base_models.iter().find(|model| model.name == *name)
-    }
-
     /// Returns the adapters that fit beside the weights of the base models that are held.
     #[must_use]
     pub fn adapter_capacity(&self, held: &[name::BaseModelName]) -> usize {
--- a/crates/domain/src/ingress/ingress.rs
+++ b/crates/domain/src/ingress/ingress.rs
@@ -70,11 +70,6 @@
         self.services.get(name)
     }
 
-    /// Lists the services.
-    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceProfile>> {
-        self.services.values()
-    }
-
     /// Returns the number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/domain/tests/ingress.rs
+++ b/crates/domain/tests/ingress.rs
@@ -6,7 +6,6 @@
 const LIMITS: ingress::ClientLimits = ingress::ClientLimits {
     max_header_bytes: 16_384,
     max_body_bytes: 4_096,
-    header_timeout_ms: 3_000,
     idle_timeout_ms: 15_000,
 };
 
@@ -60,15 +59,11 @@
 fn adapters_fit_beside_the_weights_that_are_held() {
     let model = name::BaseModelName::from("m");
     let profile = ingress::EngineProfile {
-        batch_places: 128,
-        kv_capacity_tokens: 1,
         adapter_slots: 18,
         weights_mb: 35_700.0,
-        loads_per_s: 3.0,
         base_models: vec![ingress::BaseModel {
             name: model.clone(),
             weights_mb: 34_300.0,
-            load_ms: 2_000,
             adapter_mb: 100.0,
         }],
     };
--- /dev/null
+++ b/crates/edge/src/control/claims.rs
@@ -0,0 +1,166 @@
+//! Claims of workers that nobody gives orders to.
+
+use indexmap::IndexMap;
+use jasminetack_domain::member;
+use jasminetack_domain::name;
+use jasminetack_domain::order_lease;
+use jasminetack_domain::place;
+use jasminetack_domain::upstream;
+use jasminetack_wire::fleet;
+use prost::Message;
+
+use super::job::Job;
+use super::peers::Peers;
+use super::tenancy::Tenancy;
+use crate::store;
+
+/// Age of the rows from which they are read again before a decision.
+const ROWS_FRESH_MS: u64 = 900;
+/// Time for which a worker without a holder is left to each daemon that ranks before this one.
+const RANK_DELAY_MS: u64 = 500;
+/// Time after the start in which other daemons are heard before anything is claimed.
+const LISTEN_MS: u64 = 1_200;
+/// Pause between two looks at a worker whose lease has not expired.
+const CLAIM_PAUSE_MS: u64 = 700;
+
+/// A worker without a holder.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Vacancy {
+    pub(super) since_ms: u64,
+    pub(super) next_ms: u64,
+    pub(super) is_claiming: bool,
+}
+
+impl Tenancy {
+    /// Returns the claims to try now: workers of the engines without a live holder.
+    pub fn claims<'a, Upstreams>(
+        &mut self,
+        upstreams: Upstreams,
+        own_count: usize,
+        peers: &Peers,
+        now_ms: u64,
+    ) -> Vec<Job>
+    where
+        Upstreams: Iterator<Item = &'a upstream::Upstream>,
+    {
+        if !self.may_order(now_ms) {
+            return Vec::new();
+        }
+        let has_listened = now_ms.saturating_sub(self.started_ms) >= LISTEN_MS;
+        let mut jobs = Vec::new();
+        let mut vacant = IndexMap::new();
+        for upstream in upstreams {
+            let worker = &upstream.name;
+            let holder = peers.holder(worker);
+            if holder.is_some_and(|(_, peer, _, _)| peer.is_live(now_ms) && !peer.is_leaving) {
+                continue;
+            }
+            let new = Vacancy { since_ms: now_ms, next_ms: now_ms, is_claiming: false };
+            let mut vacancy = self.vacant.get(worker).copied().unwrap_or(new);
+            let own = self.holder(worker).is_some_and(|(host, _)| *host == self.identity.host);
+            // A daemon that restarted goes on with its workers at once.
+            if !own && !has_listened {
+                continue;
+            }
+            let rank = if own { 0 } else { self.rank(upstream, own_count, peers, now_ms) };
+            let due_ms = vacancy.next_ms.max(vacancy.since_ms + rank * RANK_DELAY_MS);
+            if !vacancy.is_claiming && now_ms >= due_ms {
+                vacancy.next_ms = now_ms + CLAIM_PAUSE_MS;
+                if let Some(job) = self.claim(upstream, now_ms) {
+                    vacancy.is_claiming = matches!(job, Job::Claim(..));
+                    jobs.push(job);
+                }
+            }
+            vacant.insert(worker.clone(), vacancy);
+        }
+        self.vacant = vacant;
+        jobs
+    }
+
+    /// Takes in the answer to a claim; returns the fencing token when the worker was taken over.
+    pub fn claimed(
+        &mut self,
+        worker: &name::WorkerName,
+        result: Result<store::Outcome, store::StoreError>,
+    ) -> Option<u64> {
+        if let Some(vacancy) = self.vacant.get_mut(worker) {
+            vacancy.is_claiming = false;
+        }
+        match result {
+            Ok(store::Outcome::Committed { version, .. }) => {
+                self.vacant.shift_remove(worker);
+                let row = order_lease::HolderRow { host: self.identity.host.clone() };
+                self.holders.insert(worker.clone(), (row, version));
+                Some(version)
+            }
+            Ok(store::Outcome::Conflict(_)) => {
+                self.rows_read_ms = None;
+                spdlog::info!("claim worker={worker} outcome=conflict");
+                None
+            }
+            Err(error) => {
+                // The claim may have taken effect.
+                self.rows_read_ms = None;
+                spdlog::warn!("claim worker={worker} outcome=failed error={error:?}");
+                None
+            }
+        }
+    }
+
+    /// Returns how many live daemons are better suited to give orders to a worker.
+    fn rank(
+        &self,
+        upstream: &upstream::Upstream,
+        own_count: usize,
+        peers: &Peers,
+        now_ms: u64,
+    ) -> u64 {
+        let worker = upstream.name.as_str();
+        let suitability = |host: &name::HostName, place: &place::Place, holds: usize| {
+            let score = member::rendezvous::score(worker, host.as_str());
+            (place.distance(&upstream.place), holds, std::cmp::Reverse(score))
+        };
+        let own = suitability(&self.identity.host, &self.identity.place, own_count);
+        let better = peers.iter().filter(|(host, peer)| {
+            peer.is_live(now_ms)
+                && !peer.is_leaving
+                && suitability(host, &peer.place, peer.holds.len()) < own
+        });
+        u64::try_from(better.count()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns the claim of a worker, or the reading of the rows that must come before.
+    fn claim(&mut self, upstream: &upstream::Upstream, now_ms: u64) -> Option<Job> {
+        let worker = &upstream.name;
+        let age_ms = self.rows_read_ms.map(|read_ms| now_ms.saturating_sub(read_ms));
+        let is_fresh = age_ms.is_some_and(|age_ms| age_ms <= ROWS_FRESH_MS);
+        // Without a known holder a claim that comes too late does no harm: it conflicts.
+        if !is_fresh && self.holders.contains_key(worker) {
+            return self.read_rows();
+        }
+        let mut conditions = Vec::new();
+        let held = self.holders.get(worker);
+        if let Some((holder, _)) = held
+            && holder.host != self.identity.host
+        {
+            let lease = self.leases.get(&holder.host);
+            let is_free =
+                lease.is_none_or(|(row, _)| row.is_free(self.times.guard_ms, self.rows_store_ms));
+            if !is_free {
+                return None;
+            }
+            conditions.push(store::Condition {
+                table: store::Table::Leases,
+                key: holder.host.to_string(),
+                version: lease.map_or(0, |(_, version)| *version),
+            });
+        }
+        let (table, key) = (store::Table::Holders, worker.to_string());
+        let version = held.map_or(0, |(_, version)| *version);
+        conditions.push(store::Condition { table, key: key.clone(), version });
+        let row = order_lease::HolderRow { host: self.identity.host.clone() };
+        let value = Some(fleet::Holder::from(&row).encode_to_vec());
+        let writes = vec![store::Write { table, key, value }];
+        Some(Job::Claim(worker.clone(), store::Transaction { conditions, writes }))
+    }
+}
--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
 use jasminetack_domain::upstream;
@@ -10,63 +10,48 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
+use super::Message;
 use super::catalog::{Catalog, News};
 use super::freshness::Freshness;
 use super::holds::Holds;
 use super::outputs::{Letter, Outputs};
-use super::peers::{Peer, Peers};
+use super::peers::Peers;
 use super::publisher::Publisher;
 use super::tenancy::{Identity, LeaseTimes, Tenancy};
-use super::{FeedEvent, Message, Reply};
 use crate::clock;
 use crate::dialect;
 use crate::metrics;
 use crate::store;
 
-/// Interval of reports to daemons of the same region while these are few.
-const REPORT_MS: u64 = 200;
-/// Daemons of a region up to which they are few.
-const FEW_DAEMONS: u64 = 5;
 /// Reports without a use after which an adapter counts as idle.
 const IDLE_REPORTS: u64 = 3;
-/// Daemons of all regions up to which they are few.
-const MANY_DAEMONS: u64 = 10;
-/// Interval of reports to daemons of other regions, where bytes are paid by volume, while the
-/// daemons are few.
-const FAR_REPORT_MS: u64 = 1_000;
-/// Longest interval of reports to daemons of the same region.
-const MAX_REPORT_MS: u64 = 1_000;
-/// Longest interval of reports to daemons of other regions.
-const MAX_FAR_REPORT_MS: u64 = 8_000;
-/// Rows that fit into a datagram together with the state of a daemon.
-const MAX_SHARED_BYTES: usize = 24 * 1024;
 /// Interval of publishing a complete view, so that silent daemons stop counting as holders.
 const FULL_VIEW_MS: u64 = 1_000;
 
 /// Everything that the daemon knows and decides outside of single requests.
 pub struct Core<Dialect> {
-    dialect: Arc<Dialect>,
-    catalog: Catalog,
-    holds: Holds,
-    peers: Peers,
-    tenancy: Tenancy,
-    operator: Freshness,
-    workers: Freshness,
-    lost_tables: Vec<store::Table>,
-    publisher: Publisher,
-    outputs: Outputs,
-    chooser: Arc<Mutex<dispatch::Chooser>>,
-    metrics: Arc<metrics::Metrics>,
-    started_unix_ms: u64,
-    sequence: u64,
-    is_leaving: bool,
+    pub(super) dialect: Arc<Dialect>,
+    pub(super) catalog: Catalog,
+    pub(super) holds: Holds,
+    pub(super) peers: Peers,
+    pub(super) tenancy: Tenancy,
+    pub(super) operator: Freshness,
+    pub(super) workers: Freshness,
+    pub(super) lost_tables: Vec<store::Table>,
+    pub(super) publisher: Publisher,
+    pub(super) outputs: Outputs,
+    pub(super) chooser: Arc<Mutex<dispatch::Chooser>>,
+    pub(super) metrics: Arc<metrics::Metrics>,
+    pub(super) started_unix_ms: u64,
+    pub(super) sequence: u64,
+    pub(super) is_leaving: bool,
     /// Waits for the end of the lease.
-    leaving: Option<oneshot::Sender<()>>,
-    reported_far_ms: u64,
-    viewed_ms: u64,
+    pub(super) leaving: Option<oneshot::Sender<()>>,
+    pub(super) reported_far_ms: u64,
+    pub(super) viewed_ms: u64,
     /// Workers that look different from the last view.
-    changed: IndexSet<name::WorkerName>,
-    must_publish_all: bool,
+    pub(super) changed: IndexSet<name::WorkerName>,
+    pub(super) must_publish_all: bool,
 }
 
 impl<Dialect> Core<Dialect>
@@ -146,41 +131,6 @@
         self.publish_changes(now_ms);
     }
 
-    /// Tells other daemons the load and the adapters of this one.
-    pub fn report(&mut self, now_ms: u64) {
-        let loads = self.take_loads(now_ms);
-        let state = self.state(Some(loads));
-        let is_far_due = now_ms.saturating_sub(self.reported_far_ms) >= self.far_interval_ms();
-        if is_far_due {
-            self.reported_far_ms = now_ms;
-        }
-        let region = self.tenancy.identity().place.region().clone();
-        let is_used = |peer: &Peer| {
-            let mut workers = state.loads.iter().filter(|load| !load.adapters.is_empty());
-            workers.any(|load| peer.holds.contains_key(load.worker.as_str()))
-        };
-        // The holder of a worker must know which adapters are in use there.
-        let to = self
-            .peers
-            .addresses(|peer| is_far_due || *peer.place.region() == region || is_used(peer));
-        self.send_state(state, to);
-    }
-
-    /// Returns the interval of reports: longer in regions with many daemons, since each of them
-    /// reports to all others.
-    pub fn report_interval_ms(&self) -> u64 {
-        let region = self.tenancy.identity().place.region();
-        let near = self.peers.iter().filter(|(_, peer)| peer.place.region() == region).count();
-        let scaled = REPORT_MS * u64::try_from(near).unwrap_or(u64::MAX) / FEW_DAEMONS;
-        scaled.clamp(REPORT_MS, MAX_REPORT_MS)
-    }
-
-    /// Returns the interval of reports to daemons of other regions.
-    fn far_interval_ms(&self) -> u64 {
-        let all = u64::try_from(self.peers.len()).unwrap_or(u64::MAX);
-        (FAR_REPORT_MS * all / MANY_DAEMONS).clamp(FAR_REPORT_MS, MAX_FAR_REPORT_MS)
-    }
-
     /// Returns whether orders are waiting, so that time matters.
     pub fn is_busy(&self) -> bool {
         self.holds.iter().any(|(_, hold)| {
@@ -220,80 +170,7 @@
         }
     }
 
-    fn feed(&mut self, table: store::Table, event: FeedEvent, began_ms: u64, now_ms: u64) {
-        let was_read = self.note_reading(table, &event, began_ms, now_ms);
-        let mut news = match table {
-            store::Table::Operator => self.catalog.operator_read(event, &*self.dialect),
-            store::Table::Workers => self.catalog.workers_read(event, &*self.dialect, now_ms),
-            store::Table::Leases | store::Table::Holders => return,
-        };
-        let rows = std::mem::take(&mut news.rows);
-        self.apply(news, now_ms);
-        if was_read {
-            self.share(table, rows);
-        }
-    }
-
-    /// Tells the other daemons of the region what was read, so that they need not read.
-    fn share(&mut self, table: store::Table, rows: Vec<store::Row>) {
-        let state = self.state(None);
-        let mut datagram = self.next_datagram(Some(state), Vec::new());
-        let size: usize = rows.iter().filter_map(|row| row.value.as_ref()).map(Vec::len).sum();
-        // What does not fit into a datagram is read by each daemon.
-        if size <= MAX_SHARED_BYTES {
-            let rows = rows.into_iter().map(fleet::Row::from).collect();
-            match table {
-                store::Table::Operator => datagram.operator_rows = rows,
-                _ => datagram.workers_rows = rows,
-            }
-        }
-        let region = self.tenancy.identity().place.region().clone();
-        let to = self.peers.addresses(|peer| *peer.place.region() == region);
-        self.outputs.send(Letter { to, datagram });
-    }
-
-    /// Notes how recent a table is now, and whether the store was lost or regained; returns whether
-    /// it was read.
-    fn note_reading(
-        &mut self,
-        table: store::Table,
-        event: &FeedEvent,
-        began_ms: u64,
-        now_ms: u64,
-    ) -> bool {
-        let freshness = match table {
-            store::Table::Operator => &mut self.operator,
-            _ => &mut self.workers,
-        };
-        let name = table.as_str();
-        let was_lost = self.lost_tables.contains(&table);
-        match event {
-            FeedEvent::Listed(store::Listing { store_ms, .. })
-            | FeedEvent::Changed(_, store_ms) => {
-                freshness.read(*store_ms);
-                self.tenancy.observe_clock(*store_ms, began_ms);
-                if was_lost {
-                    self.lost_tables.retain(|lost| *lost != table);
-                    spdlog::info!("dependency-regained name=store table={name}");
-                }
-                return true;
-            }
-            FeedEvent::Stale => freshness.failed(now_ms),
-            FeedEvent::Lost(error) => {
-                freshness.failed(now_ms);
-                if !was_lost {
-                    self.lost_tables.push(table);
-                    let took_ms = now_ms.saturating_sub(began_ms);
-                    spdlog::warn!(
-                        "dependency-lost name=store table={name} took_ms={took_ms} error={error:?}"
-                    );
-                }
-            }
-        }
-        false
-    }
-
-    fn apply(&mut self, news: News, now_ms: u64) {
+    pub(super) fn apply(&mut self, news: News, now_ms: u64) {
         for change in &news.workers {
             match change {
                 upstream::Change::Joined(upstream) => {
@@ -331,83 +208,6 @@
         }
     }
 
-    fn stored(&mut self, reply: Reply, now_ms: u64) {
-        match reply {
-            Reply::Rows { leases: Ok(leases), holders: Ok(holders), sent_ms } => {
-                if let Some(job) = self.tenancy.rows(leases, holders, sent_ms) {
-                    self.outputs.store(job);
-                }
-                self.learn_peers(now_ms);
-                self.drop_lost_holds();
-                for job in self.tenancy.due(now_ms) {
-                    self.outputs.store(job);
-                }
-            }
-            Reply::Rows { .. } => self.tenancy.rows_failed(now_ms),
-            Reply::Renewed(result, sent_ms) => {
-                if let Some(job) = self.tenancy.renewed(result, sent_ms, now_ms) {
-                    self.outputs.store(job);
-                }
-            }
-            Reply::Claimed(worker, result) => {
-                let Some(fence) = self.tenancy.claimed(&worker, result) else { return };
-                let Some(upstream) = self.catalog.directory().get(&worker) else { return };
-                let late_until_ms = self.tenancy.late_until_ms(&worker);
-                self.holds.begin(Arc::clone(upstream), fence, late_until_ms);
-                self.changed.insert(worker);
-            }
-            Reply::Written(result) => {
-                if let Err(error) = result {
-                    spdlog::warn!("write-failed error={error:?}");
-                }
-                self.tell_left();
-            }
-        }
-    }
-
-    /// Writes into the store that orders of a worker may still be carried out, for its next holder.
-    fn note_late_orders(&mut self, worker: &name::WorkerName, now_ms: u64) {
-        let Some(hold) = self.holds.get_mut(worker) else { return };
-        let Some(late_until_ms) = hold.take_late_news() else { return };
-        if let Some(job) = self.tenancy.late_orders(worker, late_until_ms, now_ms) {
-            self.outputs.store(job);
-        }
-    }
-
-    fn learn_peers(&mut self, now_ms: u64) {
-        let own = self.tenancy.host().clone();
-        let mut listed = Vec::new();
-        let mut is_new = false;
-        for row in self.tenancy.leases() {
-            if row.host == own {
-                continue;
-            }
-            listed.push(row.host.clone());
-            is_new |= self.peers.listed(row);
-        }
-        self.peers.retain_listed(&listed, now_ms);
-        if is_new {
-            // Daemons that know this one answer with their own states at their next report.
-            let state = self.state(None);
-            let to = self.peers.addresses(|_| true);
-            self.send_state(state, to);
-        }
-    }
-
-    /// Ends holds that the rows do not confirm.
-    fn drop_lost_holds(&mut self) {
-        let own = self.tenancy.host().clone();
-        let lost = self.holds.iter().filter(|(worker, hold)| {
-            let holder = self.tenancy.holder(worker);
-            holder.is_some_and(|(host, fence)| fence > hold.fence || *host != own)
-        });
-        let lost: Vec<_> = lost.map(|(worker, _)| worker.clone()).collect();
-        for worker in &lost {
-            self.holds.end(worker, "taken-over");
-        }
-        self.changed.extend(lost);
-    }
-
     fn datagram(&mut self, mut datagram: fleet::Datagram, now_ms: u64) {
         if datagram.host == self.tenancy.host().as_str() {
             return;
@@ -462,23 +262,6 @@
         self.changed.extend(changed);
     }
 
-    /// Takes in rows that another daemon has read.
-    fn shared_rows(&mut self, datagram: &mut fleet::Datagram, now_ms: u64) {
-        let decode = |rows: &mut Vec<fleet::Row>| -> Vec<store::Row> {
-            rows.drain(..).map(store::Row::from).collect()
-        };
-        let operator = decode(&mut datagram.operator_rows);
-        let workers = decode(&mut datagram.workers_rows);
-        if !operator.is_empty() {
-            let news = self.catalog.operator_rows(operator, &*self.dialect);
-            self.apply(news, now_ms);
-        }
-        if !workers.is_empty() {
-            let news = self.catalog.workers_rows(workers, &*self.dialect, now_ms);
-            self.apply(news, now_ms);
-        }
-    }
-
     /// Has a worker's holder load an adapter.
     fn demand(&mut self, worker: &name::WorkerName, demand: fleet::Demand, now_ms: u64) {
         if self.holds.want(worker, &demand, now_ms) {
@@ -545,86 +328,7 @@
         }
     }
 
-    /// Takes this daemon's load for the next report and counts the adapters in use.
-    fn take_loads(&mut self, now_ms: u64) -> Vec<fleet::Load> {
-        let mut chooser = self.chooser.lock();
-        let mut loads = Vec::new();
-        let mut own_uses: IndexMap<name::WorkerName, Vec<(name::AdapterName, u32)>> =
-            IndexMap::new();
-        let reported = chooser.loads.report();
-        let mut workers = chooser.loads.workers_in_use();
-        workers.extend(reported.iter().map(|load| load.worker.clone()));
-        workers.sort();
-        workers.dedup();
-        for worker in workers {
-            let uses = chooser.loads.take_adapter_uses(&worker);
-            let load = reported.iter().find(|load| load.worker == worker);
-            let idle =
-                dispatch::ReportedLoad { worker: worker.clone(), in_flight: 0, unread_tokens: 0 };
-            loads.push(fleet::Load::new(load.unwrap_or(&idle), &uses));
-            if let Some(hold) = self.holds.get_mut(&worker) {
-                for (adapter, used) in &uses {
-                    *hold.begun.entry(adapter.clone()).or_default() += used.begun;
-                }
-            }
-            let in_flight = uses.into_iter().map(|(adapter, used)| (adapter, used.in_flight));
-            own_uses.insert(worker, in_flight.collect());
-        }
-        drop(chooser);
-        for (worker, hold) in self.holds.iter_mut() {
-            let peers = self.peers.iter().filter(|(_, peer)| peer.is_live(now_ms));
-            let others = peers.filter_map(|(_, peer): (_, &Peer)| peer.uses.get(worker));
-            let mut in_flight: IndexMap<name::AdapterName, u32> = IndexMap::new();
-            for (adapter, count) in others.chain(own_uses.get(worker)).flatten() {
-                *in_flight.entry(adapter.clone()).or_default() += count;
-            }
-            hold.apply_uses(&in_flight, now_ms);
-        }
-        loads
-    }
-
-    fn state(&self, loads: Option<Vec<fleet::Load>>) -> fleet::State {
-        let identity = self.tenancy.identity();
-        let holds = self.holds.iter();
-        let holds =
-            holds.map(|(worker, hold)| fleet::Hold::new(worker, hold.fence, &hold.summary()));
-        fleet::State {
-            address: identity.address.to_string(),
-            region: identity.place.region().to_string(),
-            failure_domain: identity.place.failure_domain().to_string(),
-            is_leaving: self.tenancy.is_released(),
-            interval_ms: self.far_interval_ms(),
-            has_loads: loads.is_some(),
-            loads: loads.unwrap_or_default(),
-            holds: holds.collect(),
-            operator: table_state(&self.operator, self.catalog.operator_digest()),
-            workers: table_state(&self.workers, self.catalog.directory().digest()),
-        }
-    }
-
-    fn send_state(&mut self, state: fleet::State, to: Vec<std::net::SocketAddr>) {
-        let datagram = self.next_datagram(Some(state), Vec::new());
-        self.outputs.send(Letter { to, datagram });
-    }
-
-    fn next_datagram(
-        &mut self,
-        state: Option<fleet::State>,
-        demands: Vec<fleet::Demand>,
-    ) -> fleet::Datagram {
-        self.sequence += 1;
-        fleet::Datagram {
-            host: self.tenancy.host().to_string(),
-            started_unix_ms: self.started_unix_ms,
-            sequence: self.sequence,
-            state,
-            demands,
-            operator_rows: Vec::new(),
-            workers_rows: Vec::new(),
-        }
-    }
-
-    fn publish(&mut self, changed: Option<&[name::WorkerName]>, now_ms: u64) {
+    pub(super) fn publish(&mut self, changed: Option<&[name::WorkerName]>, now_ms: u64) {
         if changed.is_none() {
             self.viewed_ms = now_ms;
         }
@@ -657,7 +361,7 @@
         }
     }
 
-    fn tell_left(&mut self) {
+    pub(super) fn tell_left(&mut self) {
         if self.tenancy.is_released()
             && let Some(done) = self.leaving.take()
         {
@@ -666,8 +370,3 @@
         }
     }
 }
-
-fn table_state(freshness: &Freshness, digest: u64) -> Option<fleet::TableState> {
-    let as_of_store_ms = freshness.as_of_store_ms()?;
-    Some(fleet::TableState { digest, as_of_store_ms })
-}
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod actor;
 mod catalog;
+mod claims;
 mod core;
 mod feed;
 mod freshness;
@@ -12,6 +13,9 @@
 mod outputs;
 mod peers;
 mod publisher;
+mod replies;
+mod reports;
+mod tables;
 mod tenancy;
 mod writer;
 
--- /dev/null
+++ b/crates/edge/src/control/replies.rs
@@ -0,0 +1,91 @@
+//! Answers of the store to calls about the daemons' own rows.
+
+use std::sync::Arc;
+
+use jasminetack_domain::name;
+
+use super::Reply;
+use super::core::Core;
+use crate::dialect;
+
+impl<Dialect> Core<Dialect>
+where
+    Dialect: dialect::Dialect,
+{
+    pub(super) fn stored(&mut self, reply: Reply, now_ms: u64) {
+        match reply {
+            Reply::Rows { leases: Ok(leases), holders: Ok(holders), sent_ms } => {
+                if let Some(job) = self.tenancy.rows(leases, holders, sent_ms) {
+                    self.outputs.store(job);
+                }
+                self.learn_peers(now_ms);
+                self.drop_lost_holds();
+                for job in self.tenancy.due(now_ms) {
+                    self.outputs.store(job);
+                }
+            }
+            Reply::Rows { .. } => self.tenancy.rows_failed(now_ms),
+            Reply::Renewed(result, sent_ms) => {
+                if let Some(job) = self.tenancy.renewed(result, sent_ms, now_ms) {
+                    self.outputs.store(job);
+                }
+            }
+            Reply::Claimed(worker, result) => {
+                let Some(fence) = self.tenancy.claimed(&worker, result) else { return };
+                let Some(upstream) = self.catalog.directory().get(&worker) else { return };
+                let late_until_ms = self.tenancy.late_until_ms(&worker);
+                self.holds.begin(Arc::clone(upstream), fence, late_until_ms);
+                self.changed.insert(worker);
+            }
+            Reply::Written(result) => {
+                if let Err(error) = result {
+                    spdlog::warn!("write-failed error={error:?}");
+                }
+                self.tell_left();
+            }
+        }
+    }
+
+    /// Writes into the store that orders of a worker may still be carried out, for its next holder.
+    pub(super) fn note_late_orders(&mut self, worker: &name::WorkerName, now_ms: u64) {
+        let Some(hold) = self.holds.get_mut(worker) else { return };
+        let Some(late_until_ms) = hold.take_late_news() else { return };
+        if let Some(job) = self.tenancy.late_orders(worker, late_until_ms, now_ms) {
+            self.outputs.store(job);
+        }
+    }
+
+    pub(super) fn learn_peers(&mut self, now_ms: u64) {
+        let own = self.tenancy.host().clone();
+        let mut listed = Vec::new();
+        let mut is_new = false;
+        for row in self.tenancy.leases() {
+            if row.host == own {
+                continue;
+            }
+            listed.push(row.host.clone());
+            is_new |= self.peers.listed(row);
+        }
+        self.peers.retain_listed(&listed, now_ms);
+        if is_new {
+            // Daemons that know this one answer with their own states at their next report.
+            let state = self.state(None);
+            let to = self.peers.addresses(|_| true);
+            self.send_state(state, to);
+        }
+    }
+
+    /// Ends holds that the rows do not confirm.
+    pub(super) fn drop_lost_holds(&mut self) {
+        let own = self.tenancy.host().clone();
+        let lost = self.holds.iter().filter(|(worker, hold)| {
+            let holder = self.tenancy.holder(worker);
+            holder.is_some_and(|(host, fence)| fence > hold.fence || *host != own)
+        });
+        let lost: Vec<_> = lost.map(|(worker, _)| worker.clone()).collect();
+        for worker in &lost {
+            self.holds.end(worker, "taken-over");
+        }
+        self.changed.extend(lost);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/tables.rs
@@ -0,0 +1,113 @@
+//! Readings of the operator's and the workers' tables, shared between the daemons of a region.
+
+use jasminetack_wire::fleet;
+
+use super::FeedEvent;
+use super::core::Core;
+use super::outputs::Letter;
+use crate::dialect;
+use crate::store;
+
+/// Rows that fit into a datagram together with the state of a daemon.
+const MAX_SHARED_BYTES: usize = 24 * 1024;
+
+impl<Dialect> Core<Dialect>
+where
+    Dialect: dialect::Dialect,
+{
+    pub(super) fn feed(
+        &mut self,
+        table: store::Table,
+        event: FeedEvent,
+        began_ms: u64,
+        now_ms: u64,
+    ) {
+        let was_read = self.note_reading(table, &event, began_ms, now_ms);
+        let mut news = match table {
+            store::Table::Operator => self.catalog.operator_read(event, &*self.dialect),
+            store::Table::Workers => self.catalog.workers_read(event, &*self.dialect, now_ms),
+            store::Table::Leases | store::Table::Holders => return,
+        };
+        let rows = std::mem::take(&mut news.rows);
+        self.apply(news, now_ms);
+        if was_read {
+            self.share(table, rows);
+        }
+    }
+
+    /// Tells the other daemons of the region what was read, so that they need not read.
+    pub(super) fn share(&mut self, table: store::Table, rows: Vec<store::Row>) {
+        let state = self.state(None);
+        let mut datagram = self.next_datagram(Some(state), Vec::new());
+        let size: usize = rows.iter().filter_map(|row| row.value.as_ref()).map(Vec::len).sum();
+        // What does not fit into a datagram is read by each daemon.
+        if size <= MAX_SHARED_BYTES {
+            let rows = rows.into_iter().map(fleet::Row::from).collect();
+            match table {
+                store::Table::Operator => datagram.operator_rows = rows,
+                _ => datagram.workers_rows = rows,
+            }
+        }
+        let region = self.tenancy.identity().place.region().clone();
+        let to = self.peers.addresses(|peer| *peer.place.region() == region);
+        self.outputs.send(Letter { to, datagram });
+    }
+
+    /// Notes how recent a table is now, and whether the store was lost or regained; returns whether
+    /// it was read.
+    pub(super) fn note_reading(
+        &mut self,
+        table: store::Table,
+        event: &FeedEvent,
+        began_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let freshness = match table {
+            store::Table::Operator => &mut self.operator,
+            _ => &mut self.workers,
+        };
+        let name = table.as_str();
+        let was_lost = self.lost_tables.contains(&table);
+        match event {
+            FeedEvent::Listed(store::Listing { store_ms, .. })
+            | FeedEvent::Changed(_, store_ms) => {
+                freshness.read(*store_ms);
+                self.tenancy.observe_clock(*store_ms, began_ms);
+                if was_lost {
+                    self.lost_tables.retain(|lost| *lost != table);
+                    spdlog::info!("dependency-regained name=store table={name}");
+                }
+                return true;
+            }
+            FeedEvent::Stale => freshness.failed(now_ms),
+            FeedEvent::Lost(error) => {
+                freshness.failed(now_ms);
+                if !was_lost {
+                    self.lost_tables.push(table);
+                    let took_ms = now_ms.saturating_sub(began_ms);
+                    spdlog::warn!(
+                        "dependency-lost name=store table={name} took_ms={took_ms} error={error:?}"
+                    );
+                }
+            }
+        }
+        false
+    }
+
+    /// Takes in rows that another daemon has read.
+    pub(super) fn shared_rows(&mut self, datagram: &mut fleet::Datagram, now_ms: u64) {
+        let decode = |rows: &mut Vec<fleet::Row>| -> Vec<store::Row> {
+            rows.drain(..).map(store::Row::from).collect()
+        };
+        let operator = decode(&mut datagram.operator_rows);
+        let workers = decode(&mut datagram.workers_rows);
+        if !operator.is_empty() {
+            let news = self.catalog.operator_rows(operator, &*self.dialect);
+            self.apply(news, now_ms);
+        }
+        if !workers.is_empty() {
+            let news = self.catalog.workers_rows(workers, &*self.dialect, now_ms);
+            self.apply(news, now_ms);
+        }
+    }
+}
--- a/crates/edge/src/control/tenancy.rs
+++ b/crates/edge/src/control/tenancy.rs
@@ -3,30 +3,20 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use jasminetack_domain::member;
 use jasminetack_domain::name;
 use jasminetack_domain::order_lease;
 use jasminetack_domain::place;
-use jasminetack_domain::upstream;
 use jasminetack_wire::fleet;
 use prost::Message;
 
+use super::claims::Vacancy;
 use super::job::Job;
-use super::peers::Peers;
 use crate::store;
 
-/// Age of the rows from which they are read again before a decision.
-const ROWS_FRESH_MS: u64 = 900;
 /// Interval of reading all rows, to find daemons that no datagram has come from.
 const ROWS_INTERVAL_MS: u64 = 60_000;
 /// Pause before a failed call is repeated.
 const RENEWAL_PAUSE_MS: u64 = 1_000;
-/// Time for which a worker without a holder is left to each daemon that ranks before this one.
-const RANK_DELAY_MS: u64 = 500;
-/// Time after the start in which other daemons are heard before anything is claimed.
-const LISTEN_MS: u64 = 1_200;
-/// Pause between two looks at a worker whose lease has not expired.
-const CLAIM_PAUSE_MS: u64 = 700;
 
 /// Begins the keys of notes about orders without an answer; the rest is the worker.
 const LATE_PREFIX: &str = "late/";
@@ -56,36 +46,29 @@
 /// This daemon's lease, and what it knows of the rows of others.
 #[derive(Debug)]
 pub struct Tenancy {
-    identity: Identity,
-    times: LeaseTimes,
-    lease: order_lease::Lease,
-    clock: order_lease::StoreClock,
+    pub(super) identity: Identity,
+    pub(super) times: LeaseTimes,
+    pub(super) lease: order_lease::Lease,
+    pub(super) clock: order_lease::StoreClock,
     /// Version of this daemon's lease row; `None` until the rows were read.
-    row_version: Option<u64>,
-    is_released: bool,
-    is_renewing: bool,
-    next_renewal_ms: u64,
+    pub(super) row_version: Option<u64>,
+    pub(super) is_released: bool,
+    pub(super) is_renewing: bool,
+    pub(super) next_renewal_ms: u64,
     /// Whether the lease expired, so that the holders must be read before the next order.
-    must_check: bool,
+    pub(super) must_check: bool,
     /// When a renewal after the expiry was acknowledged.
-    regained_ms: u64,
-    leases: IndexMap<name::HostName, (order_lease::LeaseRow, u64)>,
-    holders: IndexMap<name::WorkerName, (order_lease::HolderRow, u64)>,
-    late: IndexMap<name::WorkerName, order_lease::LateRow>,
-    rows_store_ms: u64,
-    rows_read_ms: Option<u64>,
-    next_read_ms: u64,
-    is_reading: bool,
+    pub(super) regained_ms: u64,
+    pub(super) leases: IndexMap<name::HostName, (order_lease::LeaseRow, u64)>,
+    pub(super) holders: IndexMap<name::WorkerName, (order_lease::HolderRow, u64)>,
+    pub(super) late: IndexMap<name::WorkerName, order_lease::LateRow>,
+    pub(super) rows_store_ms: u64,
+    pub(super) rows_read_ms: Option<u64>,
+    pub(super) next_read_ms: u64,
+    pub(super) is_reading: bool,
     /// Workers without a holder, with the times of the finding and of the next attempt.
-    vacant: IndexMap<name::WorkerName, Vacancy>,
-    started_ms: u64,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Vacancy {
-    since_ms: u64,
-    next_ms: u64,
-    is_claiming: bool,
+    pub(super) vacant: IndexMap<name::WorkerName, Vacancy>,
+    pub(super) started_ms: u64,
 }
 
 impl Tenancy {
@@ -286,81 +269,6 @@
         }
     }
 
-    /// Returns the claims to try now: workers of the engines without a live holder.
-    pub fn claims<'a, Upstreams>(
-        &mut self,
-        upstreams: Upstreams,
-        own_count: usize,
-        peers: &Peers,
-        now_ms: u64,
-    ) -> Vec<Job>
-    where
-        Upstreams: Iterator<Item = &'a upstream::Upstream>,
-    {
-        if !self.may_order(now_ms) {
-            return Vec::new();
-        }
-        let has_listened = now_ms.saturating_sub(self.started_ms) >= LISTEN_MS;
-        let mut jobs = Vec::new();
-        let mut vacant = IndexMap::new();
-        for upstream in upstreams {
-            let worker = &upstream.name;
-            let holder = peers.holder(worker);
-            if holder.is_some_and(|(_, peer, _, _)| peer.is_live(now_ms) && !peer.is_leaving) {
-                continue;
-            }
-            let new = Vacancy { since_ms: now_ms, next_ms: now_ms, is_claiming: false };
-            let mut vacancy = self.vacant.get(worker).copied().unwrap_or(new);
-            let own = self.holder(worker).is_some_and(|(host, _)| *host == self.identity.host);
-            // A daemon that restarted goes on with its workers at once.
-            if !own && !has_listened {
-                continue;
-            }
-            let rank = if own { 0 } else { self.rank(upstream, own_count, peers, now_ms) };
-            let due_ms = vacancy.next_ms.max(vacancy.since_ms + rank * RANK_DELAY_MS);
-            if !vacancy.is_claiming && now_ms >= due_ms {
-                vacancy.next_ms = now_ms + CLAIM_PAUSE_MS;
-                if let Some(job) = self.claim(upstream, now_ms) {
-                    vacancy.is_claiming = matches!(job, Job::Claim(..));
-                    jobs.push(job);
-                }
-            }
-            vacant.insert(worker.clone(), vacancy);
-        }
-        self.vacant = vacant;
-        jobs
-    }
-
-    /// Takes in the answer to a claim; returns the fencing token when the worker was taken over.
-    pub fn claimed(
-        &mut self,
-        worker: &name::WorkerName,
-        result: Result<store::Outcome, store::StoreError>,
-    ) -> Option<u64> {
-        if let Some(vacancy) = self.vacant.get_mut(worker) {
-            vacancy.is_claiming = false;
-        }
-        match result {
-            Ok(store::Outcome::Committed { version, .. }) => {
-                self.vacant.shift_remove(worker);
-                let row = order_lease::HolderRow { host: self.identity.host.clone() };
-                self.holders.insert(worker.clone(), (row, version));
-                Some(version)
-            }
-            Ok(store::Outcome::Conflict(_)) => {
-                self.rows_read_ms = None;
-                spdlog::info!("claim worker={worker} outcome=conflict");
-                None
-            }
-            Err(error) => {
-                // The claim may have taken effect.
-                self.rows_read_ms = None;
-                spdlog::warn!("claim worker={worker} outcome=failed error={error:?}");
-                None
-            }
-        }
-    }
-
     /// Returns the time until which orders of earlier holders of a worker may be carried out.
     pub fn late_until_ms(&self, worker: &name::WorkerName) -> u64 {
         let late = self.late.get(worker);
@@ -397,7 +305,7 @@
         Job::Write(store::Transaction { conditions: vec![condition], writes: writes.into() })
     }
 
-    fn read_rows(&mut self) -> Option<Job> {
+    pub(super) fn read_rows(&mut self) -> Option<Job> {
         if std::mem::replace(&mut self.is_reading, true) {
             return None;
         }
@@ -426,63 +334,6 @@
             writes: vec![store::Write { table, key, value }],
         }
     }
-
-    /// Returns how many live daemons are better suited to give orders to a worker.
-    fn rank(
-        &self,
-        upstream: &upstream::Upstream,
-        own_count: usize,
-        peers: &Peers,
-        now_ms: u64,
-    ) -> u64 {
-        let worker = upstream.name.as_str();
-        let suitability = |host: &name::HostName, place: &place::Place, holds: usize| {
-            let score = member::rendezvous::score(worker, host.as_str());
-            (place.distance(&upstream.place), holds, std::cmp::Reverse(score))
-        };
-        let own = suitability(&self.identity.host, &self.identity.place, own_count);
-        let better = peers.iter().filter(|(host, peer)| {
-            peer.is_live(now_ms)
-                && !peer.is_leaving
-                && suitability(host, &peer.place, peer.holds.len()) < own
-        });
-        u64::try_from(better.count()).unwrap_or(u64::MAX)
-    }
-
-    /// Returns the claim of a worker, or the reading of the rows that must come before.
-    fn claim(&mut self, upstream: &upstream::Upstream, now_ms: u64) -> Option<Job> {
-        let worker = &upstream.name;
-        let age_ms = self.rows_read_ms.map(|read_ms| now_ms.saturating_sub(read_ms));
-        let is_fresh = age_ms.is_some_and(|age_ms| age_ms <= ROWS_FRESH_MS);
-        // Without a known holder a claim that comes too late does no harm: it conflicts.
-        if !is_fresh && self.holders.contains_key(worker) {
-            return self.read_rows();
-        }
-        let mut conditions = Vec::new();
-        let held = self.holders.get(worker);
-        if let Some((holder, _)) = held
-            && holder.host != self.identity.host
-        {
-            let lease = self.leases.get(&holder.host);
-            let is_free =
-                lease.is_none_or(|(row, _)| row.is_free(self.times.guard_ms, self.rows_store_ms));
-            if !is_free {
-                return None;
-            }
-            conditions.push(store::Condition {
-                table: store::Table::Leases,
-                key: holder.host.to_string(),
-                version: lease.map_or(0, |(_, version)| *version),
-            });
-        }
-        let (table, key) = (store::Table::Holders, worker.to_string());
-        let version = held.map_or(0, |(_, version)| *version);
-        conditions.push(store::Condition { table, key: key.clone(), version });
-        let row = order_lease::HolderRow { host: self.identity.host.clone() };
-        let value = Some(fleet::Holder::from(&row).encode_to_vec());
-        let writes = vec![store::Write { table, key, value }];
-        Some(Job::Claim(worker.clone(), store::Transaction { conditions, writes }))
-    }
 }
 
 fn refuse(table: &str, key: &str, error: &fleet::FleetError) {
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_body;
 mod attempt;
+mod attempt_outcome;
 mod call;
 mod call_record;
 mod connection;
@@ -16,6 +17,8 @@
 mod server;
 mod shared;
 mod stream_relay;
+mod worker_request;
+mod worker_search;
 
 pub use datagrams::Datagrams;
 pub use health_port::HealthPort;
--- a/crates/edge/src/traffic/refusal.rs
+++ b/crates/edge/src/traffic/refusal.rs
@@ -6,6 +6,9 @@
 
 use super::answer_body::AnswerBody;
 
+/// When a caller should come back after a refusal.
+pub(super) const RETRY_AFTER_MS: u64 = 250;
+
 /// Why a request is not served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
