--- a/crates/proofs/tests/control.rs
+++ b/crates/proofs/tests/control.rs
@@ -15,6 +15,18 @@
     Plan { daemons, engines: 1, ..Plan::default() }
 }
 
+/// Waits until every daemon can route to the engine: the owner row is in the table before the event
+/// has spread, and until then a daemon truthfully refuses.
+fn wait_for_routes(fleet: &Fleet) {
+    let ask = caller::Ask::default();
+    for daemon in &fleet.daemons {
+        wait::until("the daemon knows the owner", wait::LONG, || {
+            daemon.ask(&ask).is_right("offers", 1, &ask)
+        })
+        .unwrap();
+    }
+}
+
 /// Guards against a worker that stays without owner after its owner died.
 #[test]
 fn worker_of_a_dead_owner_serves_again_within_the_bound() {
@@ -22,6 +34,7 @@
     let (owner, fencing) = fleet.owner("engine0").unwrap();
     let other = (owner + 1) % 3;
     let ask = caller::Ask { timeout_ms: 2_000, ..caller::Ask::default() };
+    wait_for_routes(&fleet);
     assert!(fleet.daemons[other].ask(&ask).is_right("offers", 1, &ask));
     fleet.daemons[owner].program.kill().unwrap();
     let died = Instant::now();
@@ -68,6 +81,8 @@
     let mut fleet = Fleet::start(one_engine(3)).unwrap();
     let (owner, fencing) = fleet.owner("engine0").unwrap();
     let other = (owner + 1) % 3;
+    wait_for_routes(&fleet);
+    let earlier = fleet.engines[0].engine_audit().unwrap().runs.len();
     let ask = caller::Ask { max_tokens: 200, stream: true, ..caller::Ask::default() };
     let addresses =
         [fleet.daemons[owner].callers_address(), fleet.daemons[other].callers_address()];
@@ -77,7 +92,7 @@
     });
     wait::until("both streams run", wait::LONG, || {
         let audit = fleet.engines[0].engine_audit();
-        audit.is_ok_and(|audit| audit.runs.len() >= 2)
+        audit.is_ok_and(|audit| audit.runs.len() >= earlier + 2)
     })
     .unwrap();
     fleet.daemons[owner].program.terminate().unwrap();
