--- a/crates/proofs/tests/control.rs
+++ b/crates/proofs/tests/control.rs
@@ -23,7 +23,7 @@
         wait::until("the daemon knows the owner", wait::LONG, || {
             daemon.ask(&ask).is_right("offers", 1, &ask)
         })
-        .unwrap();
+        .expect("every daemon learns the owner");
     }
 }
 
