Remember late orders of workers that leave the table, and list again what they loaded

The rows of a worker stay until its last late order is due, its holder remembers them, a note that the store did not take is written again, a late load of a replaced version keeps its place, and the worker reports once more before the reserve ends.

--- a/crates/domain/src/placement/placement.rs
+++ b/crates/domain/src/placement/placement.rs
@@ -45,7 +45,10 @@
     places: IndexMap<name::AdapterName, Place, FxBuildHasher>,
     wants: IndexMap<name::AdapterName, Want, FxBuildHasher>,
     warm: IndexMap<name::AdapterName, (), FxBuildHasher>,
+    /// Time until which orders of an earlier holder may be carried out.
     reserve_until_ms: u64,
+    /// Whether such orders may have loaded adapters that are not among the places.
+    has_unlisted: bool,
 }
 
 impl Placement {
@@ -70,6 +73,7 @@
             wants: IndexMap::default(),
             warm: IndexMap::default(),
             reserve_until_ms: late_until_ms,
+            has_unlisted: late_until_ms > now_ms,
         };
         placement.adopt(listed, late_until_ms, now_ms);
         placement
@@ -91,6 +95,24 @@
         }
     }
 
+    /// Returns whether the worker must report again what it holds: the time of late orders of an
+    /// earlier holder is over, and what they loaded is not known.
+    #[must_use]
+    pub fn needs_report(&self, now_ms: u64) -> bool {
+        self.has_unlisted && self.reserve_until_ms <= now_ms
+    }
+
+    /// Takes in a report after the time of late orders.
+    pub fn listed(&mut self, listed: &[adapter::AdapterRef], now_ms: u64) {
+        self.has_unlisted = false;
+        for adapter in listed {
+            if !self.places.contains_key(adapter.name()) {
+                let place = Place::new(adapter.version(), PlaceState::Resident, now_ms);
+                self.places.insert(adapter.name().clone(), place);
+            }
+        }
+    }
+
     /// Notes that the worker holds its base model.
     pub fn base_model_held(&mut self) {
         self.has_base_model = true;
@@ -148,7 +170,8 @@
     /// Returns the time until which orders without an answer may still be carried out.
     #[must_use]
     pub fn late_until_ms(&self) -> u64 {
-        self.places.values().map(|place| place.late_until_ms).max().unwrap_or(0)
+        let places = self.places.values().map(|place| place.late_until_ms);
+        places.max().unwrap_or(0).max(self.reserve_until_ms)
     }
 
     /// Returns the loads in transit.
@@ -244,7 +267,9 @@
         let is_warm = self.warm.contains_key(adapter.name());
         let Some(place) = self.places.get_mut(adapter.name()) else { return };
         if place.state != PlaceState::Loading || place.version != adapter.version() {
-            place.awaits_answer = false;
+            // A load of the version that is not wanted any more takes up the place, too.
+            place.order_failed(result, now_ms);
+            place.next_order_ms = now_ms;
             return;
         }
         match result {
@@ -298,9 +323,9 @@
         }
     }
 
-    fn capacity(&self, now_ms: u64) -> usize {
-        // Loads that were in transit need not be in the worker's report yet.
-        let reserve = if now_ms < self.reserve_until_ms { MAX_IN_TRANSIT } else { 0 };
+    fn capacity(&self) -> usize {
+        // Loads that were in transit need not be in the worker's first report.
+        let reserve = if self.has_unlisted { MAX_IN_TRANSIT } else { 0 };
         self.limits.adapter_capacity.saturating_sub(reserve)
     }
 
@@ -310,7 +335,7 @@
         let mut waiting: Vec<_> =
             self.wants.iter().map(|(name, want)| (name.clone(), *want)).collect();
         waiting.sort_by_key(|(_, want)| want.rank(now_ms));
-        let capacity = self.capacity(now_ms);
+        let capacity = self.capacity();
         for (name, want) in waiting {
             let has_room = self.places.len() < capacity;
             let is_fleet_busy = in_transit + others_in_transit >= FLEET_IN_TRANSIT;
@@ -342,7 +367,7 @@
     fn make_room(&mut self, min_idle_ms: u64, now_ms: u64) {
         let waiting = self.wants.keys().filter(|name| !self.places.contains_key(*name)).count();
         let unloading = self.places.values().filter(|place| place.state == PlaceState::Unloading);
-        let free = self.capacity(now_ms) + unloading.count();
+        let free = self.capacity() + unloading.count();
         let missing = (self.places.len() + waiting.min(MAX_IN_TRANSIT)).saturating_sub(free);
         for _ in 0..missing {
             let idle = self.places.iter_mut().filter(|(name, place)| {
--- a/crates/domain/tests/placement.rs
+++ b/crates/domain/tests/placement.rs
@@ -103,6 +103,23 @@
     assert_ne!(dropped, [placement::Order::Unload(name::AdapterName::from("a0"))]);
 }
 
+#[test]
+fn a_load_without_an_answer_keeps_its_place_when_a_newer_version_was_wanted_meanwhile() {
+    let mut placement = placement(0);
+    placement.want(&adapter_ref("a0"), true, 0);
+    let orders = placement.plan(0, MIN_IDLE_MS, 0);
+    let newer = adapter::AdapterRef::new(name::AdapterName::from("a0"), 2);
+    placement.renew_version(&newer, 100);
+    assert_eq!(placement.plan(0, MIN_IDLE_MS, 100), []);
+    placement.ordered(&orders[0], placement::OrderResult::Unanswered, 200);
+    assert_eq!(placement.late_until_ms(), 200 + placement::LATE_ORDER_MS);
+}
+
+#[test]
+fn late_orders_of_an_earlier_holder_are_handed_on() {
+    assert_eq!(placement(9_000).late_until_ms(), 9_000);
+}
+
 #[test]
 fn orders_of_an_earlier_holder_are_given_time_to_arrive() {
     let base_model = name::BaseModelName::from("m");
@@ -117,9 +134,26 @@
     for index in 1..=CAPACITY {
         placement.want(&adapter_ref(&format!("a{index}")), true, late_until_ms);
     }
+    placement.listed(&listed, late_until_ms);
     assert!(!placement.plan(0, MIN_IDLE_MS, late_until_ms).is_empty());
 }
 
+#[test]
+fn what_late_orders_of_an_earlier_holder_loaded_is_counted() {
+    let late_until_ms = placement::LATE_ORDER_MS;
+    let mut placement = placement(late_until_ms);
+    assert!(!placement.needs_report(late_until_ms - 1));
+    assert!(placement.needs_report(late_until_ms));
+    let late = ["x0", "x1", "x2"].map(adapter_ref);
+    placement.listed(&late, late_until_ms);
+    assert!(!placement.needs_report(late_until_ms));
+    for name in ["a0", "a1"] {
+        placement.want(&adapter_ref(name), true, late_until_ms);
+    }
+    let load = placement::Order::Load(adapter_ref("a0"));
+    assert_eq!(placement.plan(0, MIN_IDLE_MS, late_until_ms), [load]);
+}
+
 #[test]
 fn a_newer_version_replaces_the_one_that_is_held() {
     let mut placement = placement(0);
--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -12,6 +12,7 @@
 
 use super::Message;
 use super::catalog::{Catalog, News};
+use super::departed::Departed;
 use super::freshness::Freshness;
 use super::holds::Holds;
 use super::outputs::{Letter, Outputs};
@@ -33,6 +34,7 @@
     pub(super) dialect: Arc<Dialect>,
     pub(super) catalog: Catalog,
     pub(super) holds: Holds,
+    pub(super) departed: Departed,
     pub(super) peers: Peers,
     pub(super) tenancy: Tenancy,
     pub(super) operator: Freshness,
@@ -76,6 +78,7 @@
             dialect,
             catalog: Catalog::default(),
             holds: Holds::default(),
+            departed: Departed::default(),
             peers: Peers::default(),
             tenancy: Tenancy::new(identity, times, clock::now_ms()),
             operator,
@@ -119,6 +122,9 @@
         for job in self.tenancy.due(now_ms) {
             self.outputs.store(job);
         }
+        for (worker, fence) in self.departed.take_due(now_ms) {
+            self.outputs.store(self.tenancy.removal(&worker, fence));
+        }
         if !self.is_leaving {
             self.claim(now_ms);
         }
@@ -187,7 +193,7 @@
                     }
                     self.holds.updated(upstream, false);
                 }
-                upstream::Change::Left(worker) => self.worker_left(worker),
+                upstream::Change::Left(worker) => self.worker_left(worker, now_ms),
             }
         }
         for adapter in &news.versions {
@@ -196,16 +202,21 @@
         self.must_publish_all |= news.has_changed;
     }
 
-    fn worker_left(&mut self, worker: &name::WorkerName) {
+    fn worker_left(&mut self, worker: &name::WorkerName, now_ms: u64) {
         spdlog::info!("worker-left worker={worker}");
         let mut chooser = self.chooser.lock();
         chooser.health.forget(worker);
         chooser.loads.forget(worker);
         chooser.speeds.forget(worker);
         drop(chooser);
-        if let Some(hold) = self.holds.end(worker, "worker-left") {
+        let Some(hold) = self.holds.end(worker, "worker-left") else { return };
+        let late_until_ms = hold.late_until_ms();
+        if late_until_ms <= now_ms {
             self.outputs.store(self.tenancy.removal(worker, hold.fence));
+            return;
         }
+        // A worker that only lapsed still carries these orders out.
+        self.departed.insert(worker.clone(), hold.fence, late_until_ms);
     }
 
     fn datagram(&mut self, mut datagram: fleet::Datagram, now_ms: u64) {
--- a/crates/edge/src/control/hold.rs
+++ b/crates/edge/src/control/hold.rs
@@ -25,7 +25,7 @@
     pub asked_ms: u64,
     /// Time until which orders of an earlier holder, or from before a restart of the worker, may still
     /// be carried out.
-    pub late_until_ms: u64,
+    late_until_ms: u64,
     /// Time of that kind which the store knows.
     noted_late_until_ms: u64,
     /// Requests that began since the last look at the adapters in use.
@@ -57,6 +57,13 @@
         self.placement.as_ref().map(placement::Placement::summary).unwrap_or_default()
     }
 
+    /// Forgets what the worker holds, because it restarted; orders from before may still be carried out.
+    pub fn restarted(&mut self) {
+        self.late_until_ms = self.late_until_ms();
+        self.placement = None;
+        self.asked_ms = 0;
+    }
+
     /// Returns a time until which orders may be carried out late when the store must be told of it.
     ///
     /// The time has a margin, so that a series of such orders costs few writes.
@@ -69,6 +76,18 @@
         Some(self.noted_late_until_ms)
     }
 
+    /// Notes that the store was not told of late orders, so that the next order tells it again.
+    pub fn late_note_failed(&mut self) {
+        self.noted_late_until_ms = self.late_until_ms;
+    }
+
+    /// Returns the time until which orders of this daemon or an earlier one may be carried out.
+    pub fn late_until_ms(&self) -> u64 {
+        let placement = self.placement.as_ref();
+        let own_ms = placement.map_or(0, placement::Placement::late_until_ms);
+        own_ms.max(self.late_until_ms)
+    }
+
     /// Notes that another daemon waits for an adapter; returns whether it can be used already.
     pub fn demanded(&mut self, adapter: &adapter::AdapterRef, host: &name::HostName) -> bool {
         let is_usable = self.published.held.iter().any(|held| {
--- a/crates/edge/src/control/holds.rs
+++ b/crates/edge/src/control/holds.rs
@@ -68,11 +68,7 @@
         let Some(hold) = self.holds.get_mut(&upstream.name) else { return };
         hold.upstream = Arc::clone(upstream);
         if is_restarted {
-            // Orders from before the restart may still be carried out.
-            let placement = hold.placement.take();
-            let late_until_ms = placement.map_or(0, |placement| placement.late_until_ms());
-            hold.late_until_ms = hold.late_until_ms.max(late_until_ms);
-            hold.asked_ms = 0;
+            hold.restarted();
             return;
         }
         if let Some(placement) = &mut hold.placement
@@ -92,10 +88,11 @@
         now_ms: u64,
     ) {
         let Some(hold) = self.holds.get_mut(worker) else { return };
-        if hold.fence != fence || hold.placement.is_some() {
+        let Some(report) = report.filter(|_| hold.fence == fence) else { return };
+        if let Some(placement) = &mut hold.placement {
+            placement.listed(&report.adapters, now_ms);
             return;
         }
-        let Some(report) = report else { return };
         let profile = ingress.and_then(|ingress| ingress.service(&hold.upstream.service));
         let Some(engine) = profile.and_then(|profile| profile.engine.as_ref()) else { return };
         let Some(first) = engine.base_models.first() else { return };
@@ -103,7 +100,7 @@
         let capacity = engine.adapter_capacity(std::slice::from_ref(&base_model));
         let limits = placement::Limits { adapter_capacity: capacity, base_model };
         let has_base = !report.base_models.is_empty();
-        let (held, late_until_ms) = (report.adapters.len(), hold.late_until_ms);
+        let (held, late_until_ms) = (report.adapters.len(), hold.late_until_ms());
         spdlog::info!(
             "worker-reported worker={worker} fence={fence} has_base={has_base} adapters={held} capacity={capacity} late_until_ms={late_until_ms}"
         );
@@ -191,13 +188,14 @@
         for hold in self.holds.values_mut() {
             let (upstream, fence) = (&hold.upstream, hold.fence);
             let job = |call| OrderJob { upstream: Arc::clone(upstream), fence, call };
-            let Some(placement) = &mut hold.placement else {
-                if now_ms.saturating_sub(hold.asked_ms) >= REPORT_PAUSE_MS {
-                    hold.asked_ms = now_ms;
-                    jobs.push(job(WorkerCall::Report));
-                }
-                continue;
-            };
+            let placement = hold.placement.as_mut();
+            if placement.as_ref().is_none_or(|placement| placement.needs_report(now_ms))
+                && now_ms.saturating_sub(hold.asked_ms) >= REPORT_PAUSE_MS
+            {
+                hold.asked_ms = now_ms;
+                jobs.push(job(WorkerCall::Report));
+            }
+            let Some(placement) = placement else { continue };
             if upstream.is_draining {
                 continue;
             }
--- a/crates/edge/src/control/job.rs
+++ b/crates/edge/src/control/job.rs
@@ -13,6 +13,8 @@
     Renew(store::Transaction),
     /// Takes the orders of a worker over.
     Claim(name::WorkerName, store::Transaction),
+    /// Notes until when orders of a worker may be carried out late.
+    NoteLate(name::WorkerName, store::Transaction),
     /// Removes the holder row of a worker that is gone, or gives up the lease.
     Write(store::Transaction),
 }
@@ -33,6 +35,8 @@
     Renewed(Result<store::Outcome, store::StoreError>, u64),
     /// A worker was taken over, or not.
     Claimed(name::WorkerName, Result<store::Outcome, store::StoreError>),
+    /// Late orders of a worker were noted, or not.
+    Noted(name::WorkerName, Result<store::Outcome, store::StoreError>),
     /// Rows were written, or not.
     Written(Result<store::Outcome, store::StoreError>),
 }
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod catalog;
 mod claims;
 mod core;
+mod departed;
 mod feed;
 mod freshness;
 mod hold;
--- a/crates/edge/src/control/replies.rs
+++ b/crates/edge/src/control/replies.rs
@@ -33,10 +33,18 @@
             Reply::Claimed(worker, result) => {
                 let Some(fence) = self.tenancy.claimed(&worker, result) else { return };
                 let Some(upstream) = self.catalog.directory().get(&worker) else { return };
-                let late_until_ms = self.tenancy.late_until_ms(&worker);
+                let remembered_ms = self.departed.take(&worker).unwrap_or(0);
+                let late_until_ms = self.tenancy.late_until_ms(&worker).max(remembered_ms);
                 self.holds.begin(Arc::clone(upstream), fence, late_until_ms);
                 self.changed.insert(worker);
             }
+            Reply::Noted(worker, result) => {
+                let Err(error) = result else { return };
+                spdlog::warn!("late-note-failed worker={worker} error={error:?}");
+                if let Some(hold) = self.holds.get_mut(&worker) {
+                    hold.late_note_failed();
+                }
+            }
             Reply::Written(result) => {
                 if let Err(error) = result {
                     spdlog::warn!("write-failed error={error:?}");
@@ -50,8 +58,10 @@
     pub(super) fn note_late_orders(&mut self, worker: &name::WorkerName, now_ms: u64) {
         let Some(hold) = self.holds.get_mut(worker) else { return };
         let Some(late_until_ms) = hold.take_late_news() else { return };
-        if let Some(job) = self.tenancy.late_orders(worker, late_until_ms, now_ms) {
-            self.outputs.store(job);
+        match self.tenancy.late_orders(worker, late_until_ms, now_ms) {
+            Some(job) => self.outputs.store(job),
+            // Without the store's clock there is no way to name the time yet.
+            None => hold.late_note_failed(),
         }
     }
 
--- a/crates/edge/src/control/tenancy.rs
+++ b/crates/edge/src/control/tenancy.rs
@@ -289,7 +289,8 @@
             key: format!("{LATE_PREFIX}{worker}"),
             value: Some(fleet::LateOrders::from(&row).encode_to_vec()),
         };
-        Some(Job::Write(store::Transaction { conditions: Vec::new(), writes: vec![write] }))
+        let transaction = store::Transaction { conditions: Vec::new(), writes: vec![write] };
+        Some(Job::NoteLate(worker.clone(), transaction))
     }
 
     /// Returns the removal of the holder row of a worker that is gone.
--- a/crates/edge/src/control/writer.rs
+++ b/crates/edge/src/control/writer.rs
@@ -55,6 +55,9 @@
             Job::Claim(worker, transaction) => {
                 Reply::Claimed(worker, self.store.transact(&transaction))
             }
+            Job::NoteLate(worker, transaction) => {
+                Reply::Noted(worker, self.store.transact(&transaction))
+            }
             Job::Write(transaction) => Reply::Written(self.store.transact(&transaction)),
         }
     }
