--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -1,6 +1,8 @@
 //! Choice among workers by the predicted time to the first part of the answer.
 
-use super::{AdapterState, Candidate, Health, Loads, Popularity, PromptMemory, PromptPart, Work};
+use super::{
+    AdapterState, Candidate, Health, Loads, Popularity, PromptMemory, PromptPart, RunTime, Work,
+};
 use crate::member;
 use crate::name;
 use crate::place;
@@ -50,6 +52,8 @@
     pub prompts: PromptMemory,
     /// Requests by adapter.
     pub popularity: Popularity,
+    /// Times of generations.
+    pub runs: RunTime,
     /// Times to the first part of an answer compared over the workers of a service.
     pub speeds: route::Speeds,
 }
@@ -124,6 +128,9 @@
             let unread = f64::from(unread_tokens) + f64::from(choice.work.prompt_tokens)
                 - f64::from(kept.min(choice.work.prompt_tokens));
             cost_ms += f64::from(requests) * GENERATION_COST_MS + unread / PREFILL_TOKENS_PER_MS;
+            // One place becomes free in each such part of a run.
+            let place_ms = self.runs.mean_ms() / f64::from(upstream.slots.max(1));
+            cost_ms += f64::from((requests + 1).saturating_sub(upstream.slots)) * place_ms;
             let is_demanded = choice.demanded == Some(worker);
             cost_ms += if is_demanded && candidate.adapter != AdapterState::Resident {
                 LOADING_COST_MS
--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod prompt_memory;
 mod reported_load;
 mod retry_window;
+mod run_time;
 mod work;
 
 pub use adapter_use::AdapterUse;
@@ -23,4 +24,5 @@
 pub use prompt_memory::{PromptMemory, PromptPart};
 pub use reported_load::ReportedLoad;
 pub use retry_window::RetryWindow;
+pub use run_time::RunTime;
 pub use work::Work;
--- a/crates/domain/tests/dispatch.rs
+++ b/crates/domain/tests/dispatch.rs
@@ -109,6 +109,23 @@
     assert_eq!(scene.choose(60_000).as_deref(), Some("two"));
 }
 
+#[test]
+fn a_worker_whose_places_are_taken_costs_the_wait_for_one() {
+    let loading = dispatch::AdapterState::Loading;
+    let mut scene = Scene::new(&[("full", "here", RESIDENT), ("free", "here", loading)]);
+    let full = name::WorkerName::from("full");
+    for _ in 0..12 {
+        scene.chooser.loads.sent(&full, None, GENERATION, 0);
+        scene.chooser.loads.answered(&full, GENERATION, 100);
+    }
+    assert_eq!(scene.choose(100).as_deref(), Some("free"));
+    // Runs that are over soon hold nobody up.
+    for _ in 0..1_000 {
+        scene.chooser.runs.ended(5);
+    }
+    assert_eq!(scene.choose(100).as_deref(), Some("full"));
+}
+
 #[test]
 fn failing_workers_are_avoided_and_come_back() {
     let mut scene = Scene::new(&[("one", "here", RESIDENT), ("two", "there", RESIDENT)]);
--- a/crates/edge/src/traffic/load_guard.rs
+++ b/crates/edge/src/traffic/load_guard.rs
@@ -6,6 +6,8 @@
 use jasminetack_domain::name;
 use parking_lot::Mutex;
 
+use crate::clock;
+
 /// Counts one request at a worker until it is dropped.
 #[derive(Debug)]
 pub struct LoadGuard {
@@ -15,7 +17,7 @@
     adapter: Option<name::AdapterName>,
     work: dispatch::Work,
     sent_ms: u64,
-    has_answer: bool,
+    answered_ms: Option<u64>,
 }
 
 impl LoadGuard {
@@ -37,7 +39,7 @@
             adapter: adapter.cloned(),
             work,
             sent_ms: now_ms,
-            has_answer: false,
+            answered_ms: None,
         }
     }
 
@@ -49,11 +51,11 @@
     /// Notes a part of the answer.
     pub fn heard(&mut self, now_ms: u64) {
         let mut chooser = self.chooser.lock();
-        if self.has_answer {
+        if self.answered_ms.is_some() {
             chooser.loads.heard(&self.worker, now_ms);
             return;
         }
-        self.has_answer = true;
+        self.answered_ms = Some(now_ms);
         chooser.loads.answered(&self.worker, self.work, now_ms);
         chooser.health.succeeded(&self.worker, now_ms);
         let elapsed_ms = now_ms.saturating_sub(self.sent_ms) as f64;
@@ -69,8 +71,12 @@
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         let mut chooser = self.chooser.lock();
-        if !self.has_answer {
-            chooser.loads.answered(&self.worker, self.work, self.sent_ms);
+        match self.answered_ms {
+            None => chooser.loads.answered(&self.worker, self.work, self.sent_ms),
+            Some(answered_ms) if self.work.is_generation() => {
+                chooser.runs.ended(clock::now_ms().saturating_sub(answered_ms));
+            }
+            Some(_) => {}
         }
         chooser.loads.ended(&self.worker, self.adapter.as_ref());
     }
