Tell the holder of a worker at once when an adapter comes into use or goes out of it

The first and the last use of an adapter by a daemon is told to the holder in a datagram of its own, an adapter that comes into use before the worker took the order stays, and the idle time is 200 ms.

--- a/crates/domain/src/dispatch/loads.rs
+++ b/crates/domain/src/dispatch/loads.rs
@@ -32,14 +32,15 @@
 }
 
 impl Loads {
-    /// Counts a request that is sent to a worker.
+    /// Counts a request that is sent to a worker; returns whether it is the only one of this daemon
+    /// that uses the adapter there.
     pub fn sent(
         &mut self,
         worker: &name::WorkerName,
         adapter: Option<&name::AdapterName>,
         work: Work,
         now_ms: u64,
-    ) {
+    ) -> bool {
         let load = self.own.entry(worker.clone()).or_default();
         if load.unanswered == 0 {
             load.heard_ms = now_ms;
@@ -47,10 +48,11 @@
         load.in_flight += 1;
         load.unanswered += 1;
         load.unread_tokens = load.unread_tokens.saturating_add(work.prompt_tokens);
-        let Some(adapter) = adapter else { return };
+        let Some(adapter) = adapter else { return false };
         let used = load.adapters.entry(adapter.clone()).or_default();
         used.in_flight += 1;
         used.begun += 1;
+        used.in_flight == 1
     }
 
     /// Counts the beginning of an answer.
@@ -68,12 +70,26 @@
         }
     }
 
-    /// Counts the end of a request whose answer has begun.
-    pub fn ended(&mut self, worker: &name::WorkerName, adapter: Option<&name::AdapterName>) {
-        let Some(load) = self.own.get_mut(worker) else { return };
+    /// Counts the end of a request whose answer has begun; returns whether it was the last one of
+    /// this daemon that used the adapter there.
+    pub fn ended(
+        &mut self,
+        worker: &name::WorkerName,
+        adapter: Option<&name::AdapterName>,
+    ) -> bool {
+        let Some(load) = self.own.get_mut(worker) else { return false };
         load.in_flight = load.in_flight.saturating_sub(1);
-        let Some(used) = adapter.and_then(|adapter| load.adapters.get_mut(adapter)) else { return };
+        let used = adapter.and_then(|adapter| load.adapters.get_mut(adapter));
+        let Some(used) = used else { return false };
         used.in_flight = used.in_flight.saturating_sub(1);
+        used.in_flight == 0
+    }
+
+    /// Returns this daemon's requests that use an adapter at a worker.
+    #[must_use]
+    pub fn adapter_in_flight(&self, worker: &name::WorkerName, adapter: &name::AdapterName) -> u32 {
+        let load = self.own.get(worker);
+        load.and_then(|load| load.adapters.get(adapter)).map_or(0, |used| used.in_flight)
     }
 
     /// Takes in the load that another daemon reports, in place of its earlier report; it counts until
--- a/crates/domain/src/placement/place.rs
+++ b/crates/domain/src/placement/place.rs
@@ -36,6 +36,8 @@
     /// Whether an order is on its way and has no answer yet.
     pub(super) awaits_answer: bool,
     pub(super) next_order_ms: u64,
+    /// Whether the order of this state is being carried out, or may be.
+    is_under_way: bool,
     /// Time until which an unanswered load may bring the adapter back.
     pub(super) late_until_ms: u64,
     pub(super) in_use: u32,
@@ -52,6 +54,7 @@
             state,
             awaits_answer: false,
             next_order_ms: now_ms,
+            is_under_way: false,
             late_until_ms: 0,
             in_use: 0,
             used_ms: now_ms,
@@ -65,6 +68,15 @@
         self.state = state;
         self.state_since_ms = now_ms;
         self.next_order_ms = now_ms;
+        self.is_under_way = false;
+    }
+
+    /// Keeps an adapter that came into use before the worker took the order to drop it.
+    pub(super) fn keep_if_used(&mut self, now_ms: u64) {
+        let is_dropped = self.awaits_answer || self.is_under_way;
+        if self.state == PlaceState::Unloading && self.in_use > 0 && !is_dropped {
+            self.enter(PlaceState::Resident, now_ms);
+        }
     }
 
     pub(super) fn add_uses(&mut self, uses: u32, now_ms: u64) {
@@ -82,6 +94,7 @@
     /// Takes in the answer to a load or unload order, except for its success.
     pub(super) fn order_failed(&mut self, result: OrderResult, now_ms: u64) {
         self.awaits_answer = false;
+        self.is_under_way |= matches!(result, OrderResult::Accepted | OrderResult::Unanswered);
         self.next_order_ms = now_ms
             + match result {
                 OrderResult::Accepted => POLL_MS,
--- a/crates/domain/src/placement/placement.rs
+++ b/crates/domain/src/placement/placement.rs
@@ -161,10 +161,16 @@
     /// the last call.
     pub fn used(&mut self, adapter: &name::AdapterName, used: dispatch::AdapterUse, now_ms: u64) {
         let Some(place) = self.places.get_mut(adapter) else { return };
-        place.in_use = used.in_flight;
-        if used.in_flight > 0 || used.begun > 0 {
+        if used.in_flight > 0 || used.begun > 0 || place.in_use > 0 {
             place.add_uses(used.begun, now_ms);
         }
+        place.in_use = used.in_flight;
+        place.keep_if_used(now_ms);
+    }
+
+    /// Lists the adapters of all places.
+    pub fn adapters(&self) -> impl Iterator<Item = &name::AdapterName> {
+        self.places.keys()
     }
 
     /// Returns the time until which orders without an answer may still be carried out.
@@ -306,6 +312,7 @@
             return;
         }
         place.order_failed(result, now_ms);
+        place.keep_if_used(now_ms);
     }
 
     fn holds(&self, adapter: &adapter::AdapterRef) -> bool {
--- a/crates/domain/tests/placement.rs
+++ b/crates/domain/tests/placement.rs
@@ -85,6 +85,25 @@
     assert_eq!(placement.plan(0, MIN_IDLE_MS, 9_000), []);
 }
 
+#[test]
+fn an_adapter_that_comes_into_use_before_it_is_dropped_stays() {
+    let mut placement = placement(0);
+    fill(&mut placement);
+    placement.want(&adapter_ref("new"), true, 2_000);
+    let orders = placement.plan(0, MIN_IDLE_MS, 2_000);
+    let [placement::Order::Unload(coldest)] = orders.as_slice() else {
+        panic!("{orders:?}");
+    };
+    placement.ordered(&orders[0], placement::OrderResult::Busy, 2_010);
+    let in_use = dispatch::AdapterUse { in_flight: 1, begun: 0 };
+    placement.used(coldest, in_use, 2_020);
+    let held = placement.summary().held;
+    assert!(held.iter().any(|held| held.adapter.name() == coldest));
+    placement.want(&adapter_ref("new"), false, 2_040);
+    let orders = placement.plan(0, MIN_IDLE_MS, 2_040);
+    assert!(!orders.contains(&placement::Order::Unload(coldest.clone())), "{orders:?}");
+}
+
 #[test]
 fn a_load_without_an_answer_keeps_its_place_for_as_long_as_it_may_be_carried_out() {
     let mut placement = placement(0);
--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -24,8 +24,9 @@
 use crate::metrics;
 use crate::store;
 
-/// Reports without a use after which an adapter counts as idle.
-const IDLE_REPORTS: u64 = 3;
+/// Time without a use after which an adapter counts as idle: the way of the news that a request
+/// uses it, and of the news that it was loaded before that.
+const MIN_IDLE_MS: u64 = 200;
 /// Interval of publishing a complete view, so that silent daemons stop counting as holders.
 const FULL_VIEW_MS: u64 = 1_000;
 
@@ -161,6 +162,9 @@
                 };
                 self.demand(&worker, demand, now_ms);
             }
+            Message::Used { worker, adapter, is_used } => {
+                self.used(&worker, &adapter, is_used, now_ms);
+            }
             Message::Ordered { worker, fence, order, result } => {
                 self.metrics.count_order(result.as_str());
                 self.holds.ordered(&worker, fence, &order, result, now_ms);
@@ -239,6 +243,7 @@
                 self.send_state(state, to);
             }
         }
+        self.use_changes(&datagram, now_ms);
         let Some(state) = &datagram.state else { return };
         let address = match fleet::read_address(&state.address) {
             Ok(address) => address,
@@ -303,8 +308,7 @@
     fn order(&mut self, now_ms: u64) {
         if self.tenancy.may_order(now_ms) {
             let others = self.peers.in_transit(now_ms);
-            let min_idle_ms = self.report_interval_ms() * IDLE_REPORTS;
-            for job in self.holds.plan(others, min_idle_ms, now_ms) {
+            for job in self.holds.plan(others, MIN_IDLE_MS, now_ms) {
                 self.outputs.order(job);
             }
         }
--- a/crates/edge/src/control/departed.rs
+++ b/crates/edge/src/control/departed.rs
@@ -30,7 +30,8 @@
     /// Takes the workers whose rows can be removed, with their fencing tokens.
     pub fn take_due(&mut self, now_ms: u64) -> Vec<(name::WorkerName, u64)> {
         let due = self.workers.iter().filter(|(_, departure)| departure.late_until_ms <= now_ms);
-        let due: Vec<_> = due.map(|(worker, departure)| (worker.clone(), departure.fence)).collect();
+        let due: Vec<_> =
+            due.map(|(worker, departure)| (worker.clone(), departure.fence)).collect();
         for (worker, _) in &due {
             self.workers.swap_remove(worker);
         }
--- a/crates/edge/src/control/hold.rs
+++ b/crates/edge/src/control/hold.rs
@@ -114,13 +114,13 @@
     pub fn apply_uses(&mut self, in_flight: &IndexMap<name::AdapterName, u32>, now_ms: u64) {
         let begun = std::mem::take(&mut self.begun);
         let Some(placement) = &mut self.placement else { return };
-        for held in placement.summary().held {
-            let adapter = held.adapter.name();
+        let adapters: Vec<_> = placement.adapters().cloned().collect();
+        for adapter in adapters {
             let used = dispatch::AdapterUse {
-                in_flight: in_flight.get(adapter).copied().unwrap_or(0),
-                begun: begun.get(adapter).copied().unwrap_or(0),
+                in_flight: in_flight.get(&adapter).copied().unwrap_or(0),
+                begun: begun.get(&adapter).copied().unwrap_or(0),
             };
-            placement.used(adapter, used, now_ms);
+            placement.used(&adapter, used, now_ms);
         }
     }
 }
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -31,6 +31,15 @@
         /// Whether the request has not asked before.
         is_new: bool,
     },
+    /// A request of this daemon is the first to use an adapter at a worker, or was the last.
+    Used {
+        /// The worker.
+        worker: name::WorkerName,
+        /// The adapter.
+        adapter: name::AdapterName,
+        /// Whether it is in use now.
+        is_used: bool,
+    },
     /// A worker answered an order.
     Ordered {
         /// The worker.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -18,6 +18,7 @@
 mod reports;
 mod tables;
 mod tenancy;
+mod uses;
 mod writer;
 
 use std::time::{Duration, Instant};
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -142,6 +142,29 @@
         Some(changed)
     }
 
+    /// Takes in that a daemon began to use an adapter, or ceased to.
+    pub fn use_changed(&mut self, host: &name::HostName, change: &fleet::UseChange) {
+        let Some(peer) = self.peers.get_mut(host) else { return };
+        let uses = peer.uses.entry(name::WorkerName::from(change.worker.as_str())).or_default();
+        let count = u32::from(change.is_used);
+        match uses.iter_mut().find(|(adapter, _)| adapter.as_str() == change.adapter) {
+            Some((_, in_flight)) => *in_flight = count,
+            None => uses.push((name::AdapterName::from(change.adapter.as_str()), count)),
+        }
+    }
+
+    /// Returns the requests of all live daemons that use an adapter at a worker.
+    pub fn adapter_in_flight(
+        &self,
+        worker: &name::WorkerName,
+        adapter: &name::AdapterName,
+        now_ms: u64,
+    ) -> u32 {
+        let live = self.peers.values().filter(|peer| peer.is_live(now_ms));
+        let uses = live.filter_map(|peer| peer.uses.get(worker)).flatten();
+        uses.filter(|(used, _)| used == adapter).map(|(_, in_flight)| in_flight).sum()
+    }
+
     /// Returns the daemon that gives a worker its orders, by the highest fencing token.
     pub fn holder(
         &self,
--- a/crates/edge/src/control/reports.rs
+++ b/crates/edge/src/control/reports.rs
@@ -142,6 +142,7 @@
             demands,
             operator_rows: Vec::new(),
             workers_rows: Vec::new(),
+            use_changes: Vec::new(),
         }
     }
 }
--- /dev/null
+++ b/crates/edge/src/control/uses.rs
@@ -0,0 +1,55 @@
+//! Uses of adapters, told to the holders of the workers as they begin and end.
+
+use jasminetack_domain::dispatch;
+use jasminetack_domain::name;
+use jasminetack_wire::fleet;
+
+use super::core::Core;
+use super::outputs::Letter;
+use crate::dialect;
+
+impl<Dialect> Core<Dialect>
+where
+    Dialect: dialect::Dialect,
+{
+    /// Tells the holder of a worker that this daemon began to use an adapter there, or ceased to.
+    ///
+    /// The next report repeats it, so a lost datagram needs no repair.
+    pub(super) fn used(
+        &mut self,
+        worker: &name::WorkerName,
+        adapter: &name::AdapterName,
+        is_used: bool,
+        now_ms: u64,
+    ) {
+        if self.holds.get(worker).is_some() {
+            self.refresh_use(worker, adapter, now_ms);
+            return;
+        }
+        let Some((_, peer, _, _)) = self.peers.holder(worker) else { return };
+        let to = vec![peer.address];
+        let mut datagram = self.next_datagram(None, Vec::new());
+        let (worker, adapter) = (worker.to_string(), adapter.to_string());
+        datagram.use_changes.push(fleet::UseChange { worker, adapter, is_used });
+        self.outputs.send(Letter { to, datagram });
+    }
+
+    /// Takes in what another daemon began or ceased to use.
+    pub(super) fn use_changes(&mut self, datagram: &fleet::Datagram, now_ms: u64) {
+        let host = name::HostName::from(datagram.host.as_str());
+        for change in &datagram.use_changes {
+            self.peers.use_changed(&host, change);
+            let worker = name::WorkerName::from(change.worker.as_str());
+            let adapter = name::AdapterName::from(change.adapter.as_str());
+            self.refresh_use(&worker, &adapter, now_ms);
+        }
+    }
+
+    fn refresh_use(&mut self, worker: &name::WorkerName, adapter: &name::AdapterName, now_ms: u64) {
+        let Some(hold) = self.holds.get_mut(worker) else { return };
+        let Some(placement) = &mut hold.placement else { return };
+        let own = self.chooser.lock().loads.adapter_in_flight(worker, adapter);
+        let in_flight = own + self.peers.adapter_in_flight(worker, adapter, now_ms);
+        placement.used(adapter, dispatch::AdapterUse { in_flight, begun: 0 }, now_ms);
+    }
+}
--- a/crates/edge/src/traffic/call.rs
+++ b/crates/edge/src/traffic/call.rs
@@ -188,7 +188,8 @@
         let request = self.worker_request(target, last_event_id, now_ms);
         let (adapter, work) = (self.facts.adapter.as_ref(), self.facts.work);
         let chooser = &self.traffic.chooser;
-        let load = LoadGuard::new(chooser, worker, &self.service, adapter, work, now_ms);
+        let control = &self.traffic.control;
+        let load = LoadGuard::new(chooser, control, worker, &self.service, adapter, work, now_ms);
         if work.is_generation() {
             let parts = &self.facts.parts;
             chooser.lock().prompts.record(worker, adapter, parts, now_ms);
--- a/crates/edge/src/traffic/load_guard.rs
+++ b/crates/edge/src/traffic/load_guard.rs
@@ -2,16 +2,19 @@
 
 use std::sync::Arc;
 
+use crossbeam_channel::Sender;
 use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
 use parking_lot::Mutex;
 
 use crate::clock;
+use crate::control;
 
 /// Counts one request at a worker until it is dropped.
 #[derive(Debug)]
 pub struct LoadGuard {
     chooser: Arc<Mutex<dispatch::Chooser>>,
+    control: Sender<control::Message>,
     worker: name::WorkerName,
     service: name::BaseModelName,
     adapter: Option<name::AdapterName>,
@@ -24,15 +27,17 @@
     /// Counts a request that is sent now.
     pub fn new(
         chooser: &Arc<Mutex<dispatch::Chooser>>,
+        control: &Sender<control::Message>,
         worker: &name::WorkerName,
         service: &name::ServiceName,
         adapter: Option<&name::AdapterName>,
         work: dispatch::Work,
         now_ms: u64,
     ) -> Self {
-        chooser.lock().loads.sent(worker, adapter, work, now_ms);
-        Self {
+        let is_first = chooser.lock().loads.sent(worker, adapter, work, now_ms);
+        let guard = Self {
             chooser: Arc::clone(chooser),
+            control: control.clone(),
             worker: worker.clone(),
             // Speeds are compared over the workers of one service.
             service: name::BaseModelName::from(service.as_str()),
@@ -40,7 +45,18 @@
             work,
             sent_ms: now_ms,
             answered_ms: None,
+        };
+        if is_first {
+            guard.tell_use(true);
         }
+        guard
+    }
+
+    fn tell_use(&self, is_used: bool) {
+        let Some(adapter) = self.adapter.clone() else { return };
+        let used = control::Message::Used { worker: self.worker.clone(), adapter, is_used };
+        // The control thread ends only with the process.
+        let _ = self.control.send(used);
     }
 
     /// Returns the worker.
@@ -78,6 +94,10 @@
             }
             Some(_) => {}
         }
-        chooser.loads.ended(&self.worker, self.adapter.as_ref());
+        let is_last = chooser.loads.ended(&self.worker, self.adapter.as_ref());
+        drop(chooser);
+        if is_last {
+            self.tell_use(false);
+        }
     }
 }
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -136,7 +136,14 @@
         self.log.lock().orders.push(seen);
         let mut adapters = self.adapters.lock();
         if operation == "unload" {
-            adapters.remove(&adapter);
+            if let Some((version, _)) = adapters.remove(&adapter) {
+                let label = format!("{adapter}@{version}");
+                let mut log = self.log.lock();
+                let is_used = log.runs.iter().any(|run| {
+                    run.ended.is_none() && run.adapter.as_ref().is_some_and(|used| *used == label)
+                });
+                log.unloads_in_use += usize::from(is_used);
+            }
             return http_server::answer(StatusCode::OK, "");
         }
         let newest = self.newest.lock().get(&adapter).copied().unwrap_or(1);
--- a/crates/standins/src/fleet/worker_log.rs
+++ b/crates/standins/src/fleet/worker_log.rs
@@ -37,6 +37,8 @@
     pub runs: Vec<Run>,
     /// Orders.
     pub orders: Vec<OrderSeen>,
+    /// Adapters that were ordered to be dropped while a run used them.
+    pub unloads_in_use: usize,
     /// Broken promises, in words.
     pub violations: Vec<String>,
 }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -37,6 +37,23 @@
     /// Rows of the workers' table that the sender has just read.
     #[prost(message, repeated, tag = "7")]
     pub workers_rows: Vec<Row>,
+    /// Adapters that have come into use at workers of the receiver, or gone out of use.
+    #[prost(message, repeated, tag = "8")]
+    pub use_changes: Vec<UseChange>,
+}
+
+/// Change of whether the sender uses an adapter at a worker.
+#[derive(Clone, PartialEq, Message)]
+pub struct UseChange {
+    /// The worker.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// The adapter.
+    #[prost(string, tag = "2")]
+    pub adapter: String,
+    /// Whether a request uses it now.
+    #[prost(bool, tag = "3")]
+    pub is_used: bool,
 }
 
 /// Row of a table.
