Read the tables once in a region also when they changed or the store is away

A daemon that was told of news it lacked read at once, and so did every other daemon of its region; while the store was away each of the 69 daemons asked every second.

News is read after the daemon's own part of half a second, unless another one of the region has read it by then, and the pause after a failure grows with the daemons of the region.

--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -261,11 +261,11 @@
         }
         if let Some(known) = state.operator {
             let is_same = known.digest == self.catalog.operator_digest();
-            self.operator.told(is_same, known.as_of_store_ms);
+            self.operator.told(is_same, known.as_of_store_ms, now_ms);
         }
         if let Some(known) = state.workers {
             let is_same = known.digest == self.catalog.directory().digest();
-            self.workers.told(is_same, known.as_of_store_ms);
+            self.workers.told(is_same, known.as_of_store_ms, now_ms);
         }
         for load in &state.loads {
             let worker = name::WorkerName::from(load.worker.as_str());
--- a/crates/edge/src/control/freshness.rs
+++ b/crates/edge/src/control/freshness.rs
@@ -5,11 +5,15 @@
 
 /// Age of what is known of a table from which it is read again.
 const MAX_AGE_MS: u64 = 1_100;
-/// Largest part by which the daemons differ, so that mostly one of them reads for all.
+/// Largest part by which the daemons of a region differ, so that mostly one of them reads for all.
 const SPREAD_MS: u64 = 500;
-/// Pause after a failed reading; it doubles up to the longest one.
-const FAILURE_PAUSE_MS: u64 = 250;
-const MAX_FAILURE_PAUSE_MS: u64 = 1_000;
+/// Part of the longest pause that follows the first failed reading; the pause doubles from there.
+const FIRST_PAUSE_PART: u64 = 4;
+/// Longest pause for each daemon of a region: one of them is enough to notice that the store is back.
+const FAILURE_PAUSE_PER_READER_MS: u64 = 330;
+/// Bounds of the longest pause; the upper one leaves time within the bounds on catching up.
+const MIN_LONGEST_PAUSE_MS: u64 = 1_000;
+const MAX_LONGEST_PAUSE_MS: u64 = 3_500;
 
 /// Least time between two readings, however often others tell of changes.
 const MIN_INTERVAL_MS: u64 = 300;
@@ -24,9 +28,13 @@
     max_age_ms: u64,
     as_of_store_ms: Option<u64>,
     is_reading: bool,
-    is_hinted: bool,
+    /// News of another daemon that this one lacks: the time of the store's clock as of which it is
+    /// known there, and when to read it unless somebody else of the region did.
+    hint: Option<(u64, u64)>,
     next_read_ms: u64,
-    failure_pause_ms: u64,
+    spread_ms: u64,
+    /// Pause after the last reading when it failed.
+    failure_pause_ms: Option<u64>,
 }
 
 impl Freshness {
@@ -37,9 +45,10 @@
             max_age_ms: MAX_AGE_MS + spread_ms,
             as_of_store_ms: None,
             is_reading: false,
-            is_hinted: false,
+            hint: None,
             next_read_ms: 0,
-            failure_pause_ms: FAILURE_PAUSE_MS,
+            spread_ms,
+            failure_pause_ms: None,
         }
     }
 
@@ -49,11 +58,12 @@
         let age_ms = self.as_of_store_ms.zip(store_ms);
         let age_ms = age_ms.map(|(as_of_ms, store_ms)| store_ms.saturating_sub(as_of_ms));
         let is_old = age_ms.is_none_or(|age_ms| age_ms >= self.max_age_ms);
-        if self.is_reading || !is_old && !self.is_hinted || now_ms < self.next_read_ms {
+        let is_hinted = self.hint.is_some_and(|(_, due_ms)| due_ms <= now_ms);
+        if self.is_reading || !is_old && !is_hinted || now_ms < self.next_read_ms {
             return false;
         }
         self.is_reading = true;
-        self.is_hinted = false;
+        self.hint = None;
         self.next_read_ms = now_ms + MIN_INTERVAL_MS;
         true
     }
@@ -61,26 +71,35 @@
     /// Takes in a successful reading.
     pub fn read(&mut self, as_of_store_ms: u64) {
         self.is_reading = false;
-        self.failure_pause_ms = FAILURE_PAUSE_MS;
+        self.failure_pause_ms = None;
         self.confirm(as_of_store_ms);
     }
 
-    /// Notes that a reading failed.
-    pub fn failed(&mut self, now_ms: u64) {
+    /// Notes that a reading failed; `readers` counts the daemons of the region.
+    pub fn failed(&mut self, readers: usize, now_ms: u64) {
         self.is_reading = false;
-        self.next_read_ms = now_ms + self.failure_pause_ms;
-        self.failure_pause_ms = (self.failure_pause_ms * 2).min(MAX_FAILURE_PAUSE_MS);
+        let readers = u64::try_from(readers).unwrap_or(u64::MAX);
+        let longest_ms = readers.saturating_mul(FAILURE_PAUSE_PER_READER_MS);
+        let longest_ms = longest_ms.clamp(MIN_LONGEST_PAUSE_MS, MAX_LONGEST_PAUSE_MS);
+        // Daemons that failed together come back one after the other.
+        let longest_ms = longest_ms - longest_ms / 2 * self.spread_ms / SPREAD_MS;
+        let pause_ms = self.failure_pause_ms.map_or(longest_ms / FIRST_PAUSE_PART, |ms| ms * 2);
+        let pause_ms = pause_ms.min(longest_ms);
+        self.failure_pause_ms = Some(pause_ms);
+        self.next_read_ms = now_ms + pause_ms;
     }
 
     /// Takes in the knowledge of another daemon.
-    pub fn told(&mut self, is_same: bool, as_of_store_ms: u64) {
+    pub fn told(&mut self, is_same: bool, as_of_store_ms: u64, now_ms: u64) {
         let Some(own_ms) = self.as_of_store_ms else { return };
         if is_same {
             self.confirm(as_of_store_ms);
             return;
         }
         // The one whose knowledge is older has missed a change.
-        self.is_hinted |= as_of_store_ms > own_ms;
+        if as_of_store_ms > own_ms {
+            self.hint.get_or_insert((as_of_store_ms, now_ms + self.spread_ms));
+        }
     }
 
     /// Returns the time of the store's clock as of which the table is known.
@@ -91,5 +110,6 @@
     fn confirm(&mut self, store_ms: u64) {
         self.as_of_store_ms =
             Some(self.as_of_store_ms.map_or(store_ms, |known| known.max(store_ms)));
+        self.hint = self.hint.filter(|(known_ms, _)| *known_ms > store_ms);
     }
 }
--- a/crates/edge/src/control/reports.rs
+++ b/crates/edge/src/control/reports.rs
@@ -54,12 +54,16 @@
     /// Returns the interval of reports: longer in regions with many daemons, since each of them
     /// reports to all others.
     pub fn report_interval_ms(&self) -> u64 {
-        let region = self.tenancy.identity().place.region();
-        let near = self.peers.iter().filter(|(_, peer)| peer.place.region() == region).count();
-        let scaled = REPORT_MS * u64::try_from(near).unwrap_or(u64::MAX) / FEW_DAEMONS;
+        let scaled = REPORT_MS * u64::try_from(self.near_peers()).unwrap_or(u64::MAX) / FEW_DAEMONS;
         scaled.clamp(REPORT_MS, MAX_REPORT_MS)
     }
 
+    /// Returns the number of other daemons of the region.
+    pub(super) fn near_peers(&self) -> usize {
+        let region = self.tenancy.identity().place.region();
+        self.peers.iter().filter(|(_, peer)| peer.place.region() == region).count()
+    }
+
     /// Returns the interval of reports to daemons of other regions.
     pub(super) fn far_interval_ms(&self) -> u64 {
         let all = u64::try_from(self.peers.len()).unwrap_or(u64::MAX);
--- a/crates/edge/src/control/tables.rs
+++ b/crates/edge/src/control/tables.rs
@@ -62,6 +62,7 @@
         began_ms: u64,
         now_ms: u64,
     ) -> bool {
+        let readers = self.near_peers() + 1;
         let freshness = match table {
             store::Table::Operator => &mut self.operator,
             _ => &mut self.workers,
@@ -79,9 +80,9 @@
                 }
                 return true;
             }
-            FeedEvent::Stale => freshness.failed(now_ms),
+            FeedEvent::Stale => freshness.failed(readers, now_ms),
             FeedEvent::Lost(error) => {
-                freshness.failed(now_ms);
+                freshness.failed(readers, now_ms);
                 if !was_lost {
                     self.lost_tables.push(table);
                     let took_ms = now_ms.saturating_sub(began_ms);
