Send uses of adapters to the holders alone, and confirmations of tables without holds

Reports carry the load and the holds; each holder gets the uses at its own workers, which expire after 4 s when they are not repeated; a first listing isn't shared.

--- a/crates/edge/src/control/core.rs
+++ b/crates/edge/src/control/core.rs
@@ -243,7 +243,7 @@
                 self.send_state(state, to);
             }
         }
-        self.use_changes(&datagram, now_ms);
+        self.told_uses(&datagram, now_ms);
         let Some(state) = &datagram.state else { return };
         let address = match fleet::read_address(&state.address) {
             Ok(address) => address,
@@ -255,7 +255,7 @@
         let Some(changed) = self.peers.heard(&datagram, state, address, now_ms) else { return };
         let host = name::HostName::from(datagram.host.as_str());
         if state.has_loads {
-            let loads = state.loads.iter().map(fleet::Load::reported).collect();
+            let loads = state.loads.iter().map(dispatch::ReportedLoad::from).collect();
             let until_ms = self.peers.get(&host).map_or(0, |peer| now_ms + peer.silence_limit_ms);
             self.chooser.lock().loads.reported(&host, loads, until_ms);
         }
@@ -267,14 +267,6 @@
             let is_same = known.digest == self.catalog.directory().digest();
             self.workers.told(is_same, known.as_of_store_ms, now_ms);
         }
-        for load in &state.loads {
-            let worker = name::WorkerName::from(load.worker.as_str());
-            let Some(hold) = self.holds.get_mut(&worker) else { continue };
-            for used in load.adapters.iter().filter(|used| used.begun > 0) {
-                let adapter = name::AdapterName::from(used.adapter.as_str());
-                *hold.begun.entry(adapter).or_default() += used.begun;
-            }
-        }
         self.changed.extend(changed);
     }
 
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -13,6 +13,9 @@
 const MIN_SILENCE_MS: u64 = 3_500;
 /// Silence after which an unchanged state is news, too.
 const LONG_SILENCE_MS: u64 = 1_000;
+/// Time after which a use that is not confirmed counts as ended: some reports, in case the datagram
+/// about its end was lost.
+const USE_LIFETIME_MS: u64 = 4_000;
 /// Reports that may be missed before a daemon counts as failed.
 const MISSED_REPORTS: u64 = 3;
 
@@ -25,12 +28,14 @@
     pub place: place::Place,
     /// When its last datagram came; `None` when only its lease is known.
     pub heard_ms: Option<u64>,
+    /// When it last told which workers it gives orders to, and what these hold.
+    pub holds_told_ms: Option<u64>,
     /// Whether it shuts down.
     pub is_leaving: bool,
     /// Workers that it gives orders to, with the fencing tokens.
     pub holds: IndexMap<name::WorkerName, (u64, placement::Summary)>,
-    /// Adapters in use by worker.
-    pub uses: IndexMap<name::WorkerName, Vec<(name::AdapterName, u32)>>,
+    /// Adapters in use at workers of this daemon, and when they were last told.
+    uses: IndexMap<name::WorkerName, (u64, Vec<(name::AdapterName, u32)>)>,
     /// Silence after which it counts as failed.
     pub silence_limit_ms: u64,
     started_unix_ms: u64,
@@ -43,6 +48,7 @@
             address,
             place,
             heard_ms: None,
+            holds_told_ms: None,
             is_leaving: false,
             holds: IndexMap::new(),
             uses: IndexMap::new(),
@@ -118,13 +124,14 @@
         (peer.started_unix_ms, peer.sequence) = received;
         peer.address = address;
         peer.place = place;
-        let silence_ms = peer.heard_ms.map_or(u64::MAX, |heard_ms| now_ms.saturating_sub(heard_ms));
         peer.heard_ms = Some(now_ms);
         peer.is_leaving = state.is_leaving;
         peer.silence_limit_ms = (state.interval_ms * MISSED_REPORTS).max(MIN_SILENCE_MS);
-        if state.has_loads {
-            peer.uses = uses(state);
+        if !state.has_holds {
+            return Some(Vec::new());
         }
+        let told_ms = peer.holds_told_ms.replace(now_ms);
+        let silence_ms = told_ms.map_or(u64::MAX, |told_ms| now_ms.saturating_sub(told_ms));
         let mut holds = IndexMap::with_capacity(state.holds.len());
         let mut changed = Vec::new();
         for hold in &state.holds {
@@ -143,9 +150,11 @@
     }
 
     /// Takes in that a daemon began to use an adapter, or ceased to.
-    pub fn use_changed(&mut self, host: &name::HostName, change: &fleet::UseChange) {
+    pub fn use_changed(&mut self, host: &name::HostName, change: &fleet::UseChange, now_ms: u64) {
         let Some(peer) = self.peers.get_mut(host) else { return };
-        let uses = peer.uses.entry(name::WorkerName::from(change.worker.as_str())).or_default();
+        let worker = name::WorkerName::from(change.worker.as_str());
+        let (told_ms, uses) = peer.uses.entry(worker).or_default();
+        *told_ms = now_ms;
         let count = u32::from(change.is_used);
         match uses.iter_mut().find(|(adapter, _)| adapter.as_str() == change.adapter) {
             Some((_, in_flight)) => *in_flight = count,
@@ -153,16 +162,27 @@
         }
     }
 
-    /// Returns the requests of all live daemons that use an adapter at a worker.
-    pub fn adapter_in_flight(
+    /// Takes in all adapters that a daemon uses at a worker.
+    pub fn used(&mut self, host: &name::HostName, uses: &fleet::WorkerUses, now_ms: u64) {
+        let Some(peer) = self.peers.get_mut(host) else { return };
+        let worker = name::WorkerName::from(uses.worker.as_str());
+        let adapters = uses.adapters.iter();
+        let adapters =
+            adapters.map(|used| (name::AdapterName::from(used.adapter.as_str()), used.in_flight));
+        peer.uses.insert(worker, (now_ms, adapters.collect()));
+    }
+
+    /// Lists the uses of adapters at a worker by other live daemons, with the requests in flight.
+    pub fn uses(
         &self,
         worker: &name::WorkerName,
-        adapter: &name::AdapterName,
         now_ms: u64,
-    ) -> u32 {
-        let live = self.peers.values().filter(|peer| peer.is_live(now_ms));
-        let uses = live.filter_map(|peer| peer.uses.get(worker)).flatten();
-        uses.filter(|(used, _)| used == adapter).map(|(_, in_flight)| in_flight).sum()
+    ) -> impl Iterator<Item = &(name::AdapterName, u32)> {
+        let live = self.peers.values().filter(move |peer| peer.is_live(now_ms));
+        let uses = live.filter_map(|peer| peer.uses.get(worker));
+        let fresh =
+            uses.filter(move |(told_ms, _)| now_ms.saturating_sub(*told_ms) < USE_LIFETIME_MS);
+        fresh.flat_map(|(_, uses)| uses)
     }
 
     /// Returns the daemon that gives a worker its orders, by the highest fencing token.
@@ -192,14 +212,3 @@
         self.peers.values().filter(|peer| test(peer)).map(|peer| peer.address).collect()
     }
 }
-
-fn uses(state: &fleet::State) -> IndexMap<name::WorkerName, Vec<(name::AdapterName, u32)>> {
-    let mut by_worker = IndexMap::with_capacity(state.loads.len());
-    for load in &state.loads {
-        let uses = load.adapters.iter();
-        let uses =
-            uses.map(|used| (name::AdapterName::from(used.adapter.as_str()), used.in_flight));
-        by_worker.insert(name::WorkerName::from(load.worker.as_str()), uses.collect());
-    }
-    by_worker
-}
--- a/crates/edge/src/control/publisher.rs
+++ b/crates/edge/src/control/publisher.rs
@@ -77,7 +77,7 @@
     ) {
         let worker = &upstream.name;
         let held = peers.holder(worker).map(|(_, peer, fence, summary)| {
-            (fence, summary.clone(), peer.is_live(now_ms) && !peer.is_leaving, peer.heard_ms)
+            (fence, summary.clone(), peer.is_live(now_ms) && !peer.is_leaving, peer.holds_told_ms)
         });
         let own = holds.get(worker).map(|hold| (hold.fence, hold.summary(), true, None));
         let newest = held.into_iter().chain(own).max_by_key(|(fence, ..)| *fence);
--- a/crates/edge/src/control/reports.rs
+++ b/crates/edge/src/control/reports.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
 use jasminetack_wire::fleet;
 
@@ -31,24 +30,40 @@
 where
     Dialect: dialect::Dialect,
 {
-    /// Tells other daemons the load and the adapters of this one.
+    /// Tells other daemons the load of this one, and the holders of workers which adapters it uses.
     pub fn report(&mut self, now_ms: u64) {
-        let loads = self.take_loads(now_ms);
-        let state = self.state(Some(loads));
+        let uses = self.take_uses(now_ms);
+        let loads = self.chooser.lock().loads.report();
+        let state = self.state(Some(loads.iter().map(fleet::Load::from).collect()));
         let is_far_due = now_ms.saturating_sub(self.reported_far_ms) >= self.far_interval_ms();
         if is_far_due {
             self.reported_far_ms = now_ms;
         }
         let region = self.tenancy.identity().place.region().clone();
+        // Daemons that share workers over regions keep each other as well informed as neighbours.
         let is_used = |peer: &Peer| {
-            let mut workers = state.loads.iter().filter(|load| !load.adapters.is_empty());
-            workers.any(|load| peer.holds.contains_key(load.worker.as_str()))
+            let mut workers = uses.iter().map(|used| used.worker.as_str());
+            workers.any(|worker| peer.holds.contains_key(worker))
         };
-        // The holder of a worker must know which adapters are in use there.
         let to = self
             .peers
             .addresses(|peer| is_far_due || *peer.place.region() == region || is_used(peer));
         self.send_state(state, to);
+        self.send_uses(uses);
+    }
+
+    fn send_uses(&mut self, uses: Vec<fleet::WorkerUses>) {
+        let mut by_holder: IndexMap<SocketAddr, Vec<fleet::WorkerUses>> = IndexMap::new();
+        for used in uses {
+            let worker = name::WorkerName::from(used.worker.as_str());
+            let Some((_, peer, _, _)) = self.peers.holder(&worker) else { continue };
+            by_holder.entry(peer.address).or_default().push(used);
+        }
+        for (address, uses) in by_holder {
+            let mut datagram = self.next_datagram(None, Vec::new());
+            datagram.uses = uses;
+            self.outputs.send(Letter { to: vec![address], datagram });
+        }
     }
 
     /// Returns the interval of reports: longer in regions with many daemons, since each of them
@@ -70,42 +85,33 @@
         (FAR_REPORT_MS * all / MANY_DAEMONS).clamp(FAR_REPORT_MS, MAX_FAR_REPORT_MS)
     }
 
-    /// Takes this daemon's load for the next report and counts the adapters in use.
-    pub(super) fn take_loads(&mut self, now_ms: u64) -> Vec<fleet::Load> {
+    /// Takes this daemon's uses of adapters since the last report, counts those of all daemons at its
+    /// own workers, and returns those at workers of others.
+    fn take_uses(&mut self, now_ms: u64) -> Vec<fleet::WorkerUses> {
         let mut chooser = self.chooser.lock();
-        let mut loads = Vec::new();
-        let mut own_uses: IndexMap<name::WorkerName, Vec<(name::AdapterName, u32)>> =
-            IndexMap::new();
-        let reported = chooser.loads.report();
-        let mut workers = chooser.loads.workers_in_use();
-        workers.extend(reported.iter().map(|load| load.worker.clone()));
-        workers.sort();
-        workers.dedup();
-        for worker in workers {
+        let mut own_uses = IndexMap::new();
+        for worker in chooser.loads.workers_in_use() {
             let uses = chooser.loads.take_adapter_uses(&worker);
-            let load = reported.iter().find(|load| load.worker == worker);
-            let idle =
-                dispatch::ReportedLoad { worker: worker.clone(), in_flight: 0, unread_tokens: 0 };
-            loads.push(fleet::Load::new(load.unwrap_or(&idle), &uses));
-            if let Some(hold) = self.holds.get_mut(&worker) {
-                for (adapter, used) in &uses {
-                    *hold.begun.entry(adapter.clone()).or_default() += used.begun;
-                }
-            }
-            let in_flight = uses.into_iter().map(|(adapter, used)| (adapter, used.in_flight));
-            own_uses.insert(worker, in_flight.collect());
+            own_uses.insert(worker, uses);
         }
         drop(chooser);
         for (worker, hold) in self.holds.iter_mut() {
-            let peers = self.peers.iter().filter(|(_, peer)| peer.is_live(now_ms));
-            let others = peers.filter_map(|(_, peer): (_, &Peer)| peer.uses.get(worker));
             let mut in_flight: IndexMap<name::AdapterName, u32> = IndexMap::new();
-            for (adapter, count) in others.chain(own_uses.get(worker)).flatten() {
+            for (adapter, count) in self.peers.uses(worker, now_ms) {
                 *in_flight.entry(adapter.clone()).or_default() += count;
             }
+            for (adapter, used) in own_uses.swap_remove(worker).into_iter().flatten() {
+                *hold.begun.entry(adapter.clone()).or_default() += used.begun;
+                *in_flight.entry(adapter).or_default() += used.in_flight;
+            }
             hold.apply_uses(&in_flight, now_ms);
         }
-        loads
+        own_uses.iter().map(|(worker, uses)| fleet::WorkerUses::new(worker, uses)).collect()
+    }
+
+    /// Returns the state that confirms what this daemon knows of the tables, and nothing else.
+    pub(super) fn confirmation(&self) -> fleet::State {
+        fleet::State { has_holds: false, holds: Vec::new(), ..self.state(None) }
     }
 
     pub(super) fn state(&self, loads: Option<Vec<fleet::Load>>) -> fleet::State {
@@ -121,6 +127,7 @@
             interval_ms: self.far_interval_ms(),
             has_loads: loads.is_some(),
             loads: loads.unwrap_or_default(),
+            has_holds: true,
             holds: holds.collect(),
             operator: table_state(&self.operator, self.catalog.operator_digest()),
             workers: table_state(&self.workers, self.catalog.directory().digest()),
@@ -147,6 +154,7 @@
             operator_rows: Vec::new(),
             workers_rows: Vec::new(),
             use_changes: Vec::new(),
+            uses: Vec::new(),
         }
     }
 }
--- a/crates/edge/src/control/tables.rs
+++ b/crates/edge/src/control/tables.rs
@@ -4,6 +4,7 @@
 
 use super::FeedEvent;
 use super::core::Core;
+use super::freshness::Freshness;
 use super::outputs::Letter;
 use crate::dialect;
 use crate::store;
@@ -22,13 +23,15 @@
         began_ms: u64,
         now_ms: u64,
     ) {
+        // What a new daemon lists is news to itself only.
+        let is_first = self.freshness(table).as_of_store_ms().is_none();
         let was_read = self.note_reading(table, &event, began_ms, now_ms);
         let mut news = match table {
             store::Table::Operator => self.catalog.operator_read(event, &*self.dialect),
             store::Table::Workers => self.catalog.workers_read(event, &*self.dialect, now_ms),
             store::Table::Leases | store::Table::Holders => return,
         };
-        let rows = std::mem::take(&mut news.rows);
+        let rows = if is_first { Vec::new() } else { std::mem::take(&mut news.rows) };
         self.apply(news, now_ms);
         if was_read {
             self.share(table, rows);
@@ -37,7 +40,7 @@
 
     /// Tells the other daemons of the region what was read, so that they need not read.
     pub(super) fn share(&mut self, table: store::Table, rows: Vec<store::Row>) {
-        let state = self.state(None);
+        let state = self.confirmation();
         let mut datagram = self.next_datagram(Some(state), Vec::new());
         let size: usize = rows.iter().filter_map(|row| row.value.as_ref()).map(Vec::len).sum();
         // What does not fit into a datagram is read by each daemon.
@@ -63,12 +66,9 @@
         now_ms: u64,
     ) -> bool {
         let readers = self.near_peers() + 1;
-        let freshness = match table {
-            store::Table::Operator => &mut self.operator,
-            _ => &mut self.workers,
-        };
         let name = table.as_str();
         let was_lost = self.lost_tables.contains(&table);
+        let freshness = self.freshness(table);
         match event {
             FeedEvent::Listed(store::Listing { store_ms, .. })
             | FeedEvent::Changed(_, store_ms) => {
@@ -95,6 +95,13 @@
         false
     }
 
+    fn freshness(&mut self, table: store::Table) -> &mut Freshness {
+        match table {
+            store::Table::Operator => &mut self.operator,
+            _ => &mut self.workers,
+        }
+    }
+
     /// Takes in rows that another daemon has read.
     pub(super) fn shared_rows(&mut self, datagram: &mut fleet::Datagram, now_ms: u64) {
         let decode = |rows: &mut Vec<fleet::Row>| -> Vec<store::Row> {
--- a/crates/edge/src/control/uses.rs
+++ b/crates/edge/src/control/uses.rs
@@ -34,11 +34,20 @@
         self.outputs.send(Letter { to, datagram });
     }
 
-    /// Takes in what another daemon began or ceased to use.
-    pub(super) fn use_changes(&mut self, datagram: &fleet::Datagram, now_ms: u64) {
+    /// Takes in what another daemon uses, and what it began or ceased to use.
+    pub(super) fn told_uses(&mut self, datagram: &fleet::Datagram, now_ms: u64) {
         let host = name::HostName::from(datagram.host.as_str());
+        for uses in &datagram.uses {
+            self.peers.used(&host, uses, now_ms);
+            let worker = name::WorkerName::from(uses.worker.as_str());
+            let Some(hold) = self.holds.get_mut(&worker) else { continue };
+            for used in uses.adapters.iter().filter(|used| used.begun > 0) {
+                let adapter = name::AdapterName::from(used.adapter.as_str());
+                *hold.begun.entry(adapter).or_default() += used.begun;
+            }
+        }
         for change in &datagram.use_changes {
-            self.peers.use_changed(&host, change);
+            self.peers.use_changed(&host, change, now_ms);
             let worker = name::WorkerName::from(change.worker.as_str());
             let adapter = name::AdapterName::from(change.adapter.as_str());
             self.refresh_use(&worker, &adapter, now_ms);
@@ -49,7 +58,8 @@
         let Some(hold) = self.holds.get_mut(worker) else { return };
         let Some(placement) = &mut hold.placement else { return };
         let own = self.chooser.lock().loads.adapter_in_flight(worker, adapter);
-        let in_flight = own + self.peers.adapter_in_flight(worker, adapter, now_ms);
+        let others = self.peers.uses(worker, now_ms).filter(|(used, _)| used == adapter);
+        let in_flight = own + others.map(|(_, in_flight)| in_flight).sum::<u32>();
         placement.used(adapter, dispatch::AdapterUse { in_flight, begun: 0 }, now_ms);
     }
 }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -40,6 +40,20 @@
     /// Adapters that have come into use at workers of the receiver, or gone out of use.
     #[prost(message, repeated, tag = "8")]
     pub use_changes: Vec<UseChange>,
+    /// All adapters that the sender uses at workers of the receiver, by worker.
+    #[prost(message, repeated, tag = "9")]
+    pub uses: Vec<WorkerUses>,
+}
+
+/// Adapters that the sender uses at a worker.
+#[derive(Clone, PartialEq, Message)]
+pub struct WorkerUses {
+    /// The worker.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// Adapters in use, or used since the last datagram of this kind.
+    #[prost(message, repeated, tag = "2")]
+    pub adapters: Vec<AdapterUse>,
 }
 
 /// Change of whether the sender uses an adapter at a worker.
@@ -94,7 +108,10 @@
     /// Whether the datagram replaces what the sender said of its load.
     #[prost(bool, tag = "9")]
     pub has_loads: bool,
-    /// Workers that it gives orders to.
+    /// Whether the datagram replaces what the sender said of the workers that it gives orders to.
+    #[prost(bool, tag = "11")]
+    pub has_holds: bool,
+    /// Workers that it gives orders to; meaningful only with `has_holds`.
     #[prost(message, repeated, tag = "6")]
     pub holds: Vec<Hold>,
     /// What it knows of the operator's table.
@@ -128,9 +145,6 @@
     /// Prompt tokens of requests without an answer yet.
     #[prost(uint32, tag = "3")]
     pub unread_tokens: u32,
-    /// Adapters in use.
-    #[prost(message, repeated, tag = "4")]
-    pub adapters: Vec<AdapterUse>,
 }
 
 /// Use of an adapter.
@@ -253,11 +267,11 @@
     },
 }
 
-impl Load {
-    /// Encodes a load with the adapters that it uses.
+impl WorkerUses {
+    /// Encodes the uses of adapters at a worker.
     #[must_use]
     pub fn new(
-        load: &dispatch::ReportedLoad,
+        worker: &name::WorkerName,
         adapters: &[(name::AdapterName, dispatch::AdapterUse)],
     ) -> Self {
         let adapters = adapters.iter().map(|(adapter, used)| AdapterUse {
@@ -265,21 +279,26 @@
             in_flight: used.in_flight,
             begun: used.begun,
         });
+        Self { worker: worker.to_string(), adapters: adapters.collect() }
+    }
+}
+
+impl From<&dispatch::ReportedLoad> for Load {
+    fn from(load: &dispatch::ReportedLoad) -> Self {
         Self {
             worker: load.worker.to_string(),
             in_flight: load.in_flight,
             unread_tokens: load.unread_tokens,
-            adapters: adapters.collect(),
         }
     }
+}
 
-    /// Returns the load without adapters.
-    #[must_use]
-    pub fn reported(&self) -> dispatch::ReportedLoad {
-        dispatch::ReportedLoad {
-            worker: name::WorkerName::from(self.worker.as_str()),
-            in_flight: self.in_flight,
-            unread_tokens: self.unread_tokens,
+impl From<&Load> for dispatch::ReportedLoad {
+    fn from(load: &Load) -> Self {
+        Self {
+            worker: name::WorkerName::from(load.worker.as_str()),
+            in_flight: load.in_flight,
+            unread_tokens: load.unread_tokens,
         }
     }
 }
