--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -60,20 +60,22 @@
     },
 }
 
-/// Runs the daemon until it is told to stop.
+/// Runs the daemon until it is told to stop; `reload` reads the settings file again.
 ///
 /// # Errors
 ///
 /// Fails when a thread, the runtime or a port is not available.
-pub fn run<Dialect, Store>(
+pub fn run<Dialect, Store, Reload>(
     settings: &settings::Settings,
     host: host::Host,
     dialect: Dialect,
     store: Store,
+    reload: Reload,
 ) -> Result<(), StartError>
 where
     Dialect: dialect::Dialect,
     Store: store::MetadataStore,
+    Reload: Fn() -> host::Reload + Send + 'static,
 {
     log::start_bounded(settings.log_level).context(LogSnafu)?;
     let (name, place) = (&host.name, &host.place);
@@ -122,7 +124,8 @@
         .name("control".to_owned())
         .spawn(move || control::run(actor, &control_receiver))
         .context(ThreadSnafu { part: "the control thread" })?;
-    forward_signals(control_sender.clone()).context(ThreadSnafu { part: "the signal thread" })?;
+    forward_signals(control_sender.clone(), reload)
+        .context(ThreadSnafu { part: "the signal thread" })?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -187,13 +190,15 @@
 }
 
 /// Starts a thread that turns signals into messages.
-fn forward_signals(control: Sender<control::Message>) -> io::Result<()> {
+fn forward_signals<Reload>(control: Sender<control::Message>, reload: Reload) -> io::Result<()>
+where
+    Reload: Fn() -> host::Reload + Send + 'static,
+{
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     thread::Builder::new().name("signals".to_owned()).spawn(move || {
         for signal in signals.forever() {
             if signal == SIGHUP {
-                // Addresses and bounds of a running process cannot change.
-                spdlog::info!("reload outcome=nothing-to-change");
+                log_reload(&reload());
                 continue;
             }
             if control.send(control::Message::Terminate).is_err() {
@@ -203,3 +208,16 @@
     })?;
     Ok(())
 }
+
+fn log_reload(reload: &host::Reload) {
+    match reload {
+        host::Reload::Unchanged => spdlog::info!("reload outcome=unchanged"),
+        host::Reload::NeedsRestart(values) => {
+            let values = values.join("; ");
+            spdlog::warn!("reload outcome=needs-restart values=\"{values}\"");
+        }
+        host::Reload::Refused(problem) => {
+            spdlog::error!("reload outcome=last-good-stays problem={problem:?}");
+        }
+    }
+}
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -24,6 +24,17 @@
     pub promises: Promises,
 }
 
+/// What a change of the settings file means for the running process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reload {
+    /// The values in use are those of the file.
+    Unchanged,
+    /// The file has other values, which come into force with the next start; one text for each.
+    NeedsRestart(Vec<String>),
+    /// The file cannot be used; the values in use stay in force.
+    Refused(String),
+}
+
 /// Bounds within which the daemon must act.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Promises {
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -203,10 +203,17 @@
         Ok(Some(format!("{adapter}@{version}")))
     }
 
-    fn begin_run(&self, attempt_id: &str, adapter: Option<String>, after_event: u32) -> usize {
+    fn begin_run(
+        &self,
+        attempt_id: &str,
+        adapter: Option<String>,
+        left_ms: Option<u64>,
+        after_event: u32,
+    ) -> usize {
         let run = Run {
             attempt_id: attempt_id.to_owned(),
             adapter,
+            left_ms,
             after_event,
             began: Instant::now(),
             ended: None,
@@ -235,7 +242,8 @@
             Err(status) => return Some(not_executed(status, named)),
         };
         let after_event = header("Last-Event-Id").and_then(|id| id.parse().ok()).unwrap_or(0);
-        let run = self.begin_run(&attempt_id, adapter.clone(), after_event);
+        let left_ms = header("Deadline-Ms").and_then(|text| text.parse().ok());
+        let run = self.begin_run(&attempt_id, adapter.clone(), left_ms, after_event);
         let guard = RunGuard { worker: Arc::clone(&self), run };
         if faults.loses_answers {
             return None;
--- a/crates/standins/src/fleet/worker_log.rs
+++ b/crates/standins/src/fleet/worker_log.rs
@@ -9,6 +9,8 @@
     pub attempt_id: String,
     /// Adapter version that answered, as NAME@VERSION.
     pub adapter: Option<String>,
+    /// Time that the request said is left, in milliseconds.
+    pub left_ms: Option<u64>,
     /// Event after which the stream was continued.
     pub after_event: u32,
     /// When the run began.
