Let the daemons differ in which of two like workers they prefer

Each daemon adds to the cost of each worker its own fixed part of up to 40 ms, from a hash of both names. A test that failed first.

--- a/crates/domain/examples/dispatch_cost.rs
+++ b/crates/domain/examples/dispatch_cost.rs
@@ -65,9 +65,11 @@
         })
         .collect();
     let from = workers[0].place.clone();
+    let host = name::HostName::from("edge-0");
     measure(ROUNDS, |round| {
         let adapter = name::AdapterName::from(format!("m/a{round}"));
         let choice = dispatch::Choice {
+            host: &host,
             from: &from,
             adapter: Some(&adapter),
             parts: &[],
--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -32,6 +32,9 @@
 const SAME_REGION_COST_MS: f64 = 15.0;
 /// Two ways between regions, and the price of the bytes, expressed as time.
 const OTHER_REGION_COST_MS: f64 = 160.0;
+/// Largest difference between two daemons' views of the same worker. What they know of its load is up
+/// to a second old, so without it all would send to the same one.
+const PREFERENCE_MS: u64 = 40;
 /// Silence of a worker that is ordinary while it reads a long prompt.
 const ORDINARY_SILENCE_MS: u64 = 350;
 /// Cost of a recent failure, in the time that a repeated attempt takes.
@@ -61,6 +64,8 @@
 /// What decides the choice for one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Choice<'a> {
+    /// The daemon.
+    pub host: &'a name::HostName,
     /// Place of the daemon.
     pub from: &'a place::Place,
     /// Adapter that must answer.
@@ -75,6 +80,13 @@
     pub excluded: &'a [name::WorkerName],
 }
 
+impl Choice<'_> {
+    fn preference_ms(&self, worker: &name::WorkerName) -> f64 {
+        let score = member::rendezvous::score(self.host.as_str(), worker.as_str());
+        (score % PREFERENCE_MS) as f64
+    }
+}
+
 impl Chooser {
     /// Chooses the worker with the lowest predicted time, or `None` when there is no candidate.
     pub fn choose(
@@ -131,6 +143,7 @@
             // One place becomes free in each such part of a run.
             let place_ms = self.runs.mean_ms() / f64::from(upstream.slots.max(1));
             cost_ms += f64::from((requests + 1).saturating_sub(upstream.slots)) * place_ms;
+            cost_ms += choice.preference_ms(worker);
             let is_demanded = choice.demanded == Some(worker);
             cost_ms += if is_demanded && candidate.adapter != AdapterState::Resident {
                 LOADING_COST_MS
--- a/crates/domain/tests/dispatch.rs
+++ b/crates/domain/tests/dispatch.rs
@@ -31,6 +31,7 @@
     excluded: Vec<name::WorkerName>,
     demanded: Option<name::WorkerName>,
     work: dispatch::Work,
+    host: name::HostName,
 }
 
 impl Scene {
@@ -42,6 +43,7 @@
             excluded: Vec::new(),
             demanded: None,
             work: GENERATION,
+            host: name::HostName::from("edge-0"),
         }
     }
 
@@ -55,6 +57,7 @@
             .map(|(upstream, adapter)| dispatch::Candidate { upstream, adapter: *adapter })
             .collect();
         let choice = dispatch::Choice {
+            host: &self.host,
             from: &from,
             adapter: Some(&adapter),
             parts: &[],
@@ -126,6 +129,19 @@
     assert_eq!(scene.choose(100).as_deref(), Some("full"));
 }
 
+#[test]
+fn daemons_spread_over_workers_that_look_the_same() {
+    let names: Vec<_> = (0..8).map(|index| format!("w{index}")).collect();
+    let workers: Vec<_> = names.iter().map(|name| (name.as_str(), "here", RESIDENT)).collect();
+    let mut scene = Scene::new(&workers);
+    let mut chosen = std::collections::BTreeSet::new();
+    for index in 0..30 {
+        scene.host = name::HostName::from(format!("edge-{index}"));
+        chosen.extend(scene.choose(0));
+    }
+    assert!(chosen.len() >= 6, "{chosen:?}");
+}
+
 #[test]
 fn failing_workers_are_avoided_and_come_back() {
     let mut scene = Scene::new(&[("one", "here", RESIDENT), ("two", "there", RESIDENT)]);
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -80,6 +80,7 @@
             candidates.push(dispatch::Candidate { upstream: &worker.upstream, adapter });
         }
         let choice = dispatch::Choice {
+            host: &self.traffic.host.name,
             from: &self.traffic.host.place,
             adapter: self.facts.adapter.as_ref(),
             parts: &self.facts.parts,
