--- a/crates/edge/src/control/freshness.rs
+++ b/crates/edge/src/control/freshness.rs
@@ -6,7 +6,7 @@
 /// Age of what is known of a table from which it is read again. A store that loses its history may
 /// keep changes back for a second, so this and the spread are well below the users' bound of 2.5 s on
 /// a worker that leaves.
-const MAX_AGE_MS: u64 = 1_000;
+const MAX_AGE_MS: u64 = 900;
 /// Largest part by which the daemons of a region differ, so that mostly one of them reads for all.
 const SPREAD_MS: u64 = 500;
 /// Daemons of a region from which news is read with the full difference between them.
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -1,5 +1,6 @@
 //! Stand-in for the platform's store.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +27,8 @@
 pub struct Store {
     rows: Mutex<RowStore>,
     faults: Mutex<StoreFaults>,
+    /// Readings of changes by table.
+    readings: Mutex<BTreeMap<String, usize>>,
     started: Instant,
 }
 
@@ -39,6 +42,7 @@
         let store = Arc::new(Self {
             rows: Mutex::default(),
             faults: Mutex::default(),
+            readings: Mutex::default(),
             started: Instant::now(),
         });
         let address = http_server::serve(Arc::clone(&store), ([127, 0, 0, 1], 0).into())?;
@@ -72,6 +76,11 @@
         self.rows.lock().list(table, "").into_iter().map(|(key, _)| key).collect()
     }
 
+    /// Returns how many times the changes of a table were read.
+    pub fn readings(&self, table: &str) -> usize {
+        self.readings.lock().get(table).copied().unwrap_or(0)
+    }
+
     /// Forgets the history, so that followers must list again.
     pub fn forget_history(&self) {
         self.rows.lock().forget_history();
@@ -98,6 +107,11 @@
     fn feed(&self, query: &str) -> Response<Body> {
         let table = parameter(query, "Table");
         let after = parameter(query, "after").parse().unwrap_or(0);
+        *self.readings.lock().entry(table.clone()).or_default() += 1;
+        if self.faults.lock().withholds_changes {
+            let body = json!({"Rows": [], "SchemaVersion": after, "NowMs": self.now_ms()});
+            return http_server::json(StatusCode::OK, &body);
+        }
         let rows = self.rows.lock();
         let Some(changes) = rows.changes(&table, after) else {
             return http_server::answer(StatusCode::GONE, "");
--- a/crates/standins/src/fleet/store_faults.rs
+++ b/crates/standins/src/fleet/store_faults.rs
@@ -9,6 +9,8 @@
     pub is_silent: bool,
     /// Transactions are applied, and their answers are lost.
     pub loses_answers: bool,
+    /// Followers are told of no changes.
+    pub withholds_changes: bool,
     /// Delay of each answer.
     pub delay_ms: u64,
 }
