Let only the last change of a row count; renew leases every 6 s

Cause: daemons that the store had turned away read every version of the configuration that they had missed and brought each into force, and the rows together were too long to be shared with the region. A test for the first.

--- a/crates/edge/src/control/feed.rs
+++ b/crates/edge/src/control/feed.rs
@@ -4,6 +4,7 @@
 use std::thread;
 
 use crossbeam_channel::{Receiver, Sender};
+use indexmap::IndexMap;
 
 use super::Message;
 use crate::clock;
@@ -92,7 +93,7 @@
             store::Changes::Rows { rows, version, store_ms } => {
                 self.version = Some(version.max(after));
                 self.newest = self.newest.max(version);
-                Ok(FeedEvent::Changed(rows, store_ms))
+                Ok(FeedEvent::Changed(newest(rows), store_ms))
             }
             store::Changes::HistoryLost => {
                 let table = self.table.as_str();
@@ -103,3 +104,12 @@
         }
     }
 }
+
+/// Leaves out rows that a later change replaces.
+fn newest(rows: Vec<store::Row>) -> Vec<store::Row> {
+    let mut by_key = IndexMap::with_capacity(rows.len());
+    for row in rows {
+        by_key.insert(row.key.clone(), row);
+    }
+    by_key.into_values().collect()
+}
--- a/crates/edge/src/control/tables.rs
+++ b/crates/edge/src/control/tables.rs
@@ -10,7 +10,7 @@
 use crate::store;
 
 /// Rows that fit into a datagram together with the state of a daemon.
-const MAX_SHARED_BYTES: usize = 24 * 1024;
+const MAX_SHARED_BYTES: usize = 48 * 1024;
 
 impl<Dialect> Core<Dialect>
 where
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -53,7 +53,7 @@
         let lease_ttl_ms = reader.value("--lease-ttl-ms", flags.lease_ttl_ms, 12_000, ttl);
         let renewal = "milliseconds above 0";
         let lease_renewal_ms =
-            reader.value("--lease-renewal-ms", flags.lease_renewal_ms, 5_000, renewal);
+            reader.value("--lease-renewal-ms", flags.lease_renewal_ms, 6_000, renewal);
         if lease_renewal_ms == 0 {
             reader.problem("--lease-renewal-ms", Some("0".to_owned()), renewal);
         }
--- /dev/null
+++ b/crates/edge/tests/feed.rs
@@ -0,0 +1,47 @@
+//! Tests of following a table.
+
+use jasminetack_edge::control::{Feed, FeedEvent, Message};
+use jasminetack_edge::store::{
+    Changes, Listing, MetadataStore, Outcome, Row, StoreError, Table, Transaction,
+};
+
+/// A store with three changes of two rows.
+#[derive(Clone)]
+struct ThreeChanges;
+
+fn row(key: &str, version: u64) -> Row {
+    Row { key: key.to_owned(), value: Some(vec![0; 10]), version }
+}
+
+impl MetadataStore for ThreeChanges {
+    fn list(&self, _table: Table) -> Result<Listing, StoreError> {
+        Ok(Listing { rows: Vec::new(), version: 1, store_ms: 100 })
+    }
+
+    fn changes(&self, _table: Table, after: u64) -> Result<Changes, StoreError> {
+        assert_eq!(after, 1);
+        let rows = vec![row("config", 2), row("other", 3), row("config", 4)];
+        Ok(Changes::Rows { rows, version: 4, store_ms: 200 })
+    }
+
+    fn transact(&self, _transaction: &Transaction) -> Result<Outcome, StoreError> {
+        Err(StoreError::Refused { status: 503 })
+    }
+}
+
+#[test]
+fn only_the_last_change_of_a_row_counts() {
+    let (control, messages) = crossbeam_channel::unbounded();
+    let requests = Feed::start(ThreeChanges, Table::Operator, control).unwrap();
+    for _ in 0..2 {
+        requests.send(()).unwrap();
+    }
+    let Message::Feed(_, FeedEvent::Listed(_), _) = messages.recv().unwrap() else {
+        panic!("no listing");
+    };
+    let Message::Feed(_, FeedEvent::Changed(rows, store_ms), _) = messages.recv().unwrap() else {
+        panic!("no changes");
+    };
+    assert_eq!(rows, [row("config", 4), row("other", 3)]);
+    assert_eq!(store_ms, 200);
+}
