--- a/crates/domain/src/placement/mod.rs
+++ b/crates/domain/src/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Which adapters a worker holds, decided by the one daemon that gives it orders.
 
+mod answers;
 mod order;
 mod order_result;
 mod place;
--- a/crates/domain/src/placement/placement.rs
+++ b/crates/domain/src/placement/placement.rs
@@ -4,9 +4,7 @@
 use rustc_hash::FxBuildHasher;
 
 use super::want::Want;
-use super::{
-    Counts, FinishedLoad, FleetLoads, Held, Order, OrderResult, Place, PlaceState, Summary,
-};
+use super::{Counts, FleetLoads, Held, Order, Place, PlaceState, Summary};
 use crate::adapter;
 use crate::dispatch;
 use crate::name;
@@ -17,14 +15,6 @@
 const MIN_IN_TRANSIT: usize = 1;
 /// Loads in transit to one worker at most; the worker's own limit is four.
 const MAX_IN_TRANSIT: usize = 3;
-/// Time after which the end of a load from the weight store is asked for.
-const COLD_LOAD_MS: u64 = 150;
-/// Time of a load that the worker has a copy of.
-const WARM_LOAD_MS: u64 = 25;
-/// Adapters of which a worker is assumed to keep a copy.
-const MAX_WARM: usize = 100;
-/// Interval of asking whether the load of a base model has ended.
-const BASE_POLL_MS: u64 = 150;
 
 /// Limits of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,12 +29,12 @@
 #[derive(Clone, Debug)]
 pub struct Placement {
     limits: Limits,
-    has_base_model: bool,
-    base_awaits_answer: bool,
-    base_order_ms: u64,
-    places: IndexMap<name::AdapterName, Place, FxBuildHasher>,
+    pub(super) has_base_model: bool,
+    pub(super) base_awaits_answer: bool,
+    pub(super) base_order_ms: u64,
+    pub(super) places: IndexMap<name::AdapterName, Place, FxBuildHasher>,
     wants: IndexMap<name::AdapterName, Want, FxBuildHasher>,
-    warm: IndexMap<name::AdapterName, (), FxBuildHasher>,
+    pub(super) warm: IndexMap<name::AdapterName, (), FxBuildHasher>,
     /// Time until which orders of an earlier holder may be carried out.
     reserve_until_ms: u64,
     /// Whether such orders may have loaded adapters that are not among the places.
@@ -252,85 +242,6 @@
         orders
     }
 
-    /// Takes in what became of an order; returns the load that has ended with it.
-    pub fn ordered(
-        &mut self,
-        order: &Order,
-        result: OrderResult,
-        now_ms: u64,
-    ) -> Option<FinishedLoad> {
-        match order {
-            Order::LoadBase(_) => self.base_ordered(result, now_ms),
-            Order::Load(adapter) => return self.load_ordered(adapter, result, now_ms),
-            Order::Unload(adapter) => self.unload_ordered(adapter, result, now_ms),
-        }
-        None
-    }
-
-    fn base_ordered(&mut self, result: OrderResult, now_ms: u64) {
-        self.base_awaits_answer = false;
-        self.base_order_ms = now_ms + BASE_POLL_MS;
-        if result == OrderResult::Holds {
-            self.has_base_model = true;
-        }
-    }
-
-    fn load_ordered(
-        &mut self,
-        adapter: &adapter::AdapterRef,
-        result: OrderResult,
-        now_ms: u64,
-    ) -> Option<FinishedLoad> {
-        let is_warm = self.warm.contains_key(adapter.name());
-        let place = self.places.get_mut(adapter.name())?;
-        if place.state != PlaceState::Loading || place.version != adapter.version() {
-            // A load of the version that is not wanted any more takes up the place, too.
-            place.order_failed(result, now_ms);
-            place.next_order_ms = now_ms;
-            return None;
-        }
-        match result {
-            OrderResult::Holds => {
-                place.awaits_answer = false;
-                let accepted_ms = place.accepted_ms;
-                let in_transit = place.in_transit;
-                place.enter(PlaceState::Resident, now_ms);
-                place.used_ms = now_ms;
-                self.remember_warm(adapter.name());
-                let took_ms = now_ms.saturating_sub(accepted_ms?);
-                return Some(FinishedLoad { took_ms, in_transit });
-            }
-            OrderResult::Refused if place.late_until_ms <= now_ms => {
-                self.places.swap_remove(adapter.name());
-            }
-            _ => {
-                place.order_failed(result, now_ms);
-                let age_ms = now_ms.saturating_sub(place.state_since_ms);
-                let expected_ms = if is_warm { WARM_LOAD_MS } else { COLD_LOAD_MS };
-                if result == OrderResult::Accepted && age_ms < expected_ms {
-                    place.next_order_ms =
-                        place.next_order_ms.max(place.state_since_ms + expected_ms);
-                }
-            }
-        }
-        None
-    }
-
-    fn unload_ordered(&mut self, adapter: &name::AdapterName, result: OrderResult, now_ms: u64) {
-        let Some(place) = self.places.get_mut(adapter) else { return };
-        if place.state != PlaceState::Unloading {
-            place.awaits_answer = false;
-            return;
-        }
-        // A refused unload means that the worker does not hold the adapter.
-        if matches!(result, OrderResult::Holds | OrderResult::Refused) {
-            self.places.swap_remove(adapter);
-            return;
-        }
-        place.order_failed(result, now_ms);
-        place.keep_if_used(now_ms);
-    }
-
     fn holds(&self, adapter: &adapter::AdapterRef) -> bool {
         let place = self.places.get(adapter.name());
         place.is_some_and(|place| {
@@ -338,14 +249,6 @@
         })
     }
 
-    fn remember_warm(&mut self, adapter: &name::AdapterName) {
-        self.warm.shift_remove(adapter);
-        self.warm.insert(adapter.clone(), ());
-        while self.warm.len() > MAX_WARM {
-            self.warm.shift_remove_index(0);
-        }
-    }
-
     fn capacity(&self) -> usize {
         // Loads that were in transit need not be in the worker's first report.
         let reserve = if self.has_unlisted { MAX_IN_TRANSIT } else { 0 };
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod outputs;
 mod peers;
 mod publisher;
+mod received;
 mod replies;
 mod reports;
 mod tables;
--- /dev/null
+++ b/crates/edge/src/control/received.rs
@@ -0,0 +1,74 @@
+//! Datagrams of other daemons, and demands for adapters.
+
+use jasminetack_domain::dispatch;
+use jasminetack_domain::name;
+use jasminetack_wire::fleet;
+
+use super::core::Core;
+use super::outputs::Letter;
+use crate::dialect;
+
+impl<Dialect> Core<Dialect>
+where
+    Dialect: dialect::Dialect,
+{
+    /// Takes in what another daemon sent.
+    pub(super) fn datagram(&mut self, mut datagram: fleet::Datagram, now_ms: u64) {
+        if datagram.host == self.tenancy.host().as_str() {
+            return;
+        }
+        self.shared_rows(&mut datagram, now_ms);
+        for demand in &datagram.demands {
+            let worker = name::WorkerName::from(demand.worker.as_str());
+            let adapter = demand.adapter();
+            if !self.holds.want(&worker, demand, now_ms) {
+                continue;
+            }
+            let host = name::HostName::from(datagram.host.as_str());
+            let Some(hold) = self.holds.get_mut(&worker) else { continue };
+            if hold.demanded(&adapter, &host) {
+                // The daemon does not know yet that the adapter can be used.
+                let to = self.peers.get(&host).map(|peer| peer.address).into_iter().collect();
+                let state = self.state(None);
+                self.send_state(state, to);
+            }
+        }
+        self.told_uses(&datagram, now_ms);
+        let Some(state) = &datagram.state else { return };
+        let address = match fleet::read_address(&state.address) {
+            Ok(address) => address,
+            Err(error) => {
+                spdlog::warn!("datagram-refused from={} problem=\"{error}\"", datagram.host);
+                return;
+            }
+        };
+        let Some(changed) = self.peers.heard(&datagram, state, address, now_ms) else { return };
+        let host = name::HostName::from(datagram.host.as_str());
+        if state.has_loads {
+            let loads = state.loads.iter().map(dispatch::ReportedLoad::from).collect();
+            let until_ms = self.peers.get(&host).map_or(0, |peer| now_ms + peer.silence_limit_ms);
+            self.chooser.lock().loads.reported(&host, loads, until_ms);
+        }
+        let readers = self.near_peers() + 1;
+        if let Some(known) = state.operator {
+            let is_same = known.digest == self.catalog.operator_digest();
+            self.operator.told(is_same, known.as_of_store_ms, readers, now_ms);
+        }
+        if let Some(known) = state.workers {
+            let is_same = known.digest == self.catalog.directory().digest();
+            self.workers.told(is_same, known.as_of_store_ms, readers, now_ms);
+        }
+        self.changed.extend(changed);
+    }
+
+    /// Has a worker's holder load an adapter.
+    pub(super) fn demand(&mut self, worker: &name::WorkerName, demand: fleet::Demand, now_ms: u64) {
+        if self.holds.want(worker, &demand, now_ms) {
+            return;
+        }
+        let Some((_, peer, _, _)) = self.peers.holder(worker) else { return };
+        let to = vec![peer.address];
+        let datagram = self.next_datagram(None, vec![demand]);
+        self.outputs.send(Letter { to, datagram });
+    }
+}
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -2,17 +2,20 @@
 //!
 //! Each datagram replaces what its sender said before, so a lost one needs no repair.
 
+mod rows;
+
 use std::net::SocketAddr;
 
 use jasminetack_domain::adapter;
 use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
-use jasminetack_domain::order_lease;
 use jasminetack_domain::place;
 use jasminetack_domain::placement;
 use prost::Message;
 use snafu::ResultExt;
 
+pub use rows::{Holder, LateOrders, Lease};
+
 /// One datagram.
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
@@ -215,39 +218,6 @@
     pub is_new: bool,
 }
 
-/// Row of a daemon's lease.
-#[derive(Clone, PartialEq, Message)]
-pub struct Lease {
-    /// Address for datagrams.
-    #[prost(string, tag = "1")]
-    pub address: String,
-    /// Region.
-    #[prost(string, tag = "2")]
-    pub region: String,
-    /// Failure domain.
-    #[prost(string, tag = "3")]
-    pub failure_domain: String,
-    /// Time of the store's clock at which the lease expires.
-    #[prost(uint64, tag = "4")]
-    pub expires_store_ms: u64,
-}
-
-/// Row of a worker's holder.
-#[derive(Clone, PartialEq, Message)]
-pub struct Holder {
-    /// Daemon that gives the orders.
-    #[prost(string, tag = "1")]
-    pub host: String,
-}
-
-/// Row of a worker's orders without an answer.
-#[derive(Clone, Copy, PartialEq, Message)]
-pub struct LateOrders {
-    /// Time of the store's clock after which none of them is carried out.
-    #[prost(uint64, tag = "1")]
-    pub until_store_ms: u64,
-}
-
 /// A message that cannot be used.
 #[derive(Debug, snafu::Snafu)]
 pub enum FleetError {
@@ -353,70 +323,6 @@
     }
 }
 
-impl From<&order_lease::LeaseRow> for Lease {
-    fn from(row: &order_lease::LeaseRow) -> Self {
-        Self {
-            address: row.address.to_string(),
-            region: row.place.region().to_string(),
-            failure_domain: row.place.failure_domain().to_string(),
-            expires_store_ms: row.expires_store_ms,
-        }
-    }
-}
-
-impl Lease {
-    /// Decodes the row of a host.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the bytes are no lease.
-    pub fn read(host: &str, bytes: &[u8]) -> Result<order_lease::LeaseRow, FleetError> {
-        let row = Self::decode(bytes).context(DecodeSnafu)?;
-        Ok(order_lease::LeaseRow {
-            host: name::HostName::from(host),
-            address: read_address(&row.address)?,
-            place: read_place(&row.region, &row.failure_domain),
-            expires_store_ms: row.expires_store_ms,
-        })
-    }
-}
-
-impl From<&order_lease::HolderRow> for Holder {
-    fn from(row: &order_lease::HolderRow) -> Self {
-        Self { host: row.host.to_string() }
-    }
-}
-
-impl Holder {
-    /// Decodes a row.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the bytes are no holder.
-    pub fn read(bytes: &[u8]) -> Result<order_lease::HolderRow, FleetError> {
-        let row = Self::decode(bytes).context(DecodeSnafu)?;
-        Ok(order_lease::HolderRow { host: name::HostName::from(row.host) })
-    }
-}
-
-impl From<&order_lease::LateRow> for LateOrders {
-    fn from(row: &order_lease::LateRow) -> Self {
-        Self { until_store_ms: row.until_store_ms }
-    }
-}
-
-impl LateOrders {
-    /// Decodes a row.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the bytes are no such row.
-    pub fn read(bytes: &[u8]) -> Result<order_lease::LateRow, FleetError> {
-        let row = Self::decode(bytes).context(DecodeSnafu)?;
-        Ok(order_lease::LateRow { until_store_ms: row.until_store_ms })
-    }
-}
-
 /// Reads an address.
 ///
 /// # Errors
