--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Datagrams between daemons that send straight to workers, and their rows in the store.
 //!
-//! Each datagram replaces what its sender said before, so a lost one needs no repair.
+//! Each part of a datagram replaces what its sender said of the same thing before, so a lost one needs no
+//! repair.
 
 mod rows;
 
