--- a/crates/edge/src/traffic/call.rs
+++ b/crates/edge/src/traffic/call.rs
@@ -213,10 +213,12 @@
         }
         self.possible_runs += 1;
         let is_failure = head.status.is_server_error();
+        if is_failure {
+            exchange.load.failed(clock::now_ms());
+        }
         // An answer is dropped only when another one can be asked for.
         if is_failure && self.may_run_again() && self.pay_repeat(clock::now_ms()) {
             self.is_prepaid = true;
-            exchange.load.failed(clock::now_ms());
             record.attempt_failed(worker, "worker-error");
             self.excluded.push(worker.clone());
             return Err(Next::TryAgain);
