Record a response of known length as complete with its last byte

Cause: hyper stops polling a body of known length once its last byte has been received, and never polls an empty one.

Change: Relay completes as soon as the worker's response has no more data, and tells hyper so.

--- a/crates/edge/src/traffic/relay.rs
+++ b/crates/edge/src/traffic/relay.rs
@@ -25,6 +25,7 @@
     record: RequestRecord,
     deadline: Pin<Box<Sleep>>,
     pool: Arc<Pool>,
+    is_complete: bool,
 }
 
 impl Relay {
@@ -38,7 +39,16 @@
     ) -> Self {
         let Exchange { connection, keep_alive_ms, load } = exchange;
         let connection = Some(connection);
-        Self { incoming, connection, keep_alive_ms, load, record, deadline, pool }
+        let is_complete = false;
+        let mut relay =
+            Self { incoming, connection, keep_alive_ms, load, record, deadline, pool, is_complete };
+        relay.complete_at_end();
+        relay
+    }
+
+    /// Returns whether the whole response has been received and forwarded.
+    pub(super) fn is_complete(&self) -> bool {
+        self.is_complete
     }
 
     pub(super) fn size_hint(&self) -> body::SizeHint {
@@ -58,6 +68,7 @@
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
                     self.load.record_data(clock::now_ms());
+                    self.complete_at_end();
                     Some(Ok(data))
                 }
                 Some(Err(_)) => {
@@ -79,7 +90,19 @@
         IncompleteResponse { reason }
     }
 
+    /// Completes the relay if the length of the response is known and all of it was received.
+    ///
+    /// hyper does not poll a body again after its last byte, nor an empty one at all.
+    fn complete_at_end(&mut self) {
+        if self.incoming.is_end_stream() {
+            self.complete();
+        }
+    }
+
     fn complete(&mut self) {
+        if std::mem::replace(&mut self.is_complete, true) {
+            return;
+        }
         let now_ms = clock::now_ms();
         self.load.record_data(now_ms);
         self.record.set_outcome("answered");
--- a/crates/edge/src/traffic/response_body.rs
+++ b/crates/edge/src/traffic/response_body.rs
@@ -110,7 +110,8 @@
         match &self.content {
             Content::Full(full) => full.is_end_stream(),
             Content::Ended => true,
-            Content::Relay(_) | Content::Events(_) | Content::Failing(_) => false,
+            Content::Relay(relay) => relay.is_complete(),
+            Content::Events(_) | Content::Failing(_) => false,
         }
     }
 
--- a/crates/standins/src/fleet/http_server.rs
+++ b/crates/standins/src/fleet/http_server.rs
@@ -21,6 +21,9 @@
 
 /// Handles requests; `None` closes the connection without a response.
 pub trait Handler: Send + Sync + 'static {
+    /// Records that a client opened a connection.
+    fn record_connection(&self) {}
+
     /// Handles one request.
     fn handle(
         self: Arc<Self>,
@@ -47,6 +50,7 @@
             loop {
                 let Ok((stream, _)) = listener.accept().await else { continue };
                 let _ = stream.set_nodelay(true);
+                handler.record_connection();
                 let handler = Arc::clone(&handler);
                 let service = service_fn(move |request| {
                     let handler = Arc::clone(&handler);
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -14,5 +14,5 @@
 pub use store::Store;
 pub use store_faults::StoreFaults;
 pub use worker::{Worker, WorkerConfig};
-pub use worker_faults::WorkerFaults;
+pub use worker_faults::{ResponseFraming, WorkerFaults};
 pub use worker_log::{ReceivedOrder, Run, WorkerLog};
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -9,18 +9,20 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode, header};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 use tokio::time;
 
 use super::http_server::{self, Body, Handler};
-use super::worker_faults::WorkerFaults;
+use super::worker_faults::{ResponseFraming, WorkerFaults};
 use super::worker_log::{ReceivedOrder, Run, WorkerLog};
 
 /// Exceeds the response timeout of every test.
 const UNRESPONSIVE_DURATION: Duration = Duration::from_secs(600);
+/// Time between the data of a truncated response and the end of its connection.
+const TRUNCATION_DELAY: Duration = Duration::from_millis(50);
 
 /// Configuration of a worker.
 #[derive(Clone, Debug)]
@@ -263,10 +265,8 @@
             } else {
                 StatusCode::OK
             };
-            return Some(with_identity_headers(
-                http_server::response(status, format!("done {attempt_id}")),
-                response_attempt_id,
-            ));
+            let response = framed_response(status, format!("done {attempt_id}"), faults.framing);
+            return Some(with_identity_headers(response, response_attempt_id));
         }
         let (sender, receiver) = mpsc::channel(1);
         let label = adapter.unwrap_or_else(|| "base".to_owned());
@@ -305,6 +305,10 @@
 }
 
 impl Handler for Worker {
+    fn record_connection(&self) {
+        self.log.lock().connections += 1;
+    }
+
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         let faults = *self.faults.lock();
         if faults.is_unresponsive {
@@ -356,6 +360,34 @@
     }
 }
 
+fn framed_response(status: StatusCode, text: String, framing: ResponseFraming) -> Response<Body> {
+    let length = text.len();
+    let is_truncated = match framing {
+        ResponseFraming::Length => return http_server::response(status, text),
+        ResponseFraming::Empty => return http_server::response(status, ""),
+        ResponseFraming::Chunked => false,
+        ResponseFraming::Truncated => true,
+    };
+    let (sender, receiver) = mpsc::channel(1);
+    tokio::spawn(async move {
+        let end = if is_truncated { length / 2 } else { length };
+        let data = Bytes::from(text).slice(..end);
+        // The receiver is gone if the client has disconnected.
+        let _ = sender.send(Ok(Frame::data(data))).await;
+        if is_truncated {
+            // An error of the body makes hyper discard what it has not written yet.
+            time::sleep(TRUNCATION_DELAY).await;
+            let _ = sender.send(Err(io::Error::other("injected truncation"))).await;
+        }
+    });
+    let mut response = Response::new(StreamBody::new(ReceiverStream { receiver }).boxed());
+    *response.status_mut() = status;
+    if is_truncated {
+        response.headers_mut().insert(header::CONTENT_LENGTH, length.into());
+    }
+    response
+}
+
 fn with_identity_headers(mut response: Response<Body>, attempt_id: &str) -> Response<Body> {
     let headers = response.headers_mut();
     headers.insert("Attempt-Id", attempt_id.parse().expect("an identifier is visible ASCII"));
--- a/crates/standins/src/fleet/worker_faults.rs
+++ b/crates/standins/src/fleet/worker_faults.rs
@@ -1,5 +1,19 @@
 //! Injected faults of a worker.
 
+/// Framing of the responses of a plain service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ResponseFraming {
+    /// With `Content-Length`.
+    #[default]
+    Length,
+    /// In chunks.
+    Chunked,
+    /// With a `Content-Length` of zero.
+    Empty,
+    /// The connection is closed before the number of bytes in `Content-Length` was sent.
+    Truncated,
+}
+
 /// Injected faults of a worker; all are off by default.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WorkerFaults {
@@ -17,4 +31,6 @@
     pub withholds_order_responses: bool,
     /// Requests to a plain service are executed and return status 500.
     pub returns_errors: bool,
+    /// How the responses of a plain service are framed.
+    pub framing: ResponseFraming,
 }
--- a/crates/standins/src/fleet/worker_log.rs
+++ b/crates/standins/src/fleet/worker_log.rs
@@ -35,6 +35,8 @@
 /// Requests and orders that a worker received, and the violations it detected.
 #[derive(Clone, Debug, Default)]
 pub struct WorkerLog {
+    /// Number of connections that clients opened.
+    pub connections: usize,
     /// Executed requests.
     pub runs: Vec<Run>,
     /// Received orders.
