Tell an own cut from an outage of the store

A daemon that a cut had separated from the store and from most daemons read the list of workers again 2.1 s after the cut, because its backoff grows with the region's daemons, and then kept the workers that had left for 2 s more, the time in which live workers register again after an outage of the store.

Change: a report of a newer copy ends the backoff after 1 s, since then only this daemon is cut off. Daemons say since when their reads of the list have not failed; a daemon whose own cut falls into such a series removes absent workers at once.

--- a/crates/domain/src/upstream/directory.rs
+++ b/crates/domain/src/upstream/directory.rs
@@ -5,13 +5,16 @@
 use indexmap::IndexMap;
 use xxhash_rust::xxh3;
 
-use super::Upstream;
+use super::{ReadSeries, Upstream};
 use crate::name;
 
 /// Time for which a worker whose entry expired during an outage of the list stays in the directory.
 ///
 /// Workers register again within 2 s of the end of an outage.
 pub const REREGISTRATION_GRACE_MS: u64 = 2_000;
+/// Time after the last read of another daemon's series in which no entry can have expired: an entry
+/// expires after three missed heartbeats, which take longer.
+const SERIES_TOLERANCE_MS: u64 = 2_000;
 
 /// Change of the directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,7 +34,12 @@
     /// Workers whose entry expired during an outage, with the time at which they are removed.
     removal_due_ms: IndexMap<name::WorkerName, u64>,
     is_reachable: bool,
+    /// Time from which the list has been readable without interruption.
     reachable_since_ms: u64,
+    /// The same time on the store's clock.
+    reachable_since_store_ms: u64,
+    /// Latest series of reads by another daemon.
+    peer_series: Option<ReadSeries>,
 }
 
 impl Directory {
@@ -64,11 +72,39 @@
         self.is_reachable = false;
     }
 
-    /// Records that the list was read.
-    pub fn mark_reachable(&mut self, now_ms: u64) {
+    /// Records that the list was read; the store's clock showed `store_ms`.
+    pub fn mark_reachable(&mut self, store_ms: u64, now_ms: u64) {
         if !self.is_reachable {
             self.is_reachable = true;
             self.reachable_since_ms = now_ms;
+            self.reachable_since_store_ms = store_ms;
+            self.apply_peer_series();
+        }
+    }
+
+    /// Records reads of another daemon.
+    ///
+    /// They show whether the store was away or only this daemon was cut off from it. No entry expires
+    /// because of the latter.
+    pub fn observe_series(&mut self, series: ReadSeries) {
+        if self.peer_series.is_none_or(|known| known.until_store_ms <= series.until_store_ms) {
+            self.peer_series = Some(series);
+            self.apply_peer_series();
+        }
+    }
+
+    /// Moves the end of the last outage back to the start of the other daemon's series if that
+    /// series extends into the time since this daemon reads the list again.
+    fn apply_peer_series(&mut self) {
+        let Some(series) = self.peer_series.filter(|_| self.is_reachable) else { return };
+        if series.until_store_ms + SERIES_TOLERANCE_MS < self.reachable_since_store_ms {
+            return;
+        }
+        let earlier_ms = self.reachable_since_store_ms.saturating_sub(series.since_store_ms);
+        self.reachable_since_store_ms -= earlier_ms;
+        self.reachable_since_ms = self.reachable_since_ms.saturating_sub(earlier_ms);
+        for due_ms in self.removal_due_ms.values_mut() {
+            *due_ms = (*due_ms).min(self.reachable_since_ms + REREGISTRATION_GRACE_MS);
         }
     }
 
--- a/crates/domain/tests/upstream.rs
+++ b/crates/domain/tests/upstream.rs
@@ -37,7 +37,7 @@
 #[test]
 fn entry_removed_without_an_outage_is_dropped_at_once() {
     let mut directory = upstream::Directory::default();
-    directory.mark_reachable(1_000);
+    directory.mark_reachable(1_000, 1_000);
     directory.upsert(worker("w", 1, false));
     let gone = directory.remove(&name::WorkerName::from("w"), 10_000);
     assert_eq!(gone, Some(upstream::Change::Left(name::WorkerName::from("w"))));
@@ -47,11 +47,11 @@
 #[test]
 fn entry_expired_during_an_outage_has_two_seconds_to_register_again() {
     let mut directory = upstream::Directory::default();
-    directory.mark_reachable(1_000);
+    directory.mark_reachable(1_000, 1_000);
     directory.upsert(worker("back", 1, false));
     directory.upsert(worker("gone", 1, false));
     directory.mark_unreachable();
-    directory.mark_reachable(20_000);
+    directory.mark_reachable(20_000, 20_000);
     for name in ["back", "gone"] {
         assert_eq!(directory.remove(&name::WorkerName::from(name), 20_000), None);
     }
@@ -62,13 +62,55 @@
     assert_eq!(directory.iter().count(), 1);
 }
 
+#[test]
+fn entry_missing_after_the_own_cut_gets_no_grace_period_while_others_read_the_list() {
+    let series = |until_store_ms| upstream::ReadSeries { since_store_ms: 500, until_store_ms };
+    let gone = name::WorkerName::from("gone");
+    let left = [upstream::Change::Left(gone.clone())];
+    // The other daemon's reads are known before or after this daemon reads the list again.
+    for is_known_before in [true, false] {
+        let mut directory = upstream::Directory::default();
+        directory.mark_reachable(1_000, 1_000);
+        directory.upsert(worker("gone", 1, false));
+        directory.mark_unreachable();
+        if is_known_before {
+            directory.observe_series(series(19_000));
+        }
+        directory.mark_reachable(20_000, 20_000);
+        let removed = directory.remove(&gone, 20_000);
+        if is_known_before {
+            assert_eq!(removed.as_slice(), left);
+            continue;
+        }
+        assert_eq!(removed, None);
+        directory.observe_series(series(20_300));
+        assert_eq!(directory.remove_expired(20_300), left);
+    }
+}
+
+#[test]
+fn reads_of_others_before_an_outage_do_not_shorten_the_grace_period() {
+    let mut directory = upstream::Directory::default();
+    directory.mark_reachable(1_000, 1_000);
+    directory.upsert(worker("w", 1, false));
+    directory.mark_unreachable();
+    let before = upstream::ReadSeries { since_store_ms: 500, until_store_ms: 12_000 };
+    directory.observe_series(before);
+    directory.mark_reachable(20_000, 20_000);
+    assert_eq!(directory.remove(&name::WorkerName::from("w"), 20_000), None);
+    let after = upstream::ReadSeries { since_store_ms: 19_500, until_store_ms: 20_100 };
+    directory.observe_series(after);
+    assert!(directory.remove_expired(21_400).is_empty());
+    assert_eq!(directory.remove_expired(21_500).len(), 1);
+}
+
 #[test]
 fn draining_worker_gets_no_grace_period() {
     let mut directory = upstream::Directory::default();
-    directory.mark_reachable(1_000);
+    directory.mark_reachable(1_000, 1_000);
     directory.upsert(worker("w", 1, true));
     directory.mark_unreachable();
-    directory.mark_reachable(20_000);
+    directory.mark_reachable(20_000, 20_000);
     assert!(directory.remove(&name::WorkerName::from("w"), 20_000).is_some());
 }
 
--- a/crates/edge/src/control/catalog.rs
+++ b/crates/edge/src/control/catalog.rs
@@ -133,12 +133,12 @@
                 self.directory.mark_unreachable();
                 CatalogChanges::default()
             }
-            FeedEvent::Changed(rows, _) => {
-                self.directory.mark_reachable(now_ms);
+            FeedEvent::Changed(rows, store_ms) => {
+                self.directory.mark_reachable(store_ms, now_ms);
                 self.apply_workers_rows(rows, dialect, now_ms)
             }
             FeedEvent::Listed(listing) => {
-                self.directory.mark_reachable(now_ms);
+                self.directory.mark_reachable(listing.store_ms, now_ms);
                 let unlisted = self.unlisted_workers(&listing);
                 let mut changes = self.apply_workers_rows(listing.rows, dialect, now_ms);
                 for worker in unlisted {
@@ -180,6 +180,11 @@
         changes
     }
 
+    /// Records reads of the workers table by another daemon.
+    pub fn observe_workers_reads(&mut self, series: upstream::ReadSeries) {
+        self.directory.observe_series(series);
+    }
+
     /// Returns the known workers that a listing does not contain.
     fn unlisted_workers(&self, listing: &store::Listing) -> Vec<name::WorkerName> {
         let mut unlisted = Vec::new();
--- a/crates/edge/src/control/datagrams.rs
+++ b/crates/edge/src/control/datagrams.rs
@@ -58,6 +58,9 @@
             self.operator.apply_peer_state(is_same, known.as_of_store_ms, readers, now_ms);
         }
         if let Some(known) = state.workers {
+            if let Some(series) = known.read_series() {
+                self.catalog.observe_workers_reads(series);
+            }
             let is_same = known.digest == self.catalog.directory().digest();
             self.workers.apply_peer_state(is_same, known.as_of_store_ms, readers, now_ms);
         }
--- a/crates/edge/src/control/freshness.rs
+++ b/crates/edge/src/control/freshness.rs
@@ -2,6 +2,7 @@
 
 use jasminetack_domain::member;
 use jasminetack_domain::name;
+use jasminetack_domain::upstream;
 
 /// Age at which a table is read again, before jitter.
 ///
@@ -20,6 +21,8 @@
 /// catch up.
 const MAX_BACKOFF_FLOOR_MS: u64 = 1_000;
 const MAX_BACKOFF_CEILING_MS: u64 = 3_500;
+/// Longest backoff while other daemons read the table, so that only this daemon is cut off.
+const CUT_OFF_BACKOFF_MS: u64 = 1_000;
 
 /// Minimum time between two reads, however many changes other daemons report.
 const MIN_READ_INTERVAL_MS: u64 = 300;
@@ -33,7 +36,10 @@
 pub struct Freshness {
     max_age_ms: u64,
     as_of_store_ms: Option<u64>,
+    /// Own reads since the last failed one.
+    series: Option<upstream::ReadSeries>,
     is_reading: bool,
+    failed_ms: u64,
     /// Change known to another daemon only: the store time of that daemon's copy, and the time at
     /// which to read the table unless another daemon of the region has done so.
     pending_change: Option<(u64, u64)>,
@@ -50,7 +56,9 @@
         Self {
             max_age_ms: MAX_AGE_MS + jitter_ms,
             as_of_store_ms: None,
+            series: None,
             is_reading: false,
+            failed_ms: 0,
             pending_change: None,
             next_read_ms: 0,
             jitter_ms,
@@ -79,12 +87,16 @@
     pub fn record_read(&mut self, as_of_store_ms: u64) {
         self.is_reading = false;
         self.backoff_ms = None;
+        let series = self.series.get_or_insert(upstream::ReadSeries::new(as_of_store_ms));
+        series.extend(as_of_store_ms);
         self.confirm(as_of_store_ms);
     }
 
     /// Records a failed read; `readers` is the number of daemons in the region.
     pub fn record_failure(&mut self, readers: usize, now_ms: u64) {
         self.is_reading = false;
+        self.series = None;
+        self.failed_ms = now_ms;
         let readers = u64::try_from(readers).unwrap_or(u64::MAX);
         let max_backoff_ms = readers.saturating_mul(MAX_BACKOFF_PER_READER_MS);
         let max_backoff_ms = max_backoff_ms.clamp(MAX_BACKOFF_FLOOR_MS, MAX_BACKOFF_CEILING_MS);
@@ -113,6 +125,10 @@
         }
         // The daemon with the older copy has missed a change.
         if as_of_store_ms > own_ms {
+            if self.backoff_ms.is_some() {
+                let retry_ms = now_ms.max(self.failed_ms + CUT_OFF_BACKOFF_MS);
+                self.next_read_ms = self.next_read_ms.min(retry_ms);
+            }
             let readers =
                 u64::try_from(readers).unwrap_or(FULL_JITTER_READERS).min(FULL_JITTER_READERS);
             let due_ms = now_ms + self.jitter_ms * readers / FULL_JITTER_READERS;
@@ -120,6 +136,11 @@
         }
     }
 
+    /// Returns the uninterrupted series of own reads if the last of them made the copy current.
+    pub fn current_series(&self) -> Option<upstream::ReadSeries> {
+        self.series.filter(|series| Some(series.until_store_ms) == self.as_of_store_ms)
+    }
+
     /// Returns the store time at which this daemon's copy was current.
     pub fn as_of_store_ms(&self) -> Option<u64> {
         self.as_of_store_ms
--- a/crates/edge/src/control/reports.rs
+++ b/crates/edge/src/control/reports.rs
@@ -172,5 +172,6 @@
 
 fn table_state(freshness: &Freshness, digest: u64) -> Option<fleet::TableState> {
     let as_of_store_ms = freshness.as_of_store_ms()?;
-    Some(fleet::TableState { digest, as_of_store_ms })
+    let read_since_store_ms = freshness.current_series().map(|series| series.since_store_ms);
+    Some(fleet::TableState { digest, as_of_store_ms, read_since_store_ms })
 }
--- a/crates/edge/tests/freshness.rs
+++ b/crates/edge/tests/freshness.rs
@@ -97,3 +97,60 @@
         assert!(late.len() <= 80, "{daemons} daemons: {} reads in 6 s", late.len());
     }
 }
+
+#[test]
+fn a_daemon_that_alone_was_cut_off_reads_again_within_two_seconds() {
+    const READERS: usize = 30;
+    const CALL_TIMEOUT_MS: u64 = 600;
+    const CUT_MS: u64 = 12_000;
+    /// Interval at which the daemons of a large region report.
+    const REPORT_INTERVAL_MS: u64 = 1_000;
+    for host in ["one", "two", "three", "four", "five", "six"] {
+        let mut own = freshness(host);
+        own.record_read(1_000);
+        let mut call_started_ms = None;
+        let mut read_ms = None;
+        let mut calls = 0;
+        for now_ms in (1_000..1_000 + 2 * CUT_MS).step_by(10) {
+            let is_cut = now_ms < CUT_MS;
+            // During the cut, no datagram arrives either.
+            if !is_cut && now_ms % REPORT_INTERVAL_MS == 0 {
+                own.apply_peer_state(false, now_ms - 500, READERS, now_ms);
+            }
+            match call_started_ms {
+                None if own.begin_read(Some(now_ms), now_ms) => {
+                    calls += 1;
+                    call_started_ms = Some((now_ms, is_cut));
+                }
+                Some((_, false)) => {
+                    read_ms = Some(now_ms);
+                    break;
+                }
+                Some((at_ms, true)) if now_ms >= at_ms + CALL_TIMEOUT_MS => {
+                    own.record_failure(READERS, now_ms);
+                    call_started_ms = None;
+                }
+                _ => {}
+            }
+        }
+        let took_ms = read_ms.expect("a read after the cut") - CUT_MS;
+        assert!(took_ms <= 2_000, "{host} read the table {took_ms} ms after the cut");
+        assert!(calls <= 12, "{host} made {calls} calls during the cut");
+    }
+}
+
+#[test]
+fn a_daemon_cut_off_from_the_store_alone_does_not_call_it_without_pause() {
+    const READERS: usize = 30;
+    let mut own = freshness("own");
+    own.record_read(1_000);
+    let mut calls = 0;
+    for now_ms in (3_000..13_000).step_by(10) {
+        own.apply_peer_state(false, now_ms - 100, READERS, now_ms);
+        if own.begin_read(Some(now_ms), now_ms) {
+            calls += 1;
+            own.record_failure(READERS, now_ms);
+        }
+    }
+    assert!((9..=14).contains(&calls), "{calls} calls in 10 s");
+}
