Let a restarted worker accept requests before the control thread knows of it

Cause: OwnerDriver::probe reported the worker as available before it let the worker accept requests.

Change: the worker accepts requests first.

--- a/crates/entry/src/traffic/owner_driver.rs
+++ b/crates/entry/src/traffic/owner_driver.rs
@@ -74,11 +74,12 @@
             }
             return;
         }
+        // The control thread makes requests come as soon as it knows, so the worker accepts them first.
+        self.owned.set_available(!self.is_leaving);
         if self.failed_probes >= MAX_FAILED_PROBES {
             self.owned.notify_control(WorkerEventKind::Available);
         }
         self.failed_probes = 0;
-        self.owned.set_available(!self.is_leaving);
     }
 
     /// Queries the role, load and instances of the engine and applies them to the worker.
