Bound the shutdown by the grace period

Change: the runtime is shut down without waiting for its tasks, and a shutdown that hangs is abandoned 400 ms before the end of the grace period with a log line.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -13,6 +13,7 @@
 use parking_lot::Mutex;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use signal_hook::low_level;
 use snafu::ResultExt;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time;
@@ -33,6 +34,12 @@
 /// Maximum time to wait at shutdown until the lease has been released.
 const LEASE_RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time before the end of the grace period at which a shutdown that has not finished is abandoned.
+const FORCED_EXIT_RESERVE_MS: u64 = 400;
+
+/// Exit code of an abandoned shutdown.
+const FORCED_EXIT_CODE: i32 = 3;
+
 /// Errors of starting the daemon.
 #[derive(Debug, snafu::Snafu)]
 pub enum StartError {
@@ -124,7 +131,7 @@
         .name("control".to_owned())
         .spawn(move || control::run(actor, &control_receiver))
         .context(ThreadSnafu { part: "the control thread" })?;
-    forward_signals(control_sender.clone(), reload)
+    forward_signals(control_sender.clone(), host.limits.grace_ms, reload)
         .context(ThreadSnafu { part: "the signal thread" })?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -161,6 +168,8 @@
     })?;
     spdlog::info!("stop");
     log::flush();
+    // Connections of callers and workers that are still open need not be closed in order.
+    runtime.shutdown_background();
     Ok(())
 }
 
@@ -191,7 +200,13 @@
 
 /// Starts a thread that forwards termination signals to the control thread and, on SIGHUP, logs
 /// whether the settings file has changed.
-fn forward_signals<Reload>(control: Sender<control::Message>, reload: Reload) -> io::Result<()>
+///
+/// The process exits at the end of the grace period even if a step of the shutdown hangs.
+fn forward_signals<Reload>(
+    control: Sender<control::Message>,
+    grace_ms: u64,
+    reload: Reload,
+) -> io::Result<()>
 where
     Reload: Fn() -> host::Reload + Send + 'static,
 {
@@ -205,11 +220,20 @@
             if control.send(control::Message::Shutdown).is_err() {
                 return;
             }
+            thread::spawn(move || exit_at_deadline(grace_ms));
         }
     })?;
     Ok(())
 }
 
+/// Ends the process shortly before the end of the grace period, after which it would be killed.
+fn exit_at_deadline(grace_ms: u64) {
+    thread::sleep(Duration::from_millis(grace_ms.saturating_sub(FORCED_EXIT_RESERVE_MS)));
+    spdlog::error!("exit-forced reason=\"the shutdown did not finish within the grace period\"");
+    log::flush();
+    low_level::exit(FORCED_EXIT_CODE);
+}
+
 fn log_reload(reload: &host::Reload) {
     match reload {
         host::Reload::Unchanged => spdlog::info!("reload outcome=unchanged"),
