Load the base models of replaced workers one after the other

Each holder ordered the load of its worker's base model at once. The weight store shares its bandwidth among concurrent loads beyond those at full speed (one on that site), so none of 13 workers was ready before most of them were; and the ceiling on loads held only by luck.

Change: placement::BaseLoadSchedule decides which workers load now, in the order of their start, which all holders know from the list, up to the number of loads at full speed. The platform does not publish that number: it is measured from load times against the model's nominal time and passed on in datagrams. Workers that do not start or hang are passed over.

--- a/crates/domain/examples/dispatch_cost.rs
+++ b/crates/domain/examples/dispatch_cost.rs
@@ -13,7 +13,12 @@
 
 const ROUNDS: u32 = 2_000;
 const MIN_IDLE_MS: u64 = 600;
-const FLEET: placement::FleetLoads = placement::FleetLoads { others_in_flight: 0, limit: 8 };
+const FLEET: placement::FleetLoads = placement::FleetLoads {
+    others_in_flight: 0,
+    limit: 8,
+    may_load_base_model: true,
+    other_base_loads: 0,
+};
 const MICROSECONDS: f64 = 1e6;
 
 fn worker(index: usize) -> upstream::Upstream {
--- a/crates/domain/src/placement/answers.rs
+++ b/crates/domain/src/placement/answers.rs
@@ -14,7 +14,7 @@
 const BASE_POLL_MS: u64 = 150;
 
 impl Placement {
-    /// Applies the result of an order; returns the load that it completed, if any.
+    /// Applies the result of an order; returns the adapter load that it completed, if any.
     pub fn apply_order_result(
         &mut self,
         order: &Order,
@@ -32,8 +32,10 @@
     fn apply_base_load_result(&mut self, result: OrderResult, now_ms: u64) {
         self.base_awaits_answer = false;
         self.base_order_ms = now_ms + BASE_POLL_MS;
-        if result == OrderResult::Applied {
-            self.has_base_model = true;
+        match result {
+            OrderResult::Applied => self.has_base_model = true,
+            OrderResult::Refused | OrderResult::NotSent => self.base_ordered_ms = None,
+            _ => {}
         }
     }
 
--- a/crates/domain/src/placement/concurrent_load_limit.rs
+++ b/crates/domain/src/placement/concurrent_load_limit.rs
@@ -32,6 +32,10 @@
     pub others_in_flight: usize,
     /// Loads in flight above which each takes longer.
     pub limit: usize,
+    /// Whether the worker may start to load its base model.
+    pub may_load_base_model: bool,
+    /// Base models that other workers are loading.
+    pub other_base_loads: usize,
 }
 
 /// Estimate of how many adapter loads can run concurrently before each of them takes longer.
--- a/crates/domain/src/placement/mod.rs
+++ b/crates/domain/src/placement/mod.rs
@@ -3,6 +3,7 @@
 mod adapter_demand;
 mod adapter_slot;
 mod answers;
+mod base_load_schedule;
 mod concurrent_load_limit;
 mod order;
 mod order_result;
@@ -11,6 +12,7 @@
 mod summary;
 
 pub use adapter_slot::{AdapterSlot, LATE_ORDER_WINDOW_MS, SlotState};
+pub use base_load_schedule::{BaseLoadLimit, BaseLoadSchedule, FinishedBaseLoad, LackingWorker};
 pub use concurrent_load_limit::{ConcurrentLoadLimit, FinishedLoad, FleetLoads};
 pub use order::Order;
 pub use order_result::OrderResult;
--- a/crates/domain/src/placement/placement.rs
+++ b/crates/domain/src/placement/placement.rs
@@ -32,6 +32,10 @@
     pub(super) has_base_model: bool,
     pub(super) base_awaits_answer: bool,
     pub(super) base_order_ms: u64,
+    /// Time at which the load of the base model was ordered; `None` while it has not been.
+    pub(super) base_ordered_ms: Option<u64>,
+    /// Base models that other workers were loading at that time.
+    other_base_loads: usize,
     pub(super) slots: IndexMap<name::AdapterName, AdapterSlot, FxBuildHasher>,
     demands: IndexMap<name::AdapterName, AdapterDemand, FxBuildHasher>,
     pub(super) local_copies: IndexMap<name::AdapterName, (), FxBuildHasher>,
@@ -59,6 +63,8 @@
             has_base_model,
             base_awaits_answer: false,
             base_order_ms: now_ms,
+            base_ordered_ms: None,
+            other_base_loads: 0,
             slots: IndexMap::default(),
             demands: IndexMap::default(),
             local_copies: IndexMap::default(),
@@ -175,6 +181,26 @@
         slots.max().unwrap_or(0).max(self.reserve_until_ms)
     }
 
+    /// Returns whether the worker has been ordered to load its base model and has not finished.
+    #[must_use]
+    pub fn is_loading_base_model(&self) -> bool {
+        self.base_load().is_some()
+    }
+
+    /// Returns the time at which the load of the base model was ordered, unless it has finished, and
+    /// the number of other workers that were loading then.
+    #[must_use]
+    pub fn base_load(&self) -> Option<(u64, usize)> {
+        let ordered_ms = self.base_ordered_ms.filter(|_| !self.has_base_model)?;
+        Some((ordered_ms, self.other_base_loads))
+    }
+
+    /// Returns whether the worker holds its base model.
+    #[must_use]
+    pub fn has_base_model(&self) -> bool {
+        self.has_base_model
+    }
+
     /// Returns the number of loads in flight.
     #[must_use]
     pub fn loads_in_flight(&self) -> usize {
@@ -191,6 +217,7 @@
         });
         Summary {
             has_base_model: self.has_base_model,
+            is_loading_base_model: self.is_loading_base_model(),
             held: held.collect(),
             waiting_loads: u32::try_from(self.demands.len()).unwrap_or(u32::MAX),
         }
@@ -223,8 +250,13 @@
         self.demands
             .retain(|_, demand| now_ms.saturating_sub(demand.confirmed_ms) < DEMAND_LIFETIME_MS);
         if !self.has_base_model {
-            if !self.base_awaits_answer && self.base_order_ms <= now_ms {
+            let may_order = fleet.may_load_base_model || self.is_loading_base_model();
+            if may_order && !self.base_awaits_answer && self.base_order_ms <= now_ms {
                 self.base_awaits_answer = true;
+                if self.base_ordered_ms.is_none() {
+                    self.base_ordered_ms = Some(now_ms);
+                    self.other_base_loads = fleet.other_base_loads;
+                }
                 orders.push(Order::LoadBase(self.limits.base_model.clone()));
             }
             return orders;
--- a/crates/domain/src/placement/summary.rs
+++ b/crates/domain/src/placement/summary.rs
@@ -16,6 +16,8 @@
 pub struct Summary {
     /// Whether the worker holds its base model.
     pub has_base_model: bool,
+    /// Whether the worker is loading its base model.
+    pub is_loading_base_model: bool,
     /// Adapters that are resident or being loaded.
     pub held: Vec<HeldAdapter>,
     /// Adapters that wait for a slot or a load.
--- a/crates/domain/tests/ingress.rs
+++ b/crates/domain/tests/ingress.rs
@@ -64,6 +64,7 @@
         base_models: vec![ingress::BaseModel {
             name: model.clone(),
             weights_mb: 34_300.0,
+            load_ms: 2_000,
             adapter_mb: 100.0,
         }],
     };
--- a/crates/domain/tests/placement.rs
+++ b/crates/domain/tests/placement.rs
@@ -11,7 +11,12 @@
 const CAPACITY: usize = 4;
 const MIN_IDLE_MS: u64 = 600;
 /// No loads in flight on other workers.
-const ALONE: placement::FleetLoads = placement::FleetLoads { others_in_flight: 0, limit: 8 };
+const ALONE: placement::FleetLoads = placement::FleetLoads {
+    others_in_flight: 0,
+    limit: 8,
+    may_load_base_model: true,
+    other_base_loads: 0,
+};
 
 fn adapter_ref(name: &str) -> adapter::AdapterRef {
     adapter::AdapterRef::new(name::AdapterName::from(name), 0)
--- a/crates/edge/src/control/assignments.rs
+++ b/crates/edge/src/control/assignments.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use jasminetack_domain::adapter;
 use jasminetack_domain::ingress;
 use jasminetack_domain::name;
@@ -124,7 +124,8 @@
         ));
     }
 
-    /// Applies the result of an order.
+    /// Applies the result of an order; returns the start of the base model load that it completed, if
+    /// any, and the number of other workers that were loading then.
     pub fn apply_order_result(
         &mut self,
         worker: &name::WorkerName,
@@ -132,15 +133,13 @@
         order: &placement::Order,
         result: placement::OrderResult,
         now_ms: u64,
-    ) {
-        let Some(assignment) = self
+    ) -> Option<(u64, usize)> {
+        let assignment = self
             .assignments
             .get_mut(worker)
-            .filter(|assignment| assignment.fencing_token == fencing_token)
-        else {
-            return;
-        };
-        let Some(placement) = &mut assignment.placement else { return };
+            .filter(|assignment| assignment.fencing_token == fencing_token)?;
+        let placement = assignment.placement.as_mut()?;
+        let base_load = placement.base_load();
         if let Some(load) = placement.apply_order_result(order, result, now_ms) {
             self.load_limit.record(load);
             let (took_ms, in_transit) = (load.took_ms, load.concurrent_loads);
@@ -149,15 +148,17 @@
                 "loaded worker={worker} order={order} took_ms={took_ms} in_transit={in_transit} limit={limit}"
             );
         }
+        let base_load = base_load.filter(|_| placement.has_base_model());
         let text = result.as_str();
         // A load is polled until it finishes; intermediate results are logged at debug level only.
         if result == placement::OrderResult::Accepted {
             spdlog::debug!(
                 "order worker={worker} fence={fencing_token} order={order} result={text}"
             );
-            return;
+            return base_load;
         }
         spdlog::info!("order worker={worker} fence={fencing_token} order={order} result={text}");
+        base_load
     }
 
     /// Adds demand for an adapter; returns whether the worker is assigned to this daemon.
@@ -206,9 +207,24 @@
         placements.map(placement::Placement::loads_in_flight).sum()
     }
 
+    /// Returns whether a worker has not loaded its base model.
+    pub fn lacks_base_model(&self) -> bool {
+        let placements =
+            self.assignments.values().filter_map(|assignment| assignment.placement.as_ref());
+        placements.into_iter().any(|placement| !placement.has_base_model())
+    }
+
     /// Decides which calls to make now; `other_loads` counts the adapter loads in flight on workers
-    /// of other daemons.
-    pub fn plan(&mut self, other_loads: usize, min_idle_ms: u64, now_ms: u64) -> Vec<WorkerJob> {
+    /// of other daemons, `base_loads` lists the workers that may load their base model, and
+    /// `other_base_loads` counts those that do.
+    pub fn plan(
+        &mut self,
+        other_loads: usize,
+        base_loads: &IndexSet<name::WorkerName>,
+        other_base_loads: usize,
+        min_idle_ms: u64,
+        now_ms: u64,
+    ) -> Vec<WorkerJob> {
         let all = other_loads + self.loads_in_flight();
         let limit = self.load_limit.limit();
         let mut jobs = Vec::new();
@@ -227,7 +243,13 @@
                 continue;
             }
             let others_in_flight = all - placement.loads_in_flight().min(all);
-            let fleet = placement::FleetLoads { others_in_flight, limit };
+            let may_load_base_model = base_loads.contains(&upstream.name);
+            let fleet = placement::FleetLoads {
+                others_in_flight,
+                limit,
+                may_load_base_model,
+                other_base_loads,
+            };
             for order in placement.plan(fleet, min_idle_ms, now_ms) {
                 jobs.push(job(WorkerCall::Order(order)));
             }
--- /dev/null
+++ b/crates/edge/src/control/base_loads.rs
@@ -0,0 +1,88 @@
+//! Loads of base models, which all holders schedule in the same order.
+
+use indexmap::IndexSet;
+use jasminetack_domain::ingress;
+use jasminetack_domain::name;
+use jasminetack_domain::placement;
+use jasminetack_domain::upstream;
+
+use super::control_state::ControlState;
+use crate::dialect;
+
+impl<Dialect> ControlState<Dialect>
+where
+    Dialect: dialect::Dialect,
+{
+    /// Returns the workers that may load their base model now.
+    pub(super) fn due_base_loads(&mut self, now_ms: u64) -> IndexSet<name::WorkerName> {
+        if !self.assignments.lacks_base_model() {
+            return IndexSet::new();
+        }
+        let (lacking, workers, nominal_ms) = self.lacking_workers();
+        self.base_loads.due(lacking, workers, nominal_ms, now_ms)
+    }
+
+    /// Updates the limit on concurrent loads with one that finished on an assigned worker.
+    pub(super) fn record_base_load(
+        &mut self,
+        worker: &name::WorkerName,
+        started_ms: u64,
+        others_at_start: usize,
+        now_ms: u64,
+    ) {
+        let Some(store_ms) = self.lease_manager.store_clock().upper_bound_ms(now_ms) else {
+            return;
+        };
+        let (lacking, _, nominal_ms) = self.lacking_workers();
+        let load = placement::FinishedBaseLoad {
+            took_ms: now_ms.saturating_sub(started_ms),
+            loads_at_start: 1 + others_at_start,
+            loads_at_end: 1 + lacking.iter().filter(|other| other.is_loading).count(),
+        };
+        self.base_loads.record(load, nominal_ms, store_ms);
+        let (took_ms, at_start, at_end) = (load.took_ms, load.loads_at_start, load.loads_at_end);
+        let limit = self.base_loads.limit().map_or(0.0, |limit| limit.loads);
+        spdlog::info!(
+            "base-loaded worker={worker} took_ms={took_ms} nominal_ms={nominal_ms} loads_at_start={at_start} loads_at_end={at_end} limit={limit:.1}"
+        );
+    }
+
+    /// Returns the engines without their base model, the number of all engines, and the time of a
+    /// load at full speed.
+    fn lacking_workers(&self) -> (Vec<placement::LackingWorker>, usize, u64) {
+        let (mut lacking, mut workers, mut nominal_ms) = (Vec::new(), 0, 0);
+        let Some(ingress) = self.catalog.ingress() else { return (lacking, workers, nominal_ms) };
+        for upstream in self.catalog.directory().iter() {
+            let Some(load_ms) = base_load_ms(ingress, upstream) else { continue };
+            workers += 1;
+            if upstream.is_draining || !upstream.base_models.is_empty() {
+                continue;
+            }
+            let summary = self.newest_summary(&upstream.name).unwrap_or_default();
+            if summary.has_base_model {
+                continue;
+            }
+            nominal_ms = nominal_ms.max(load_ms);
+            lacking.push(placement::LackingWorker {
+                name: upstream.name.clone(),
+                started_unix_ms: upstream.started_unix_ms,
+                is_loading: summary.is_loading_base_model,
+            });
+        }
+        (lacking, workers, nominal_ms)
+    }
+
+    /// Returns the state of a worker as known to its holder.
+    fn newest_summary(&self, worker: &name::WorkerName) -> Option<placement::Summary> {
+        if let Some(assignment) = self.assignments.get(worker) {
+            return Some(assignment.summary());
+        }
+        self.peers.holder(worker).map(|(_, _, _, summary)| summary.clone())
+    }
+}
+
+/// Returns the time that an engine takes to load its base model; `None` for other services.
+fn base_load_ms(ingress: &ingress::Ingress, upstream: &upstream::Upstream) -> Option<u64> {
+    let engine = ingress.service(&upstream.service)?.engine.as_ref()?;
+    engine.base_models.first().map(|model| model.load_ms)
+}
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexSet;
 use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
+use jasminetack_domain::placement;
 use jasminetack_domain::upstream;
 use jasminetack_wire::fleet;
 use parking_lot::Mutex;
@@ -37,6 +38,7 @@
     pub(super) dialect: Arc<Dialect>,
     pub(super) catalog: Catalog,
     pub(super) assignments: Assignments,
+    pub(super) base_loads: placement::BaseLoadSchedule,
     pub(super) removed_workers: RemovedWorkers,
     pub(super) peers: Peers,
     pub(super) lease_manager: LeaseManager,
@@ -81,6 +83,7 @@
             dialect,
             catalog: Catalog::default(),
             assignments: Assignments::default(),
+            base_loads: placement::BaseLoadSchedule::default(),
             removed_workers: RemovedWorkers::default(),
             peers: Peers::default(),
             lease_manager: LeaseManager::new(identity, times, clock::now_ms()),
@@ -171,7 +174,16 @@
             }
             Message::OrderResult { worker, fencing_token, order, result } => {
                 self.metrics.record_order(result.as_str());
-                self.assignments.apply_order_result(&worker, fencing_token, &order, result, now_ms);
+                let base_load = self.assignments.apply_order_result(
+                    &worker,
+                    fencing_token,
+                    &order,
+                    result,
+                    now_ms,
+                );
+                if let Some((started_ms, others)) = base_load {
+                    self.record_base_load(&worker, started_ms, others, now_ms);
+                }
                 self.store_unanswered_orders(&worker, now_ms);
             }
             Message::WorkerReport { worker, fencing_token, report } => {
@@ -254,7 +266,10 @@
     fn send_orders(&mut self, now_ms: u64) {
         if self.lease_manager.may_send_orders(now_ms) {
             let others = self.peers.loads_in_flight(now_ms);
-            for job in self.assignments.plan(others, MIN_IDLE_MS, now_ms) {
+            let base_loads = self.due_base_loads(now_ms);
+            let loading = self.base_loads.loading();
+            let jobs = self.assignments.plan(others, &base_loads, loading, MIN_IDLE_MS, now_ms);
+            for job in jobs {
                 self.outputs.queue_worker_job(job);
             }
         }
--- a/crates/edge/src/control/datagrams.rs
+++ b/crates/edge/src/control/datagrams.rs
@@ -52,6 +52,9 @@
             let until_ms = self.peers.get(&host).map_or(0, |peer| now_ms + peer.failure_timeout_ms);
             self.chooser.lock().loads.apply_report(&host, loads, until_ms);
         }
+        if let Some(limit) = state.base_load_limit {
+            self.base_loads.observe_limit(limit.into());
+        }
         let readers = self.region_peer_count() + 1;
         if let Some(known) = state.operator {
             let is_same = known.digest == self.catalog.operator_digest();
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod adapter_uses;
 mod assignment;
 mod assignments;
+mod base_loads;
 mod catalog;
 mod claims;
 mod control_state;
--- a/crates/edge/src/control/reports.rs
+++ b/crates/edge/src/control/reports.rs
@@ -140,6 +140,7 @@
             loads: loads.unwrap_or_default(),
             has_worker_statuses: true,
             worker_statuses: statuses.collect(),
+            base_load_limit: self.base_loads.limit().map(fleet::BaseLoadLimit::from),
             operator: table_state(&self.operator, self.catalog.operator_digest()),
             workers: table_state(&self.workers, self.catalog.directory().digest()),
         }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -125,6 +125,9 @@
     /// State of the daemon's copy of the workers table.
     #[prost(message, optional, tag = "8")]
     pub workers: Option<TableState>,
+    /// Latest measurement of the weight store's limit that the sender knows.
+    #[prost(message, optional, tag = "12")]
+    pub base_load_limit: Option<BaseLoadLimit>,
 }
 
 /// State of a daemon's copy of a table.
@@ -197,6 +200,23 @@
     /// Adapters that wait for a free slot or for another load to finish.
     #[prost(uint32, tag = "5")]
     pub waiting_loads: u32,
+    /// Whether the worker is loading its base model.
+    #[prost(bool, tag = "6")]
+    pub is_loading_base_model: bool,
+}
+
+/// Number of base model loads that the weight store serves at full speed.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct BaseLoadLimit {
+    /// Concurrent loads.
+    #[prost(double, tag = "1")]
+    pub loads: f64,
+    /// Time of the measurement on the store's clock.
+    #[prost(uint64, tag = "2")]
+    pub measured_store_ms: u64,
+    /// Whether loads above the limit were seen to slow each other down.
+    #[prost(bool, tag = "3")]
+    pub is_ceiling: bool,
 }
 
 /// State of an adapter on a worker.
@@ -313,6 +333,7 @@
             has_base_model: summary.has_base_model,
             adapters: adapters.collect(),
             waiting_loads: summary.waiting_loads,
+            is_loading_base_model: summary.is_loading_base_model,
         }
     }
 }
@@ -330,10 +351,25 @@
             has_base_model: status.has_base_model,
             held: held.collect(),
             waiting_loads: status.waiting_loads,
+            is_loading_base_model: status.is_loading_base_model,
         }
     }
 }
 
+impl From<placement::BaseLoadLimit> for BaseLoadLimit {
+    fn from(limit: placement::BaseLoadLimit) -> Self {
+        let placement::BaseLoadLimit { loads, is_ceiling, measured_store_ms } = limit;
+        Self { loads, is_ceiling, measured_store_ms }
+    }
+}
+
+impl From<BaseLoadLimit> for placement::BaseLoadLimit {
+    fn from(limit: BaseLoadLimit) -> Self {
+        let BaseLoadLimit { loads, is_ceiling, measured_store_ms } = limit;
+        Self { loads, is_ceiling, measured_store_ms }
+    }
+}
+
 impl LoadRequest {
     /// Returns the name and version of the requested adapter.
     #[must_use]
