Keep idle connections to workers for as long as the worker states

Change: a connection remembers the timeout that the worker stated last; without one it is kept for 250 ms.

--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -25,8 +25,6 @@
 pub struct Exchange {
     /// Connection that carries the response body.
     pub connection: Connection,
-    /// Idle timeout from the worker's `Keep-Alive` header.
-    pub keep_alive_ms: Option<u64>,
     /// Accounting of the request in the worker's load.
     pub load: LoadGuard,
 }
@@ -73,8 +71,8 @@
         let mut error = match result {
             Ok(response) => {
                 load.record_data(clock::now_ms());
-                let keep_alive_ms = keep_alive_ms(&response);
-                return Ok((response, Exchange { connection, keep_alive_ms, load }));
+                connection.record_keep_alive(response.headers());
+                return Ok((response, Exchange { connection, load }));
             }
             Err(error) => error,
         };
@@ -107,12 +105,6 @@
     })
 }
 
-fn keep_alive_ms<Body>(response: &Response<Body>) -> Option<u64> {
-    let value = response.headers().get("keep-alive")?.to_str().ok()?;
-    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse::<u64>().ok().map(|seconds| seconds * 1_000)
-}
-
 /// Returns whether a response may be used: it belongs to the request, or the worker reports that the
 /// request was not executed.
 pub fn is_response_accepted(
--- a/crates/edge/src/traffic/connection.rs
+++ b/crates/edge/src/traffic/connection.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -34,6 +35,8 @@
     pub opened_ms: u64,
     /// Whether an earlier exchange was completed on this connection.
     pub is_reused: bool,
+    /// Idle timeout that the worker stated last; `None` if it has not stated one.
+    pub keep_alive_ms: Option<u64>,
 }
 
 impl Connection {
@@ -54,8 +57,20 @@
             }
         });
         let opened_ms = clock::now_ms();
-        Ok(Self { sender, task: task.abort_handle(), opened_ms, is_reused: false })
+        let task = task.abort_handle();
+        Ok(Self { sender, task, opened_ms, is_reused: false, keep_alive_ms: None })
     }
+
+    /// Records the idle timeout that a response states.
+    pub fn record_keep_alive(&mut self, headers: &HeaderMap) {
+        self.keep_alive_ms = stated_keep_alive_ms(headers).or(self.keep_alive_ms);
+    }
+}
+
+fn stated_keep_alive_ms(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse::<u64>().ok()?.checked_mul(1_000)
 }
 
 impl Drop for Connection {
--- a/crates/edge/src/traffic/order_sender.rs
+++ b/crates/edge/src/traffic/order_sender.rs
@@ -122,11 +122,12 @@
         let exchange = async {
             let response = connection.sender.send_request(request).await?;
             let (head, body) = response.into_parts();
+            connection.record_keep_alive(&head.headers);
             Ok::<_, hyper::Error>((head.status, body.collect().await?.to_bytes()))
         };
         match time::timeout(REQUEST_TIMEOUT, exchange).await {
             Ok(Ok(response)) => {
-                pool.put(worker, connection, None, clock::now_ms());
+                pool.put(worker, connection, clock::now_ms());
                 Ok(response)
             }
             Ok(Err(error)) if error.is_canceled() => Err(placement::OrderResult::NotSent),
--- a/crates/edge/src/traffic/pool.rs
+++ b/crates/edge/src/traffic/pool.rs
@@ -8,8 +8,8 @@
 
 /// Idle connections per worker.
 const MAX_IDLE_CONNECTIONS: usize = 24;
-/// Idle timeout of connections to workers that send no `Keep-Alive` timeout.
-const DEFAULT_IDLE_MS: u64 = 4_000;
+/// Idle time of connections to workers that state no timeout, which is then shorter than a second.
+const DEFAULT_IDLE_MS: u64 = 250;
 /// Margin before the worker's idle timeout, so that a request does not meet a closing connection.
 const IDLE_MARGIN_MS: u64 = 500;
 
@@ -35,20 +35,14 @@
         Some(idle.remove(position).connection)
     }
 
-    /// Returns a connection whose last response was complete; `keep_alive_ms` is the worker's idle
-    /// timeout.
-    pub fn put(
-        &self,
-        worker: &name::WorkerName,
-        mut connection: Connection,
-        keep_alive_ms: Option<u64>,
-        now_ms: u64,
-    ) {
+    /// Returns a connection whose last response was complete.
+    pub fn put(&self, worker: &name::WorkerName, mut connection: Connection, now_ms: u64) {
         if connection.sender.is_closed() {
             return;
         }
         connection.is_reused = true;
-        let idle_ms = keep_alive_ms.map(|timeout_ms| timeout_ms.saturating_sub(IDLE_MARGIN_MS));
+        let stated_ms = connection.keep_alive_ms;
+        let idle_ms = stated_ms.map(|timeout_ms| timeout_ms.saturating_sub(IDLE_MARGIN_MS));
         let until_ms = now_ms + idle_ms.unwrap_or(DEFAULT_IDLE_MS);
         let mut pool = self.idle.lock();
         let idle = pool.entry(worker.clone()).or_default();
--- a/crates/edge/src/traffic/relay.rs
+++ b/crates/edge/src/traffic/relay.rs
@@ -20,7 +20,6 @@
 pub struct Relay {
     incoming: Incoming,
     connection: Option<Connection>,
-    keep_alive_ms: Option<u64>,
     load: LoadGuard,
     record: RequestRecord,
     deadline: Pin<Box<Sleep>>,
@@ -37,11 +36,10 @@
         deadline: Pin<Box<Sleep>>,
         pool: Arc<Pool>,
     ) -> Self {
-        let Exchange { connection, keep_alive_ms, load } = exchange;
+        let Exchange { connection, load } = exchange;
         let connection = Some(connection);
         let is_complete = false;
-        let mut relay =
-            Self { incoming, connection, keep_alive_ms, load, record, deadline, pool, is_complete };
+        let mut relay = Self { incoming, connection, load, record, deadline, pool, is_complete };
         relay.complete_at_end();
         relay
     }
@@ -107,7 +105,7 @@
         self.load.record_data(now_ms);
         self.record.set_outcome("answered");
         if let Some(connection) = self.connection.take() {
-            self.pool.put(self.load.worker(), connection, self.keep_alive_ms, now_ms);
+            self.pool.put(self.load.worker(), connection, now_ms);
         }
     }
 }
--- a/crates/edge/src/traffic/stream_relay.rs
+++ b/crates/edge/src/traffic/stream_relay.rs
@@ -116,8 +116,8 @@
         if !remainder.is_empty() && self.chunks.send(Ok(remainder)).await.is_err() {
             return RelayEnd::CallerDisconnected;
         }
-        let Exchange { connection, keep_alive_ms, load } = exchange;
-        self.request.pool().put(load.worker(), connection, keep_alive_ms, clock::now_ms());
+        let Exchange { connection, load } = exchange;
+        self.request.pool().put(load.worker(), connection, clock::now_ms());
         RelayEnd::Complete
     }
 
