Refuse at once what cannot be served usefully

Retry-After was 250 ms whatever the load.

Change: dispatch::admission decides before a request waits or is sent, from the predicted wait for the adapter, the queue of the worker and the time of the generation. It refuses what would not be complete by the deadline, and what would begin later than others can be served for; Retry-After follows from the load that is in the way and is spread. Holders publish how long a further load would wait, measured from the rate at which slots turn over. Generations are predicted by token.

--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -1,13 +1,14 @@
 //! Choice of a worker by the predicted time to the first part of the answer.
 
 use super::{
-    AdapterState, Candidate, GenerationTime, Health, Loads, Popularity, PromptCacheIndex,
+    AdapterState, Candidate, Estimate, GenerationTime, Health, Loads, Popularity, PromptCacheIndex,
     PromptSegment, RequestSize,
 };
 use crate::locality;
 use crate::member;
 use crate::name;
 use crate::route;
+use crate::upstream;
 
 /// Time of a load on the preferred worker of an adapter, which is likely to have a local copy.
 const PREFERRED_LOAD_COST_MS: f64 = 200.0;
@@ -19,8 +20,6 @@
 const LOADING_COST_MS: f64 = 130.0;
 /// Round trip to a lease holder in another region, plus the risk that the adapter was unloaded.
 const CONFIRMATION_COST_MS: f64 = 80.0;
-/// Time added by each load that waits on a worker.
-const WAITING_LOAD_COST_MS: f64 = 40.0;
 /// Time that one generation in the batch adds to the others through longer steps.
 const GENERATION_COST_MS: f64 = 6.0;
 /// Time added by each call in flight on an app service.
@@ -62,6 +61,15 @@
     pub latencies: route::LatencyTracker,
 }
 
+/// A chosen worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The worker and its cost.
+    pub decision: route::Decision,
+    /// Predicted times there.
+    pub estimate: Estimate,
+}
+
 /// Inputs of the choice for one request.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceRequest<'a> {
@@ -95,7 +103,7 @@
         choice: &ChoiceRequest<'_>,
         candidates: &[Candidate<'_>],
         now_ms: u64,
-    ) -> Option<route::Decision> {
+    ) -> Option<Choice> {
         let mut considered = Vec::with_capacity(candidates.len());
         let mut best: Option<usize> = None;
         let preferred = preferred(choice, candidates);
@@ -118,7 +126,51 @@
         } else {
             "lowest predicted time"
         };
-        Some(route::Decision { worker, cost_ms, considered, reason })
+        let chosen = candidates.iter().find(|candidate| candidate.upstream.name == worker)?;
+        let estimate = self.estimate(choice, chosen, now_ms);
+        let decision = route::Decision { worker, cost_ms, considered, reason };
+        Some(Choice { decision, estimate })
+    }
+
+    /// Predicts the times of a request on a worker.
+    fn estimate(
+        &self,
+        choice: &ChoiceRequest<'_>,
+        candidate: &Candidate<'_>,
+        now_ms: u64,
+    ) -> Estimate {
+        if !choice.size.is_generation() {
+            return Estimate::default();
+        }
+        let adapter_wait_ms = match candidate.adapter {
+            AdapterState::Resident => 0.0,
+            AdapterState::Unconfirmed => CONFIRMATION_COST_MS,
+            AdapterState::Loading => LOADING_COST_MS,
+            AdapterState::Absent { wait_ms } => f64::from(wait_ms) + MIN_LOAD_COST_MS,
+        };
+        Estimate {
+            adapter_wait_ms,
+            first_part_ms: self.first_part_ms(choice, candidate.upstream, now_ms),
+            generation_ms: self.generation_time.predict_ms(choice.size.answer_tokens),
+        }
+    }
+
+    /// Predicts the time until the first part of the answer of a worker that holds the adapter.
+    fn first_part_ms(
+        &self,
+        choice: &ChoiceRequest<'_>,
+        upstream: &upstream::Upstream,
+        now_ms: u64,
+    ) -> f64 {
+        let worker = &upstream.name;
+        let (requests, unread_tokens) = self.loads.outstanding(worker);
+        let cached = self.prompt_cache.cached_tokens(worker, choice.adapter, choice.parts, now_ms);
+        let unread = f64::from(unread_tokens) + f64::from(choice.size.prompt_tokens)
+            - f64::from(cached.min(choice.size.prompt_tokens));
+        // With all slots in use, one becomes free at this interval on average.
+        let slot_ms = self.generation_time.mean_ms() / f64::from(upstream.slots.max(1));
+        let beyond = f64::from((requests + 1).saturating_sub(upstream.slots));
+        unread / PREFILL_TOKENS_PER_MS + beyond * slot_ms
     }
 
     fn cost_ms(
@@ -130,21 +182,15 @@
     ) -> f64 {
         let upstream = candidate.upstream;
         let worker = &upstream.name;
-        let (requests, unread_tokens) = self.loads.outstanding(worker);
+        let (requests, _) = self.loads.outstanding(worker);
         let mut cost_ms = match choice.from.distance(&upstream.locality) {
             locality::Distance::SameFailureDomain => 0.0,
             locality::Distance::SameRegion => SAME_REGION_COST_MS,
             locality::Distance::OtherRegion => OTHER_REGION_COST_MS,
         };
         if choice.size.is_generation() {
-            let cached =
-                self.prompt_cache.cached_tokens(worker, choice.adapter, choice.parts, now_ms);
-            let unread = f64::from(unread_tokens) + f64::from(choice.size.prompt_tokens)
-                - f64::from(cached.min(choice.size.prompt_tokens));
-            cost_ms += f64::from(requests) * GENERATION_COST_MS + unread / PREFILL_TOKENS_PER_MS;
-            // With all slots in use, one becomes free at this interval on average.
-            let slot_ms = self.generation_time.mean_ms() / f64::from(upstream.slots.max(1));
-            cost_ms += f64::from((requests + 1).saturating_sub(upstream.slots)) * slot_ms;
+            cost_ms += f64::from(requests) * GENERATION_COST_MS;
+            cost_ms += self.first_part_ms(choice, upstream, now_ms);
             cost_ms += choice.preference_ms(worker);
             let is_loading_worker = choice.loading_worker == Some(worker);
             cost_ms += if is_loading_worker && candidate.adapter != AdapterState::Resident {
@@ -168,13 +214,12 @@
         is_preferred: bool,
         now_ms: u64,
     ) -> f64 {
-        let waiting_loads = match state {
+        let wait_ms = match state {
             AdapterState::Resident => return 0.0,
             AdapterState::Unconfirmed => return CONFIRMATION_COST_MS,
             AdapterState::Loading => return LOADING_COST_MS,
-            AdapterState::Absent { waiting_loads } => waiting_loads,
+            AdapterState::Absent { wait_ms } => f64::from(wait_ms),
         };
-        let wait_ms = f64::from(waiting_loads) * WAITING_LOAD_COST_MS;
         if is_preferred {
             return PREFERRED_LOAD_COST_MS + wait_ms;
         }
--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -4,8 +4,10 @@
 //! queue.
 
 mod adapter_use;
+pub mod admission;
 mod candidate;
 mod chooser;
+mod estimate;
 mod generation_time;
 mod health;
 mod loads;
@@ -16,8 +18,10 @@
 mod retry_budget;
 
 pub use adapter_use::AdapterUse;
+pub use admission::{Admission, RefusalReason, TimeLimits};
 pub use candidate::{AdapterState, Candidate};
-pub use chooser::{ChoiceRequest, Chooser};
+pub use chooser::{Choice, ChoiceRequest, Chooser};
+pub use estimate::Estimate;
 pub use generation_time::GenerationTime;
 pub use health::Health;
 pub use loads::Loads;
--- a/crates/domain/src/placement/mod.rs
+++ b/crates/domain/src/placement/mod.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod base_load_schedule;
 mod concurrent_load_limit;
+mod load_turnover;
 mod order;
 mod order_result;
 #[allow(clippy::module_inception)]
--- a/crates/domain/src/placement/placement.rs
+++ b/crates/domain/src/placement/placement.rs
@@ -4,6 +4,7 @@
 use rustc_hash::FxBuildHasher;
 
 use super::adapter_demand::AdapterDemand;
+use super::load_turnover::LoadTurnover;
 use super::{AdapterSlot, Counts, FleetLoads, HeldAdapter, Order, SlotState, Summary};
 use crate::adapter;
 use crate::dispatch;
@@ -38,6 +39,9 @@
     other_base_loads: usize,
     pub(super) slots: IndexMap<name::AdapterName, AdapterSlot, FxBuildHasher>,
     demands: IndexMap<name::AdapterName, AdapterDemand, FxBuildHasher>,
+    turnover: LoadTurnover,
+    /// Predicted time until a further load starts, as of the last decision.
+    load_wait_ms: u32,
     pub(super) local_copies: IndexMap<name::AdapterName, (), FxBuildHasher>,
     /// Time until which the worker may execute orders of an earlier holder of the order lease.
     reserve_until_ms: u64,
@@ -67,6 +71,8 @@
             other_base_loads: 0,
             slots: IndexMap::default(),
             demands: IndexMap::default(),
+            turnover: LoadTurnover::default(),
+            load_wait_ms: 0,
             local_copies: IndexMap::default(),
             reserve_until_ms: late_until_ms,
             has_unreported: late_until_ms > now_ms,
@@ -220,6 +226,7 @@
             is_loading_base_model: self.is_loading_base_model(),
             held: held.collect(),
             waiting_loads: u32::try_from(self.demands.len()).unwrap_or(u32::MAX),
+            load_wait_ms: self.load_wait_ms,
         }
     }
 
@@ -324,9 +331,11 @@
             slot.concurrent_loads = in_flight + fleet.others_in_flight;
             started.push(name);
         }
-        for name in started {
-            self.demands.shift_remove(&name);
+        for name in &started {
+            self.demands.shift_remove(name);
         }
+        self.turnover.update(started.len(), self.demands.len(), now_ms);
+        self.load_wait_ms = self.turnover.wait_ms(now_ms);
     }
 
     /// Starts to unload idle adapters to free slots for waiting ones.
--- a/crates/domain/src/placement/summary.rs
+++ b/crates/domain/src/placement/summary.rs
@@ -22,6 +22,8 @@
     pub held: Vec<HeldAdapter>,
     /// Adapters that wait for a slot or a load.
     pub waiting_loads: u32,
+    /// Predicted time until a further load starts.
+    pub load_wait_ms: u32,
 }
 
 /// Number of slots in each state.
--- a/crates/domain/tests/dispatch.rs
+++ b/crates/domain/tests/dispatch.rs
@@ -69,12 +69,12 @@
             excluded: &self.excluded,
         };
         let decision = self.chooser.choose(&choice, &candidates, now_ms)?;
-        Some(decision.worker.to_string())
+        Some(decision.decision.worker.to_string())
     }
 }
 
 const RESIDENT: dispatch::AdapterState = dispatch::AdapterState::Resident;
-const ABSENT: dispatch::AdapterState = dispatch::AdapterState::Absent { waiting_loads: 0 };
+const ABSENT: dispatch::AdapterState = dispatch::AdapterState::Absent { wait_ms: 0 };
 
 #[test]
 fn a_remote_worker_with_the_adapter_beats_a_local_one_without() {
@@ -127,7 +127,7 @@
     assert_eq!(fixture.choose(100).as_deref(), Some("free"));
     // With short generations, a slot becomes free almost at once.
     for _ in 0..1_000 {
-        fixture.chooser.generation_time.record(5);
+        fixture.chooser.generation_time.record(5, 70);
     }
     assert_eq!(fixture.choose(100).as_deref(), Some("full"));
 }
--- a/crates/domain/tests/placement.rs
+++ b/crates/domain/tests/placement.rs
@@ -275,3 +275,24 @@
         }
     }
 }
+
+#[test]
+fn the_predicted_wait_for_a_load_grows_while_all_slots_are_in_use() {
+    const WAITING: usize = 20;
+    let mut placement = placement(0);
+    fill(&mut placement);
+    let used = dispatch::AdapterUse { in_flight: 1, started: 1 };
+    for index in 0..CAPACITY {
+        placement.record_use(&name::AdapterName::from(format!("a{index}").as_str()), used, 100);
+    }
+    let mut wait_ms = |now_ms: u64, demands: usize| {
+        for index in 0..demands {
+            placement.add_demand(&adapter_ref(&format!("b{index}")), true, now_ms);
+        }
+        placement.plan(ALONE, MIN_IDLE_MS, now_ms);
+        placement.summary().load_wait_ms
+    };
+    assert!(wait_ms(1_000, WAITING) < 3_000);
+    assert!(wait_ms(1_500, WAITING) >= 10_000);
+    assert_eq!(wait_ms(9_000, 0), 0, "demands that nobody confirms expire");
+}
--- a/crates/edge/src/traffic/load_guard.rs
+++ b/crates/edge/src/traffic/load_guard.rs
@@ -92,7 +92,8 @@
         match self.first_data_ms {
             None => chooser.loads.record_first_part(&self.worker, self.work, self.sent_ms),
             Some(first_data_ms) if self.work.is_generation() => {
-                chooser.generation_time.record(clock::now_ms().saturating_sub(first_data_ms));
+                let took_ms = clock::now_ms().saturating_sub(first_data_ms);
+                chooser.generation_time.record(took_ms, self.work.answer_tokens);
             }
             Some(_) => {}
         }
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -5,6 +5,7 @@
 
 use jasminetack_domain::adapter;
 use jasminetack_domain::dispatch;
+use jasminetack_domain::dispatch::admission;
 use jasminetack_domain::name;
 use jasminetack_domain::route;
 use jasminetack_domain::upstream;
@@ -36,6 +37,7 @@
     pub(super) upstream: Arc<upstream::Upstream>,
     pub(super) decision: route::Decision,
     pub(super) state: dispatch::AdapterState,
+    pub(super) estimate: dispatch::Estimate,
 }
 
 impl<Dialect> ProxyRequest<Dialect>
@@ -54,6 +56,7 @@
         let started_ms = clock::now_ms();
         let wait_ms = (self.deadline_ms.saturating_sub(self.received_ms)) as f64 * LOAD_WAIT_SHARE;
         let wait_until_ms = started_ms + (wait_ms as u64).min(MAX_LOAD_WAIT_MS);
+        let mut adapter_wait_ms = 0.0;
         loop {
             let now_ms = clock::now_ms();
             if now_ms >= self.deadline_ms {
@@ -61,10 +64,12 @@
             }
             self.revision.borrow_and_update();
             if let Some(target) = self.select_worker(now_ms) {
+                self.check_admission(&target, now_ms > started_ms, now_ms)?;
                 if target.state == dispatch::AdapterState::Resident {
                     record.set_load_wait(now_ms.saturating_sub(started_ms));
                     return Ok(target);
                 }
+                adapter_wait_ms = target.estimate.adapter_wait_ms;
                 record.set_loading_worker(&target.decision.worker);
                 self.request_load(&target.decision.worker, false, now_ms);
             } else if !self.excluded.is_empty() {
@@ -72,13 +77,49 @@
             }
             if now_ms >= wait_until_ms {
                 record.set_load_wait(now_ms.saturating_sub(started_ms));
-                return Err(self.give_up("no worker with the adapter"));
+                return Err(self.refuse_after_wait(adapter_wait_ms, now_ms));
             }
             // A timeout and a new view are handled alike: the next round selects a worker again.
             let _ = time::timeout(VIEW_CHECK_INTERVAL, self.revision.changed()).await;
         }
     }
 
+    /// Refuses the request if it cannot be served usefully at the predicted load.
+    fn check_admission(
+        &self,
+        target: &Target,
+        is_taken_in: bool,
+        now_ms: u64,
+    ) -> Result<(), Refusal> {
+        if self.possible_executions > 0 {
+            return Ok(());
+        }
+        let (limits, random) = (self.time_limits(), rand::random());
+        let estimate = target.estimate;
+        match admission::decide(limits, estimate, is_taken_in, random, now_ms) {
+            dispatch::Admission::Admitted => Ok(()),
+            dispatch::Admission::Refused { reason, retry_after_ms } => {
+                Err(Refusal::not_executed(reason.as_str(), retry_after_ms))
+            }
+        }
+    }
+
+    /// Builds the refusal of a request that has waited for its adapter as long as it may.
+    fn refuse_after_wait(&self, adapter_wait_ms: f64, now_ms: u64) -> Refusal {
+        let refusal = self.give_up("no worker with the adapter");
+        let retry_after_ms =
+            admission::retry_after_ms(self.time_limits(), adapter_wait_ms, rand::random(), now_ms);
+        Refusal { retry_after_ms: refusal.retry_after_ms.and(Some(retry_after_ms)), ..refusal }
+    }
+
+    fn time_limits(&self) -> dispatch::TimeLimits {
+        dispatch::TimeLimits {
+            target_ms: self.received_ms + self.route.first_byte_target_ms,
+            deadline_ms: self.deadline_ms,
+            received_ms: self.received_ms,
+        }
+    }
+
     /// Selects the best worker in the current view; `None` when no worker can serve the request.
     pub(super) fn select_worker(&self, now_ms: u64) -> Option<Target> {
         let view = self.shared.view.load();
@@ -97,11 +138,12 @@
             loading_worker: self.requested_load.as_ref().map(|(worker, _)| worker),
             excluded: &self.excluded,
         };
-        let decision = self.shared.chooser.lock().choose(&selection, &candidates, now_ms)?;
+        let choice = self.shared.chooser.lock().choose(&selection, &candidates, now_ms)?;
+        let dispatch::Choice { decision, estimate } = choice;
         let chosen = candidates.iter().position(|known| known.upstream.name == decision.worker)?;
         let state = candidates[chosen].adapter;
         let upstream = workers.iter().find(|worker| worker.upstream.name == decision.worker)?;
-        Some(Target { upstream: Arc::clone(&upstream.upstream), decision, state })
+        Some(Target { upstream: Arc::clone(&upstream.upstream), decision, state, estimate })
     }
 
     /// Returns the state of the adapter on a worker, or `None` when the worker cannot serve the request.
@@ -130,8 +172,8 @@
                 false => dispatch::AdapterState::Resident,
             });
         }
-        let waiting_loads = worker.waiting_loads;
-        worker.has_holder.then_some(dispatch::AdapterState::Absent { waiting_loads })
+        let wait_ms = worker.load_wait_ms;
+        worker.has_holder.then_some(dispatch::AdapterState::Absent { wait_ms })
     }
 
     /// Returns the oldest adapter version that may serve the request; 0 for any.
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -203,6 +203,9 @@
     /// Whether the worker is loading its base model.
     #[prost(bool, tag = "6")]
     pub is_loading_base_model: bool,
+    /// Predicted time until a further adapter load starts.
+    #[prost(uint32, tag = "7")]
+    pub load_wait_ms: u32,
 }
 
 /// Number of base model loads that the weight store serves at full speed.
@@ -333,6 +336,7 @@
             has_base_model: summary.has_base_model,
             adapters: adapters.collect(),
             waiting_loads: summary.waiting_loads,
+            load_wait_ms: summary.load_wait_ms,
             is_loading_base_model: summary.is_loading_base_model,
         }
     }
@@ -351,6 +355,7 @@
             has_base_model: status.has_base_model,
             held: held.collect(),
             waiting_loads: status.waiting_loads,
+            load_wait_ms: status.load_wait_ms,
             is_loading_base_model: status.is_loading_base_model,
         }
     }
