Bound endless bytes of workers

Played by a stand-in (standins::fleet::EndlessWorker): interim responses without end held up the daemon's only traffic thread, since hyper parses them without returning (8.5 s for a request with a deadline of 6 s); an event without end was forwarded in parts of 256 KiB, after which the stream could be resumed in the middle of an event; reports were read to any length.

Change: a connection fails when 256 KiB arrive before the response head is complete, buffers of worker connections are bounded to 64 KiB, an event above 256 KiB counts as a broken stream, and responses to orders and reports are read up to 256 KiB. Sending to a worker has one function, Connection::send.

--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -64,14 +64,13 @@
             None => open(pool, upstream, &load).await?,
         };
         let elapsed = Duration::from_millis(clock::now_ms().saturating_sub(started_ms));
-        let sent = connection.sender.try_send_request(request);
+        let sent = connection.send(request);
         let Ok(result) = time::timeout(limit.saturating_sub(elapsed), sent).await else {
             return Err(AttemptError::TimedOut);
         };
         let mut error = match result {
             Ok(response) => {
                 load.record_data(clock::now_ms());
-                connection.record_keep_alive(response.headers());
                 return Ok((response, Exchange { connection, load }));
             }
             Err(error) => error,
--- a/crates/edge/src/traffic/connection.rs
+++ b/crates/edge/src/traffic/connection.rs
@@ -6,14 +6,16 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::HeaderMap;
-use hyper::client::conn::http1;
+use hyper::body::Incoming;
+use hyper::client::conn::{TrySendError, http1};
+use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time;
 
+use super::head_limit::{HeadLimit, HeadLimitedStream};
 use crate::clock;
 
 /// Timeout for opening a connection; a round trip between regions takes 40 ms.
@@ -22,6 +24,8 @@
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time before the first TCP keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Buffer for data of a worker; also the longest response head.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Unanswered keepalive probes after which a connection is closed.
 const KEEPALIVE_RETRIES: u32 = 2;
 
@@ -31,6 +35,7 @@
     /// Request sender of hyper.
     pub sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    head_limit: HeadLimit,
     /// Time at which the connection was opened.
     pub opened_ms: u64,
     /// Whether an earlier exchange was completed on this connection.
@@ -49,8 +54,12 @@
         let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         configure_keepalive(&stream)?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let (stream, head_limit) = HeadLimitedStream::new(stream);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 spdlog::debug!("connection-ended error=\"{error}\"");
@@ -58,12 +67,24 @@
         });
         let opened_ms = clock::now_ms();
         let task = task.abort_handle();
-        Ok(Self { sender, task, opened_ms, is_reused: false, keep_alive_ms: None })
+        let (is_reused, keep_alive_ms) = (false, None);
+        Ok(Self { sender, task, head_limit, opened_ms, is_reused, keep_alive_ms })
     }
 
-    /// Records the idle timeout that a response states.
-    pub fn record_keep_alive(&mut self, headers: &HeaderMap) {
-        self.keep_alive_ms = stated_keep_alive_ms(headers).or(self.keep_alive_ms);
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks; the error holds the request if none of it was sent.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.head_limit.start();
+        let response = self.sender.try_send_request(request).await?;
+        self.head_limit.stop();
+        self.keep_alive_ms = stated_keep_alive_ms(response.headers()).or(self.keep_alive_ms);
+        Ok(response)
     }
 }
 
--- a/crates/edge/src/traffic/event_buffer.rs
+++ b/crates/edge/src/traffic/event_buffer.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Longest buffered event; a longer one is forwarded in parts.
+/// Longest event; a longer one is not the answer of a sound worker.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// Buffers an incomplete event until its end has arrived.
@@ -15,22 +15,19 @@
 }
 
 impl EventBuffer {
-    /// Appends data and returns the events that are complete.
-    pub fn push(&mut self, data: &[u8]) -> Bytes {
+    /// Appends data and returns the events that are complete; `None` when an event is too long.
+    pub fn push(&mut self, data: &[u8]) -> Option<Bytes> {
         // A delimiter that was not found before ends in the new data; it has up to 3 bytes.
         let searched = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(data);
         let Some(end) = last_event_end(&self.partial, searched) else {
-            if self.partial.len() > MAX_EVENT_BYTES {
-                return self.partial.split().freeze();
-            }
-            return Bytes::new();
+            return (self.partial.len() <= MAX_EVENT_BYTES).then(Bytes::new);
         };
         let complete = self.partial.split_to(end).freeze();
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
-        complete
+        Some(complete)
     }
 
     /// Returns the last event ID among the complete events.
--- a/crates/edge/src/traffic/order_sender.rs
+++ b/crates/edge/src/traffic/order_sender.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, Uri};
 use jasminetack_domain::placement;
@@ -16,6 +16,8 @@
 use crate::control;
 use crate::dialect;
 
+/// Longest response to an order or report request.
+const MAX_RESPONSE_BYTES: usize = 256 * 1024;
 /// Timeout of an order or report request.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -110,29 +112,18 @@
     ) -> Result<(hyper::StatusCode, Bytes), placement::OrderResult> {
         let worker = &job.upstream.name;
         let pool = &self.shared.pool;
-        let connection = match pool.take(worker, clock::now_ms()) {
+        let mut connection = match pool.take(worker, clock::now_ms()) {
             Some(connection) => connection,
             None => {
                 let opened = Connection::open(job.upstream.address).await;
                 opened.map_err(|_| placement::OrderResult::NotSent)?
             }
         };
-        let mut connection = connection;
         let request = self.build_request(job, method, path, body);
-        let exchange = async {
-            let response = connection.sender.send_request(request).await?;
-            let (head, body) = response.into_parts();
-            connection.record_keep_alive(&head.headers);
-            Ok::<_, hyper::Error>((head.status, body.collect().await?.to_bytes()))
-        };
-        match time::timeout(REQUEST_TIMEOUT, exchange).await {
-            Ok(Ok(response)) => {
-                pool.put(worker, connection, clock::now_ms());
-                Ok(response)
-            }
-            Ok(Err(error)) if error.is_canceled() => Err(placement::OrderResult::NotSent),
-            Ok(Err(_)) | Err(_) => Err(placement::OrderResult::Unanswered),
-        }
+        let exchange = time::timeout(REQUEST_TIMEOUT, exchange(&mut connection, request)).await;
+        let response = exchange.unwrap_or(Err(placement::OrderResult::Unanswered))?;
+        pool.put(worker, connection, clock::now_ms());
+        Ok(response)
     }
 
     fn build_request(
@@ -154,3 +145,21 @@
         request
     }
 }
+
+/// Sends a request and reads the whole response.
+async fn exchange(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+) -> Result<(hyper::StatusCode, Bytes), placement::OrderResult> {
+    let response = connection.send(request).await.map_err(|error| {
+        if error.error().is_canceled() {
+            return placement::OrderResult::NotSent;
+        }
+        placement::OrderResult::Unanswered
+    })?;
+    let (head, body) = response.into_parts();
+    match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
+        Ok(body) => Ok((head.status, body.to_bytes())),
+        Err(_) => Err(placement::OrderResult::Unanswered),
+    }
+}
--- a/crates/edge/src/traffic/stream_relay.rs
+++ b/crates/edge/src/traffic/stream_relay.rs
@@ -107,7 +107,10 @@
                 None => break,
             };
             exchange.load.record_data(clock::now_ms());
-            let complete = self.events.push(&data);
+            let Some(complete) = self.events.push(&data) else {
+                exchange.load.record_failure(clock::now_ms());
+                return RelayEnd::Interrupted;
+            };
             if !complete.is_empty() && self.chunks.send(Ok(complete)).await.is_err() {
                 return RelayEnd::CallerDisconnected;
             }
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Tests inject faults at run time.
 
+mod endless_worker;
 mod http_server;
 mod row_store;
 mod store;
@@ -10,6 +11,7 @@
 mod worker_faults;
 mod worker_log;
 
+pub use endless_worker::{EndlessBytes, EndlessWorker};
 pub use row_store::RowStore;
 pub use store::Store;
 pub use store_faults::StoreFaults;
