--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -100,6 +100,7 @@
     let metrics = Arc::new(metrics::Metrics::new());
     let (worker_jobs, worker_job_receiver) = mpsc::unbounded_channel();
     let (datagrams, outgoing_datagrams) = mpsc::unbounded_channel();
+    let store = store::MeteredStore::new(store, Arc::clone(&metrics));
     let store_jobs = control::Writer::start(store.clone(), control_sender.clone());
     let store_jobs = store_jobs.context(ThreadSnafu { part: "the writer" })?;
     let feed = |table| {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -12,6 +12,7 @@
 
 type Label = [(&'static str, String); 1];
 type KindAndOutcome = [(&'static str, String); 2];
+type StoreCall = [(&'static str, String); 3];
 type DurationHistograms = Family<Label, Histogram, fn() -> Histogram>;
 
 /// Upper bound of the first bucket; each bound is twice the previous one, up to about 65 s.
@@ -29,6 +30,7 @@
     total: DurationHistograms,
     failed_attempts: Family<Label, Counter>,
     orders: Family<Label, Counter>,
+    store_calls: Family<StoreCall, Counter>,
 }
 
 impl Metrics {
@@ -42,6 +44,7 @@
         let total: DurationHistograms = Family::new_with_constructor(duration_histogram);
         let failed_attempts = Family::default();
         let orders = Family::default();
+        let store_calls = Family::default();
         registry.register("in_flight", "Requests being served", in_flight.clone());
         registry.register("requests", "Requests by kind and outcome", requests.clone());
         let help = "Time to the head of the answer";
@@ -51,8 +54,19 @@
         let help = "Attempts at workers without a usable answer";
         registry.register("failed_attempts", help, failed_attempts.clone());
         registry.register("orders", "Orders to workers by result", orders.clone());
+        let help = "Calls to the metadata store by kind, table and result";
+        registry.register("store_calls", help, store_calls.clone());
         let registry = Mutex::new(registry);
-        Self { registry, in_flight, requests, first_part, total, failed_attempts, orders }
+        Self {
+            registry,
+            in_flight,
+            requests,
+            first_part,
+            total,
+            failed_attempts,
+            orders,
+            store_calls,
+        }
     }
 
     /// Records a finished request; `first_ms` is `None` when no response head was received.
@@ -76,6 +90,13 @@
         self.orders.get_or_create(&[("result", result.to_owned())]).inc();
     }
 
+    /// Records a call to the metadata store.
+    pub fn record_store_call(&self, call: &str, table: &str, result: &str) {
+        let labels = [("call", call), ("table", table), ("result", result)];
+        let labels = labels.map(|(name, value)| (name, value.to_owned()));
+        self.store_calls.get_or_create(&labels).inc();
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     #[must_use]
     pub fn encode(&self) -> String {
