Log the parts, the longest gap and the timeout of each response

Cause: the record of a stream that was cut at its deadline 14 s after it began didn't tell whether it was slow all the time or stalled once.

--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod datagram_socket;
 mod event_buffer;
+mod forwarded_parts;
 mod head_limit;
 mod health_server;
 mod load_guard;
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -132,6 +132,7 @@
         }
         let timeout_ms = facts.deadline_ms.unwrap_or(DEFAULT_TIMEOUT_MS).min(route.timeout_ms);
         let deadline_ms = received_ms + timeout_ms;
+        record.set_timeout(timeout_ms);
         let limits = ingress.limits();
         let read = Limited::new(body, limits.max_body_bytes).collect();
         let limit = Duration::from_millis(limits.idle_timeout_ms.min(timeout_ms));
--- a/crates/edge/src/traffic/relay.rs
+++ b/crates/edge/src/traffic/relay.rs
@@ -65,7 +65,9 @@
             return Poll::Ready(match frame {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    self.load.record_data(clock::now_ms());
+                    let now_ms = clock::now_ms();
+                    self.load.record_data(now_ms);
+                    self.record.record_part(now_ms);
                     self.complete_at_end();
                     Some(Ok(data))
                 }
--- a/crates/edge/src/traffic/request_record.rs
+++ b/crates/edge/src/traffic/request_record.rs
@@ -6,6 +6,7 @@
 use jasminetack_domain::name;
 use jasminetack_domain::route;
 
+use super::forwarded_parts::ForwardedParts;
 use crate::clock;
 use crate::metrics;
 
@@ -20,6 +21,7 @@
     route: Option<Arc<ingress::Route>>,
     configuration: u64,
     received_ms: u64,
+    timeout_ms: u64,
     attempts: u32,
     load_wait_ms: u64,
     worker: Option<name::WorkerName>,
@@ -29,6 +31,7 @@
     /// Predicted time at the selected worker, and those of the next best ones.
     predictions: String,
     first_byte_ms: Option<u64>,
+    parts: ForwardedParts,
     status: u16,
     outcome: &'static str,
 }
@@ -47,6 +50,7 @@
             route: None,
             configuration: 0,
             received_ms,
+            timeout_ms: 0,
             attempts: 0,
             load_wait_ms: 0,
             worker: None,
@@ -54,6 +58,7 @@
             loading_worker: None,
             predictions: String::new(),
             first_byte_ms: None,
+            parts: ForwardedParts::default(),
             status: 0,
             outcome: "caller-left",
         }
@@ -65,6 +70,16 @@
         self.configuration = configuration;
     }
 
+    /// Sets the time from the receipt of the request to its deadline.
+    pub fn set_timeout(&mut self, timeout_ms: u64) {
+        self.timeout_ms = timeout_ms;
+    }
+
+    /// Records a part of the response that is forwarded to the caller.
+    pub fn record_part(&mut self, now_ms: u64) {
+        self.parts.record(now_ms.saturating_sub(self.received_ms));
+    }
+
     /// Sets the adapter that the request needs.
     pub fn set_adapter(&mut self, adapter: Option<&name::AdapterName>) {
         self.adapter = adapter.cloned();
@@ -130,9 +145,11 @@
         let first_ms = self.first_byte_ms.unwrap_or(0);
         let adapter = self.adapter.as_ref().map_or("none", name::AdapterName::as_str);
         let asked = self.loading_worker.as_ref().map_or("none", name::WorkerName::as_str);
+        let ForwardedParts { count: parts, longest_gap_ms, longest_gap_at_ms, .. } = self.parts;
+        let timeout_ms = self.timeout_ms;
         let predictions = if self.predictions.is_empty() { "none" } else { &self.predictions };
         spdlog::info!(
-            "request request={id} outcome={outcome:?} status={status} route={route} kind={kind} adapter={adapter} worker={worker} predicted_ms={predictions} attempts={attempts} asked={asked} load_wait_ms={load_wait_ms} first_ms={first_ms} total_ms={total_ms} configuration={version}"
+            "request request={id} outcome={outcome:?} status={status} route={route} kind={kind} adapter={adapter} worker={worker} predicted_ms={predictions} attempts={attempts} asked={asked} load_wait_ms={load_wait_ms} first_ms={first_ms} parts={parts} longest_gap_ms={longest_gap_ms} longest_gap_at_ms={longest_gap_at_ms} total_ms={total_ms} timeout_ms={timeout_ms} configuration={version}"
         );
     }
 }
--- a/crates/edge/src/traffic/stream_relay.rs
+++ b/crates/edge/src/traffic/stream_relay.rs
@@ -106,12 +106,17 @@
                 }
                 None => break,
             };
-            exchange.load.record_data(clock::now_ms());
+            let now_ms = clock::now_ms();
+            exchange.load.record_data(now_ms);
             let Some(complete) = self.events.push(&data) else {
                 exchange.load.record_failure(clock::now_ms());
                 return RelayEnd::Interrupted;
             };
-            if !complete.is_empty() && self.chunks.send(Ok(complete)).await.is_err() {
+            if complete.is_empty() {
+                continue;
+            }
+            self.record.record_part(now_ms);
+            if self.chunks.send(Ok(complete)).await.is_err() {
                 return RelayEnd::CallerDisconnected;
             }
         }
