Bound the loads of base models by the rate of the weight store

Cause: nothing kept the ceiling on loads: the number at once came from the fleet's size or from load times alone.

Change: LoadsPerS and LoadTimeS of the configuration bound it, so that the loads that begin in a window stay within the rate.

--- a/crates/domain/src/ingress/engine_profile.rs
+++ b/crates/domain/src/ingress/engine_profile.rs
@@ -10,6 +10,8 @@
     pub adapter_slots: usize,
     /// Memory for base model weights and adapters in megabytes.
     pub weights_mb: f64,
+    /// Base model loads that may begin in a second, over all engines.
+    pub loads_per_s: f64,
     /// Base models of the service.
     pub base_models: Vec<BaseModel>,
 }
--- a/crates/domain/src/placement/base_load_schedule.rs
+++ b/crates/domain/src/placement/base_load_schedule.rs
@@ -19,6 +19,28 @@
 /// Multiple of the expected time after which a load counts as hung and others take its place.
 const HUNG_FACTOR: f64 = 3.0;
 
+/// Window in which the weight store counts the loads that begin.
+const RATE_WINDOW_MS: f64 = 5_000.0;
+
+/// What the configuration states of the weight store.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WeightStore {
+    /// Time of a load at full speed.
+    pub load_ms: u64,
+    /// Loads that may begin in a second, over all workers.
+    pub loads_per_s: f64,
+}
+
+impl WeightStore {
+    /// Returns how many loads may run at once so that those that begin in a window, the first ones and
+    /// their successors, stay within the permitted rate.
+    fn max_loads(self) -> usize {
+        let permitted = self.loads_per_s * RATE_WINDOW_MS / 1_000.0;
+        let rounds = 1.0 + RATE_WINDOW_MS / self.load_ms.max(1) as f64;
+        ((permitted / rounds) as usize).max(1)
+    }
+}
+
 /// Worker that lacks its base model.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LackingWorker {
@@ -114,12 +136,12 @@
 
     /// Returns the workers that may load now, those that are loading among them.
     ///
-    /// `workers` is the number of all workers; `nominal_ms` is the time of a load at full speed.
+    /// `workers` is the number of all workers.
     pub fn due(
         &mut self,
         mut lacking: Vec<LackingWorker>,
         workers: usize,
-        nominal_ms: u64,
+        weight_store: WeightStore,
         now_ms: u64,
     ) -> IndexSet<name::WorkerName> {
         lacking.sort_by(|left, right| {
@@ -128,12 +150,13 @@
         });
         self.turns.retain(|name, _| lacking.iter().any(|worker| worker.name == *name));
         let measured = self.limit.map(|limit| limit.loads as usize);
-        let limit = measured.unwrap_or(workers / WORKERS_PER_ASSUMED_LOAD).max(1);
+        let limit = measured.unwrap_or(workers / WORKERS_PER_ASSUMED_LOAD);
+        let limit = limit.clamp(1, weight_store.max_loads());
         self.permitted = limit;
         let loading = lacking.iter().filter(|worker| worker.is_loading).count();
         self.loading = loading;
         let slowdown = (loading as f64 / limit as f64).max(1.0);
-        let hung_ms = (nominal_ms as f64 * slowdown * HUNG_FACTOR) as u64;
+        let hung_ms = (weight_store.load_ms as f64 * slowdown * HUNG_FACTOR) as u64;
         let mut due = IndexSet::new();
         let mut counted = 0;
         for worker in lacking {
--- a/crates/domain/src/placement/mod.rs
+++ b/crates/domain/src/placement/mod.rs
@@ -13,7 +13,9 @@
 mod summary;
 
 pub use adapter_slot::{AdapterSlot, LATE_ORDER_WINDOW_MS, SlotState};
-pub use base_load_schedule::{BaseLoadLimit, BaseLoadSchedule, FinishedBaseLoad, LackingWorker};
+pub use base_load_schedule::{
+    BaseLoadLimit, BaseLoadSchedule, FinishedBaseLoad, LackingWorker, WeightStore,
+};
 pub use concurrent_load_limit::{ConcurrentLoadLimit, FinishedLoad, FleetLoads};
 pub use order::Order;
 pub use order_result::OrderResult;
--- a/crates/domain/tests/base_load_schedule.rs
+++ b/crates/domain/tests/base_load_schedule.rs
@@ -3,10 +3,11 @@
 use indexmap::IndexSet;
 use jasminetack_domain::name;
 use jasminetack_domain::placement::{
-    BaseLoadLimit, BaseLoadSchedule, FinishedBaseLoad, LackingWorker,
+    BaseLoadLimit, BaseLoadSchedule, FinishedBaseLoad, LackingWorker, WeightStore,
 };
 
 const NOMINAL_MS: u64 = 4_000;
+const WEIGHT_STORE: WeightStore = WeightStore { load_ms: NOMINAL_MS, loads_per_s: 40.0 };
 const STEP_MS: u64 = 50;
 /// Delay after which one daemon knows what the others do.
 const REPORT_DELAY_MS: u64 = 1_000;
@@ -70,7 +71,7 @@
                 }
                 let lacking = self.lacking(now_ms - REPORT_DELAY_MS, index);
                 let own = name::WorkerName::from(format!("w{index:02}").as_str());
-                let due = self.schedules[index].due(lacking, self.workers, NOMINAL_MS, now_ms);
+                let due = self.schedules[index].due(lacking, self.workers, WEIGHT_STORE, now_ms);
                 if due.contains(&own) {
                     self.started_ms[index] = Some((now_ms, loading(&self)));
                 }
@@ -141,10 +142,10 @@
     for first_is_loading in [false, true] {
         let lacking = || vec![worker("first", first_is_loading), worker("second", false)];
         let second = name::WorkerName::from("second");
-        assert!(!schedule.due(lacking(), 9, NOMINAL_MS, 1_000).contains(&second));
-        let due = schedule.due(lacking(), 9, NOMINAL_MS, 1_000 + 4 * NOMINAL_MS);
+        assert!(!schedule.due(lacking(), 9, WEIGHT_STORE, 1_000).contains(&second));
+        let due = schedule.due(lacking(), 9, WEIGHT_STORE, 1_000 + 4 * NOMINAL_MS);
         assert!(due.contains(&second), "{due:?}");
-        schedule.due(Vec::new(), 9, NOMINAL_MS, 0);
+        schedule.due(Vec::new(), 9, WEIGHT_STORE, 0);
     }
 }
 
@@ -171,7 +172,26 @@
     };
     let due = |order: Vec<u64>| -> IndexSet<name::WorkerName> {
         let lacking = order.into_iter().map(worker).collect();
-        BaseLoadSchedule::default().due(lacking, 48, NOMINAL_MS, 0)
+        BaseLoadSchedule::default().due(lacking, 48, WEIGHT_STORE, 0)
     };
     assert_eq!(due(vec![0, 1, 2, 3, 4, 5]), due(vec![5, 2, 0, 4, 1, 3]));
 }
+
+#[test]
+fn loads_that_begin_in_a_window_stay_within_the_permitted_rate() {
+    // A large fleet assumes many loads at once; its weight store permits few.
+    const WINDOW_S: f64 = 5.0;
+    for (load_ms, loads_per_s) in [(4_300, 2.1), (2_000, 3.5), (500, 6.0), (60_000, 0.5)] {
+        let weight_store = WeightStore { load_ms, loads_per_s };
+        let lacking = (0..400).map(|index: u64| LackingWorker {
+            name: name::WorkerName::from(format!("w{index:03}").as_str()),
+            started_unix_ms: index,
+            is_loading: false,
+        });
+        let mut schedule = BaseLoadSchedule::default();
+        let at_once = schedule.due(lacking.collect(), 850, weight_store, 0).len() as f64;
+        let begun = at_once * (1.0 + WINDOW_S * 1_000.0 / load_ms as f64);
+        let permitted = (loads_per_s * WINDOW_S * 1.1 + 3.0).floor();
+        assert!(begun.floor() <= permitted, "{begun} of {permitted} for {weight_store:?}");
+    }
+}
--- a/crates/edge/src/control/base_loads.rs
+++ b/crates/edge/src/control/base_loads.rs
@@ -18,8 +18,8 @@
         if !self.assignments.lacks_base_model() {
             return IndexSet::new();
         }
-        let (lacking, workers, nominal_ms) = self.lacking_workers();
-        self.base_loads.due(lacking, workers, nominal_ms, now_ms)
+        let (lacking, workers, weight_store) = self.lacking_workers();
+        self.base_loads.due(lacking, workers, weight_store, now_ms)
     }
 
     /// Updates the limit on concurrent loads with one that finished on an assigned worker.
@@ -33,7 +33,8 @@
         let Some(store_ms) = self.lease_manager.store_clock().upper_bound_ms(now_ms) else {
             return;
         };
-        let (lacking, _, nominal_ms) = self.lacking_workers();
+        let (lacking, _, weight_store) = self.lacking_workers();
+        let nominal_ms = weight_store.load_ms;
         let load = placement::FinishedBaseLoad {
             took_ms: now_ms.saturating_sub(started_ms),
             loads_at_start: 1 + others_at_start,
@@ -47,13 +48,14 @@
         );
     }
 
-    /// Returns the engines without their base model, the number of all engines, and the time of a
-    /// load at full speed.
-    fn lacking_workers(&self) -> (Vec<placement::LackingWorker>, usize, u64) {
-        let (mut lacking, mut workers, mut nominal_ms) = (Vec::new(), 0, 0);
-        let Some(ingress) = self.catalog.ingress() else { return (lacking, workers, nominal_ms) };
+    /// Returns the engines without their base model, the number of all engines, and the weight store of
+    /// the slowest load.
+    fn lacking_workers(&self) -> (Vec<placement::LackingWorker>, usize, placement::WeightStore) {
+        let mut weight_store = placement::WeightStore { load_ms: 0, loads_per_s: 0.0 };
+        let (mut lacking, mut workers) = (Vec::new(), 0);
+        let Some(ingress) = self.catalog.ingress() else { return (lacking, workers, weight_store) };
         for upstream in self.catalog.directory().iter() {
-            let Some(load_ms) = base_load_ms(ingress, upstream) else { continue };
+            let Some(store) = weight_store_of(ingress, upstream) else { continue };
             workers += 1;
             if upstream.is_draining || !upstream.base_models.is_empty() {
                 continue;
@@ -62,14 +64,16 @@
             if summary.has_base_model {
                 continue;
             }
-            nominal_ms = nominal_ms.max(load_ms);
+            if store.load_ms >= weight_store.load_ms {
+                weight_store = store;
+            }
             lacking.push(placement::LackingWorker {
                 name: upstream.name.clone(),
                 started_unix_ms: upstream.started_unix_ms,
                 is_loading: summary.is_loading_base_model,
             });
         }
-        (lacking, workers, nominal_ms)
+        (lacking, workers, weight_store)
     }
 
     /// Returns the state of a worker as known to its holder.
@@ -81,8 +85,12 @@
     }
 }
 
-/// Returns the time that an engine takes to load its base model; `None` for other services.
-fn base_load_ms(ingress: &ingress::Ingress, upstream: &upstream::Upstream) -> Option<u64> {
+/// Returns the weight store of an engine's base model; `None` for other services.
+fn weight_store_of(
+    ingress: &ingress::Ingress,
+    upstream: &upstream::Upstream,
+) -> Option<placement::WeightStore> {
     let engine = ingress.service(&upstream.service)?.engine.as_ref()?;
-    engine.base_models.first().map(|model| model.load_ms)
+    let load_ms = engine.base_models.first()?.load_ms;
+    Some(placement::WeightStore { load_ms, loads_per_s: engine.loads_per_s })
 }
