Let the daemons of a region read a table in a fixed order

Each waited a random time of up to 500 ms before it read a copy older than 900 ms, and many began before the first one's datagram told them that it had read.

Change: the live daemons of a region rank as readers by a hash, and each reads 150 ms after those before it, at most after 500 ms. The longest age of a copy stays the same.

Result: replay in crates/edge/tests/freshness.rs: 65 daemons read at most 22 times in 20 s; if the first ten are dead, no copy grows older than 1,580 ms. The test with the jitter is replaced by ones that also give reads and datagrams their time.

--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -136,6 +136,7 @@
         }
         if now_ms.saturating_sub(self.last_full_view_ms) >= FULL_VIEW_INTERVAL_MS {
             self.must_publish_all = true;
+            self.rank_readers(now_ms);
             self.assignments.log_slot_counts();
             self.chooser.lock().loads.expire(now_ms);
         }
--- a/crates/edge/src/control/datagrams.rs
+++ b/crates/edge/src/control/datagrams.rs
@@ -55,17 +55,16 @@
         if let Some(limit) = state.base_load_limit {
             self.base_loads.observe_limit(limit.into());
         }
-        let readers = self.region_peer_count() + 1;
         if let Some(known) = state.operator {
             let is_same = known.digest == self.catalog.operator_digest();
-            self.operator.apply_peer_state(is_same, known.as_of_store_ms, readers, now_ms);
+            self.operator.apply_peer_state(is_same, known.as_of_store_ms, now_ms);
         }
         if let Some(known) = state.workers {
             if let Some(series) = known.read_series() {
                 self.catalog.observe_workers_reads(series);
             }
             let is_same = known.digest == self.catalog.directory().digest();
-            self.workers.apply_peer_state(is_same, known.as_of_store_ms, readers, now_ms);
+            self.workers.apply_peer_state(is_same, known.as_of_store_ms, now_ms);
         }
         self.changed_workers.extend(changed);
     }
--- a/crates/edge/src/control/freshness.rs
+++ b/crates/edge/src/control/freshness.rs
@@ -4,15 +4,18 @@
 use jasminetack_domain::name;
 use jasminetack_domain::upstream;
 
-/// Age at which a table is read again, before jitter.
+/// Age at which the first daemon of a region reads a table again.
 ///
 /// A worker that leaves must be noticed within 2.5 s, and a store that has lost its history may
-/// delay changes by a second, so this age and the jitter stay well below that bound.
+/// delay changes by a second, so this age and the longest delay stay well below that bound.
 const MAX_AGE_MS: u64 = 900;
-/// Maximum jitter between the daemons of a region, so that usually one of them reads for all.
+/// Delay of a read for each live daemon of the region that ranks before this one: the time of a read
+/// and of the datagram about it, so that usually one daemon reads for all.
+const RANK_DELAY_MS: u64 = 150;
+/// Longest delay of a read, however many daemons rank before this one.
+const MAX_DELAY_MS: u64 = 500;
+/// Maximum jitter between the retries of a region's daemons.
 const MAX_JITTER_MS: u64 = 500;
-/// Number of daemons in a region from which a reported change is read with full jitter.
-const FULL_JITTER_READERS: u64 = 10;
 /// The first backoff is the maximum backoff divided by this; each further one doubles.
 const INITIAL_BACKOFF_DIVISOR: u64 = 4;
 /// Maximum backoff per daemon of a region, since one daemon that notices the recovery is enough.
@@ -34,7 +37,8 @@
 /// ages, since an age would ignore the delay of each datagram that passes it on.
 #[derive(Clone, Copy, Debug)]
 pub struct Freshness {
-    max_age_ms: u64,
+    /// Delay of reads after those daemons of the region that rank before this one.
+    delay_ms: u64,
     as_of_store_ms: Option<u64>,
     /// Own reads since the last failed one.
     series: Option<upstream::ReadSeries>,
@@ -54,7 +58,7 @@
     pub fn new(host: &name::HostName, table: &str) -> Self {
         let jitter_ms = member::rendezvous::score(host.as_str(), table) % MAX_JITTER_MS;
         Self {
-            max_age_ms: MAX_AGE_MS + jitter_ms,
+            delay_ms: 0,
             as_of_store_ms: None,
             series: None,
             is_reading: false,
@@ -66,13 +70,19 @@
         }
     }
 
+    /// Sets the number of live daemons of the region that read the table before this one.
+    pub fn set_rank(&mut self, rank: usize) {
+        let rank = u64::try_from(rank).unwrap_or(u64::MAX);
+        self.delay_ms = rank.saturating_mul(RANK_DELAY_MS).min(MAX_DELAY_MS);
+    }
+
     /// Returns whether the table must be read now, and if so records that a read has started.
     ///
     /// `store_ms` is an upper bound of the store's clock.
     pub fn begin_read(&mut self, store_ms: Option<u64>, now_ms: u64) -> bool {
         let age_ms = self.as_of_store_ms.zip(store_ms);
         let age_ms = age_ms.map(|(as_of_ms, store_ms)| store_ms.saturating_sub(as_of_ms));
-        let is_old = age_ms.is_none_or(|age_ms| age_ms >= self.max_age_ms);
+        let is_old = age_ms.is_none_or(|age_ms| age_ms >= MAX_AGE_MS + self.delay_ms);
         let is_change_due = self.pending_change.is_some_and(|(_, due_ms)| due_ms <= now_ms);
         if self.is_reading || !is_old && !is_change_due || now_ms < self.next_read_ms {
             return false;
@@ -109,15 +119,8 @@
         self.next_read_ms = now_ms + backoff_ms;
     }
 
-    /// Applies the state of another daemon's copy; `readers` is the number of daemons in the
-    /// region.
-    pub fn apply_peer_state(
-        &mut self,
-        is_same: bool,
-        as_of_store_ms: u64,
-        readers: usize,
-        now_ms: u64,
-    ) {
+    /// Applies the state of another daemon's copy.
+    pub fn apply_peer_state(&mut self, is_same: bool, as_of_store_ms: u64, now_ms: u64) {
         let Some(own_ms) = self.as_of_store_ms else { return };
         if is_same {
             self.confirm(as_of_store_ms);
@@ -129,10 +132,7 @@
                 let retry_ms = now_ms.max(self.failed_ms + CUT_OFF_BACKOFF_MS);
                 self.next_read_ms = self.next_read_ms.min(retry_ms);
             }
-            let readers =
-                u64::try_from(readers).unwrap_or(FULL_JITTER_READERS).min(FULL_JITTER_READERS);
-            let due_ms = now_ms + self.jitter_ms * readers / FULL_JITTER_READERS;
-            self.pending_change.get_or_insert((as_of_store_ms, due_ms));
+            self.pending_change.get_or_insert((as_of_store_ms, now_ms + self.delay_ms));
         }
     }
 
--- a/crates/edge/src/control/table_reads.rs
+++ b/crates/edge/src/control/table_reads.rs
@@ -1,5 +1,7 @@
 //! Reads of the operator and workers tables, shared among the daemons of a region.
 
+use jasminetack_domain::member;
+use jasminetack_domain::name;
 use jasminetack_wire::fleet;
 
 use super::FeedEvent;
@@ -97,6 +99,23 @@
         false
     }
 
+    /// Ranks this daemon among the live ones of its region as a reader of each table.
+    pub(super) fn rank_readers(&mut self, now_ms: u64) {
+        for table in [store::Table::Operator, store::Table::Workers] {
+            let identity = self.lease_manager.identity();
+            let score =
+                |host: &name::HostName| member::rendezvous::score(host.as_str(), table.as_str());
+            let own = score(&identity.host);
+            let earlier = self.peers.iter().filter(|(host, peer)| {
+                peer.locality.region() == identity.locality.region()
+                    && peer.is_live(now_ms)
+                    && score(host) < own
+            });
+            let rank = earlier.count();
+            self.freshness(table).set_rank(rank);
+        }
+    }
+
     fn freshness(&mut self, table: store::Table) -> &mut Freshness {
         match table {
             store::Table::Operator => &mut self.operator,
--- a/crates/edge/tests/freshness.rs
+++ b/crates/edge/tests/freshness.rs
@@ -3,8 +3,6 @@
 use jasminetack_domain::name;
 use jasminetack_edge::control::Freshness;
 
-/// Maximum jitter between the daemons of a region.
-const MAX_JITTER_MS: u64 = 500;
 /// Time within which a reported change is read in a region of three daemons.
 const SMALL_REGION_DELAY_MS: u64 = 150;
 
@@ -22,9 +20,9 @@
     one.record_read(1_000);
     other.record_read(1_000);
     for now_ms in (1_000..6_000).step_by(50) {
-        let known = one.as_of_store_ms().unwrap();
-        other.apply_peer_state(true, known, 2, now_ms);
-        one.apply_peer_state(true, other.as_of_store_ms().unwrap(), 2, now_ms);
+        let known = one.as_of_store_ms().expect("a read");
+        other.apply_peer_state(true, known, now_ms);
+        one.apply_peer_state(true, other.as_of_store_ms().unwrap(), now_ms);
         assert_eq!(one.as_of_store_ms(), Some(1_000), "at {now_ms}");
     }
     assert!(one.begin_read(Some(2_800), 2_800));
@@ -34,7 +32,7 @@
 fn a_read_by_another_daemon_replaces_an_own_read() {
     let mut own = freshness("own");
     own.record_read(1_000);
-    own.apply_peer_state(true, 2_500, 3, 2_500);
+    own.apply_peer_state(true, 2_500, 2_500);
     assert!(!own.begin_read(Some(3_000), 3_000));
 }
 
@@ -42,38 +40,95 @@
 fn a_change_known_to_another_daemon_is_read_before_the_table_expires() {
     let mut own = freshness("own");
     own.record_read(1_000);
-    own.apply_peer_state(false, 900, 3, 5_000);
+    own.apply_peer_state(false, 900, 5_000);
     assert!(!own.begin_read(Some(1_100), 5_000 + SMALL_REGION_DELAY_MS));
-    own.apply_peer_state(false, 1_050, 3, 5_000);
+    own.apply_peer_state(false, 1_050, 5_000);
     assert!(own.begin_read(Some(1_100), 5_000 + SMALL_REGION_DELAY_MS));
     assert!(!own.begin_read(Some(1_100), 5_000 + SMALL_REGION_DELAY_MS), "a read is in progress");
 }
 
-#[test]
-fn a_change_is_read_once_in_a_region() {
-    const DAEMONS: usize = 30;
-    let mut region: Vec<_> =
-        (0..DAEMONS).map(|index| freshness(&format!("daemon-{index}"))).collect();
-    for daemon in &mut region {
-        daemon.record_read(1_000);
-        daemon.apply_peer_state(false, 1_050, DAEMONS, 5_000);
-    }
-    let mut reads = 0;
-    for now_ms in (5_000..5_000 + MAX_JITTER_MS).step_by(5) {
-        let mut reader = None;
-        for (index, daemon) in region.iter_mut().enumerate() {
-            if daemon.begin_read(Some(1_100), now_ms) {
-                reads += 1;
-                reader = Some(index);
-            }
+/// Region of daemons whose reads take `READ_MS` and reach the others `DATAGRAM_MS` later; each checks
+/// every `TICK_MS` whether it must read.
+struct Region {
+    daemons: Vec<Freshness>,
+    reading_since_ms: Vec<Option<u64>>,
+    reads_ms: Vec<u64>,
+}
+
+impl Region {
+    const READ_MS: u64 = 60;
+    const DATAGRAM_MS: u64 = 20;
+    const TICK_MS: u64 = 100;
+
+    /// Creates a region that has read the table at `read_ms`.
+    fn new(size: usize, read_ms: u64) -> Self {
+        let mut daemons: Vec<_> =
+            (0..size).map(|index| freshness(&format!("daemon-{index}"))).collect();
+        for (rank, daemon) in daemons.iter_mut().enumerate() {
+            daemon.record_read(read_ms);
+            daemon.set_rank(rank);
         }
-        if reader.is_some() {
-            for daemon in &mut region {
-                daemon.record_read(1_060);
+        Self { reading_since_ms: vec![None; size], daemons, reads_ms: Vec::new() }
+    }
+
+    /// Plays until `until_ms` and returns the greatest age of any copy; the first `dead` daemons do
+    /// nothing.
+    fn play(&mut self, from_ms: u64, until_ms: u64, dead: usize) -> u64 {
+        let mut oldest_ms = 0;
+        for now_ms in (from_ms..until_ms).step_by(5) {
+            for index in dead..self.daemons.len() {
+                let started_ms = self.reading_since_ms[index];
+                if started_ms.is_some_and(|at_ms| at_ms + Self::READ_MS <= now_ms) {
+                    let as_of_ms = now_ms - Self::READ_MS / 2;
+                    self.reading_since_ms[index] = None;
+                    self.daemons[index].record_read(as_of_ms);
+                    let others = self.daemons.iter_mut().enumerate();
+                    for (_, other) in others.filter(|(other, _)| *other != index) {
+                        other.apply_peer_state(true, as_of_ms, now_ms + Self::DATAGRAM_MS);
+                    }
+                }
+                let is_tick = (now_ms + index as u64 * 35) % Self::TICK_MS < 5;
+                if is_tick && self.daemons[index].begin_read(Some(now_ms), now_ms) {
+                    self.reading_since_ms[index] = Some(now_ms);
+                    self.reads_ms.push(now_ms);
+                }
+                let as_of_ms = self.daemons[index].as_of_store_ms().expect("a read");
+                oldest_ms = oldest_ms.max(now_ms.saturating_sub(as_of_ms));
             }
         }
+        oldest_ms
+    }
+}
+
+#[test]
+fn a_region_reads_a_table_once_a_second_however_many_daemons_it_has() {
+    for size in [3, 30, 65, 200] {
+        let mut region = Region::new(size, 1_000);
+        let oldest_ms = region.play(1_000, 21_000, 0);
+        let reads = region.reads_ms.len();
+        assert!(reads <= 22, "{size} daemons: {reads} reads in 20 s");
+        assert!(oldest_ms <= 1_200, "{size} daemons: a copy was {oldest_ms} ms old");
+    }
+}
+
+#[test]
+fn another_daemon_reads_when_the_first_readers_of_a_region_do_not() {
+    for dead in [1, 2, 10] {
+        let mut region = Region::new(65, 1_000);
+        let oldest_ms = region.play(1_000, 6_000, dead);
+        // The age at which the first daemon reads, the longest delay, a tick and a read.
+        assert!(oldest_ms <= 900 + 500 + 100 + 80, "{dead} dead: a copy was {oldest_ms} ms old");
+    }
+}
+
+#[test]
+fn a_change_is_read_once_in_a_region() {
+    let mut region = Region::new(30, 5_000);
+    for daemon in &mut region.daemons {
+        daemon.apply_peer_state(false, 5_050, 5_100);
     }
-    assert!((1..=3).contains(&reads), "{reads} reads");
+    region.play(5_100, 5_700, 0);
+    assert!((1..=3).contains(&region.reads_ms.len()), "{:?}", region.reads_ms);
 }
 
 #[test]
@@ -115,7 +170,7 @@
             let is_cut = now_ms < CUT_MS;
             // During the cut, no datagram arrives either.
             if !is_cut && now_ms % REPORT_INTERVAL_MS == 0 {
-                own.apply_peer_state(false, now_ms - 500, READERS, now_ms);
+                own.apply_peer_state(false, now_ms - 500, now_ms);
             }
             match call_started_ms {
                 None if own.begin_read(Some(now_ms), now_ms) => {
@@ -146,7 +201,7 @@
     own.record_read(1_000);
     let mut calls = 0;
     for now_ms in (3_000..13_000).step_by(10) {
-        own.apply_peer_state(false, now_ms - 100, READERS, now_ms);
+        own.apply_peer_state(false, now_ms - 100, now_ms);
         if own.begin_read(Some(now_ms), now_ms) {
             calls += 1;
             own.record_failure(READERS, now_ms);
