Judge the queue of a worker by the load that is left of the reports

Reports of other daemons are up to 1 s old, those of other regions 8 s, and every prompt in them counted as unread. Requests that waited were refused when the predicted wait of a worker that had crashed grew, instead of turning to another one.

Change: Loads::remaining subtracts what the worker must have read since, and what must have ended. A request that waits for its adapter isn't refused for the wait predicted for new ones, and leaves a worker whose loads don't start.

--- a/crates/domain/examples/dispatch_cost.rs
+++ b/crates/domain/examples/dispatch_cost.rs
@@ -60,7 +60,7 @@
             unread_tokens: 500,
         });
         let host = name::HostName::from(format!("edge-{daemon}"));
-        chooser.loads.apply_report(&host, loads.collect(), 0);
+        chooser.loads.apply_report(&host, loads.collect(), 0, 0);
     }
     let candidates: Vec<_> = workers
         .iter()
@@ -96,7 +96,7 @@
         })
         .collect();
     let host = name::HostName::from("edge");
-    measure(ROUNDS, |round| loads.apply_report(&host, reports.clone(), u64::from(round)))
+    measure(ROUNDS, |round| loads.apply_report(&host, reports.clone(), u64::from(round), 0))
 }
 
 fn plan_us(slots: usize) -> f64 {
--- a/crates/domain/src/dispatch/admission.rs
+++ b/crates/domain/src/dispatch/admission.rs
@@ -88,7 +88,10 @@
     random: f64,
     now_ms: u64,
 ) -> Admission {
-    let deadline_excess_ms = estimate.until_end_ms() - limits.left_ms(now_ms);
+    // The wait for the adapter is predicted for a new request; one that waits already is ahead of it.
+    let wait_ms = if is_taken_in { 0.0 } else { estimate.adapter_wait_ms };
+    let until_end_ms = wait_ms + estimate.first_part_ms + estimate.generation_ms;
+    let deadline_excess_ms = until_end_ms - limits.left_ms(now_ms);
     let target_excess_ms = limits.excess_ms(estimate);
     let (reason, excess_ms) = if deadline_excess_ms > 0.0 {
         (RefusalReason::DeadlineUnreachable, deadline_excess_ms)
--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -150,26 +150,52 @@
         };
         Estimate {
             adapter_wait_ms,
-            first_part_ms: self.first_part_ms(choice, candidate.upstream, now_ms),
+            first_part_ms: self.remaining_first_part_ms(choice, candidate.upstream, now_ms),
             generation_ms: self.generation_time.predict_ms(choice.size.answer_tokens),
         }
     }
 
-    /// Predicts the time until the first part of the answer of a worker that holds the adapter.
+    /// Predicts the time until the first part of the answer of a worker that holds the adapter, with
+    /// the load as it was reported.
     fn first_part_ms(
         &self,
         choice: &ChoiceRequest<'_>,
         upstream: &upstream::Upstream,
         now_ms: u64,
+    ) -> f64 {
+        let (requests, unread_tokens) = self.loads.outstanding(&upstream.name);
+        let load = (f64::from(requests), f64::from(unread_tokens));
+        self.first_part_after_ms(load, choice, upstream, now_ms)
+    }
+
+    /// Predicts the same time with what is left of the reported load: a request is not refused because
+    /// of load that has passed since the report.
+    fn remaining_first_part_ms(
+        &self,
+        choice: &ChoiceRequest<'_>,
+        upstream: &upstream::Upstream,
+        now_ms: u64,
+    ) -> f64 {
+        let request_ms = self.generation_time.mean_ms();
+        let load = self.loads.remaining(&upstream.name, PREFILL_TOKENS_PER_MS, request_ms, now_ms);
+        self.first_part_after_ms(load, choice, upstream, now_ms)
+    }
+
+    /// Predicts the time until the first part after `load`, in requests and unread tokens.
+    fn first_part_after_ms(
+        &self,
+        (requests, unread_tokens): (f64, f64),
+        choice: &ChoiceRequest<'_>,
+        upstream: &upstream::Upstream,
+        now_ms: u64,
     ) -> f64 {
         let worker = &upstream.name;
-        let (requests, unread_tokens) = self.loads.outstanding(worker);
         let cached = self.prompt_cache.cached_tokens(worker, choice.adapter, choice.parts, now_ms);
-        let unread = f64::from(unread_tokens) + f64::from(choice.size.prompt_tokens)
+        let unread = unread_tokens + f64::from(choice.size.prompt_tokens)
             - f64::from(cached.min(choice.size.prompt_tokens));
         // With all slots in use, one becomes free at this interval on average.
         let slot_ms = self.generation_time.mean_ms() / f64::from(upstream.slots.max(1));
-        let beyond = f64::from((requests + 1).saturating_sub(upstream.slots));
+        let beyond = (requests + 1.0 - f64::from(upstream.slots)).max(0.0);
         unread / PREFILL_TOKENS_PER_MS + beyond * slot_ms
     }
 
@@ -194,7 +220,11 @@
             cost_ms += choice.preference_ms(worker);
             let is_loading_worker = choice.loading_worker == Some(worker);
             cost_ms += if is_loading_worker && candidate.adapter != AdapterState::Resident {
-                LOADING_COST_MS
+                // A worker whose loads do not start any more is left for another one.
+                match candidate.adapter {
+                    AdapterState::Absent { wait_ms } => LOADING_COST_MS + f64::from(wait_ms),
+                    _ => LOADING_COST_MS,
+                }
             } else {
                 self.load_cost_ms(choice, candidate.adapter, is_preferred, now_ms)
             };
--- a/crates/domain/src/dispatch/estimate.rs
+++ b/crates/domain/src/dispatch/estimate.rs
@@ -17,10 +17,4 @@
     pub fn until_first_part_ms(&self) -> f64 {
         self.adapter_wait_ms + self.first_part_ms
     }
-
-    /// Returns the time until the last part of the answer.
-    #[must_use]
-    pub fn until_end_ms(&self) -> f64 {
-        self.until_first_part_ms() + self.generation_ms
-    }
 }
--- a/crates/domain/src/dispatch/loads.rs
+++ b/crates/domain/src/dispatch/loads.rs
@@ -27,6 +27,7 @@
 
 #[derive(Clone, Debug)]
 struct Report {
+    received_ms: u64,
     until_ms: u64,
     loads: Vec<ReportedLoad>,
 }
@@ -94,7 +95,13 @@
 
     /// Replaces the load reported by another daemon; the report expires after `until_ms` unless
     /// another one replaces it.
-    pub fn apply_report(&mut self, host: &name::HostName, loads: Vec<ReportedLoad>, until_ms: u64) {
+    pub fn apply_report(
+        &mut self,
+        host: &name::HostName,
+        loads: Vec<ReportedLoad>,
+        until_ms: u64,
+        now_ms: u64,
+    ) {
         if let Some(earlier) = self.reports.remove(host) {
             self.subtract(&earlier);
         }
@@ -103,7 +110,7 @@
             *requests += load.in_flight;
             *tokens = tokens.saturating_add(load.unread_tokens);
         }
-        self.reports.insert(host.clone(), Report { until_ms, loads });
+        self.reports.insert(host.clone(), Report { received_ms: now_ms, until_ms, loads });
     }
 
     /// Removes expired reports.
@@ -136,6 +143,44 @@
         (requests + local.in_flight, tokens.saturating_add(local.unread_tokens))
     }
 
+    /// Returns the requests and the unread prompt tokens at a worker that are left of what is known,
+    /// if the worker reads `tokens_per_ms` and a request takes `request_ms`.
+    ///
+    /// Requests that other daemons have sent since their reports are not known, so this is less than
+    /// the load; unlike `outstanding` it counts nothing that has passed since.
+    #[must_use]
+    pub fn remaining(
+        &self,
+        worker: &name::WorkerName,
+        tokens_per_ms: f64,
+        request_ms: f64,
+        now_ms: u64,
+    ) -> (f64, f64) {
+        let own = self.local.get(worker);
+        let mut requests = own.map_or(0.0, |load| f64::from(load.in_flight));
+        let mut tokens = own.map_or(0.0, |load| f64::from(load.unread_tokens));
+        if !self.remote.contains_key(worker) {
+            return (requests, tokens);
+        }
+        // The worker has read the oldest prompts first.
+        let mut oldest_ms = 0;
+        let mut reported_tokens = 0.0;
+        for report in self.reports.values() {
+            let Some(load) = report.loads.iter().find(|load| load.worker == *worker) else {
+                continue;
+            };
+            let age_ms = now_ms.saturating_sub(report.received_ms);
+            let left = (1.0 - age_ms as f64 / request_ms.max(1.0)).max(0.0);
+            requests += f64::from(load.in_flight) * left;
+            if load.unread_tokens > 0 {
+                oldest_ms = oldest_ms.max(age_ms);
+                reported_tokens += f64::from(load.unread_tokens);
+            }
+        }
+        tokens += (reported_tokens - oldest_ms as f64 * tokens_per_ms).max(0.0);
+        (requests, tokens)
+    }
+
     /// Returns how long a worker has sent no data while a request waits for an answer.
     #[must_use]
     pub fn stall_ms(&self, worker: &name::WorkerName, now_ms: u64) -> u64 {
--- a/crates/domain/tests/admission.rs
+++ b/crates/domain/tests/admission.rs
@@ -44,6 +44,9 @@
     let refused = admission::decide(limits(0), late, false, 0.5, 0);
     assert_eq!(reason(refused), Some(RefusalReason::Overloaded));
     assert_eq!(admission::decide(limits(0), late, true, 0.5, 0), Admission::Admitted);
+    // The wait is predicted for new requests; this one is ahead of them.
+    let stuck = estimate(30_000.0, 100.0, 1_000.0);
+    assert_eq!(admission::decide(limits(0), stuck, true, 0.5, 0), Admission::Admitted);
 }
 
 proptest! {
--- a/crates/domain/tests/dispatch.rs
+++ b/crates/domain/tests/dispatch.rs
@@ -97,6 +97,14 @@
     }
 }
 
+#[test]
+fn a_request_leaves_the_worker_whose_loads_do_not_start() {
+    let stuck = dispatch::AdapterState::Absent { wait_ms: 6_000 };
+    let mut fixture = Fixture::new(&[("one", "here", stuck), ("two", "here", ABSENT)]);
+    fixture.loading_worker = Some(name::WorkerName::from("one"));
+    assert_eq!(fixture.choose(0).as_deref(), Some("two"));
+}
+
 #[test]
 fn local_and_reported_requests_in_flight_raise_the_cost_of_a_worker() {
     let mut fixture = Fixture::new(&[("one", "here", RESIDENT), ("two", "here", RESIDENT)]);
@@ -109,7 +117,7 @@
         in_flight: 9,
         unread_tokens: 4_000,
     };
-    fixture.chooser.loads.apply_report(&host, vec![load], 3_000);
+    fixture.chooser.loads.apply_report(&host, vec![load], 3_000, 0);
     assert_eq!(fixture.choose(0).as_deref(), Some("one"));
     fixture.chooser.loads.expire(60_000);
     assert_eq!(fixture.choose(60_000).as_deref(), Some("two"));
@@ -223,3 +231,21 @@
         }
     }
 }
+
+#[test]
+fn load_that_has_passed_since_a_report_does_not_count_as_remaining() {
+    const TOKENS_PER_MS: f64 = 20.0;
+    const REQUEST_MS: f64 = 2_000.0;
+    let worker = name::WorkerName::from("one");
+    let mut loads = dispatch::Loads::default();
+    for host in ["a", "b"] {
+        let load =
+            dispatch::ReportedLoad { worker: worker.clone(), in_flight: 4, unread_tokens: 5_000 };
+        loads.apply_report(&name::HostName::from(host), vec![load], 9_000, 0);
+    }
+    let remaining = |now_ms| loads.remaining(&worker, TOKENS_PER_MS, REQUEST_MS, now_ms);
+    assert_eq!(remaining(0), (8.0, 10_000.0));
+    assert_eq!(remaining(300), (6.8, 4_000.0));
+    assert_eq!(remaining(2_500), (0.0, 0.0));
+    assert_eq!(loads.outstanding(&worker), (8, 10_000));
+}
--- a/crates/edge/src/control/datagrams.rs
+++ b/crates/edge/src/control/datagrams.rs
@@ -50,7 +50,7 @@
         if state.has_loads {
             let loads = state.loads.iter().map(dispatch::ReportedLoad::from).collect();
             let until_ms = self.peers.get(&host).map_or(0, |peer| now_ms + peer.failure_timeout_ms);
-            self.chooser.lock().loads.apply_report(&host, loads, until_ms);
+            self.chooser.lock().loads.apply_report(&host, loads, until_ms, now_ms);
         }
         if let Some(limit) = state.base_load_limit {
             self.base_loads.observe_limit(limit.into());
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 
 mod endless_worker;
 mod http_server;
+mod response_stream;
 mod row_store;
 mod store;
 mod store_faults;
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -9,21 +9,19 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::{HeaderMap, Request, Response, StatusCode, header};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 use tokio::time;
 
 use super::http_server::{self, Body, Handler};
-use super::worker_faults::{ResponseFraming, WorkerFaults};
+use super::response_stream::{ResponseStream, framed_response};
+use super::worker_faults::WorkerFaults;
 use super::worker_log::{ReceivedOrder, Run, WorkerLog};
 
 /// Exceeds the response timeout of every test.
 const UNRESPONSIVE_DURATION: Duration = Duration::from_secs(600);
-/// Time between the data of a truncated response and the end of its connection.
-const TRUNCATION_DELAY: Duration = Duration::from_millis(50);
-
 /// Configuration of a worker.
 #[derive(Clone, Debug)]
 pub struct WorkerConfig {
@@ -271,7 +269,7 @@
         let (sender, receiver) = mpsc::channel(1);
         let label = adapter.unwrap_or_else(|| "base".to_owned());
         tokio::spawn(self.stream(guard, label, resumed_after, faults.abort_stream_after, sender));
-        let stream = ReceiverStream { receiver };
+        let stream = ResponseStream { receiver };
         let body = StreamBody::new(stream).boxed();
         Some(with_identity_headers(Response::new(body), response_attempt_id))
     }
@@ -345,49 +343,6 @@
     }
 }
 
-struct ReceiverStream {
-    receiver: mpsc::Receiver<Result<Frame<Bytes>, io::Error>>,
-}
-
-impl futures_util::Stream for ReceiverStream {
-    type Item = Result<Frame<Bytes>, io::Error>;
-
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        context: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Self::Item>> {
-        self.receiver.poll_recv(context)
-    }
-}
-
-fn framed_response(status: StatusCode, text: String, framing: ResponseFraming) -> Response<Body> {
-    let length = text.len();
-    let is_truncated = match framing {
-        ResponseFraming::Length => return http_server::response(status, text),
-        ResponseFraming::Empty => return http_server::response(status, ""),
-        ResponseFraming::Chunked => false,
-        ResponseFraming::Truncated => true,
-    };
-    let (sender, receiver) = mpsc::channel(1);
-    tokio::spawn(async move {
-        let end = if is_truncated { length / 2 } else { length };
-        let data = Bytes::from(text).slice(..end);
-        // The receiver is gone if the client has disconnected.
-        let _ = sender.send(Ok(Frame::data(data))).await;
-        if is_truncated {
-            // An error of the body makes hyper discard what it has not written yet.
-            time::sleep(TRUNCATION_DELAY).await;
-            let _ = sender.send(Err(io::Error::other("injected truncation"))).await;
-        }
-    });
-    let mut response = Response::new(StreamBody::new(ReceiverStream { receiver }).boxed());
-    *response.status_mut() = status;
-    if is_truncated {
-        response.headers_mut().insert(header::CONTENT_LENGTH, length.into());
-    }
-    response
-}
-
 fn with_identity_headers(mut response: Response<Body>, attempt_id: &str) -> Response<Body> {
     let headers = response.headers_mut();
     headers.insert("Attempt-Id", attempt_id.parse().expect("an identifier is visible ASCII"));
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -3,7 +3,9 @@
 //! Each part of a datagram replaces the value that its sender sent before for the same item, so lost
 //! datagrams are not retransmitted.
 
+mod base_load_limit;
 mod rows;
+mod table_state;
 
 use std::net::SocketAddr;
 
@@ -12,11 +14,12 @@
 use jasminetack_domain::locality;
 use jasminetack_domain::name;
 use jasminetack_domain::placement;
-use jasminetack_domain::upstream;
 use prost::Message;
 use snafu::ResultExt;
 
+pub use base_load_limit::BaseLoadLimit;
 pub use rows::{Lease, UnansweredOrders, WorkerHolder};
+pub use table_state::TableState;
 
 /// One datagram.
 #[derive(Clone, PartialEq, Message)]
@@ -130,30 +133,6 @@
     pub base_load_limit: Option<BaseLoadLimit>,
 }
 
-/// State of a daemon's copy of a table.
-#[derive(Clone, Copy, PartialEq, Message)]
-pub struct TableState {
-    /// Digest of the rows that affect request handling.
-    #[prost(fixed64, tag = "1")]
-    pub digest: u64,
-    /// Store clock time at which the copy was current.
-    #[prost(uint64, tag = "2")]
-    pub as_of_store_ms: u64,
-    /// Store clock time of the first read of the sender's uninterrupted series of reads that ends at
-    /// `as_of_store_ms`; absent if another daemon confirmed the copy at that time.
-    #[prost(uint64, optional, tag = "3")]
-    pub read_since_store_ms: Option<u64>,
-}
-
-impl TableState {
-    /// Returns the sender's series of reads that ends at the time of its copy.
-    #[must_use]
-    pub fn read_series(&self) -> Option<upstream::ReadSeries> {
-        let since_store_ms = self.read_since_store_ms?;
-        Some(upstream::ReadSeries { since_store_ms, until_store_ms: self.as_of_store_ms })
-    }
-}
-
 /// Load that the sender puts on one worker.
 #[derive(Clone, PartialEq, Message)]
 pub struct WorkerLoad {
@@ -208,20 +187,6 @@
     pub load_wait_ms: u32,
 }
 
-/// Number of base model loads that the weight store serves at full speed.
-#[derive(Clone, Copy, PartialEq, Message)]
-pub struct BaseLoadLimit {
-    /// Concurrent loads.
-    #[prost(double, tag = "1")]
-    pub loads: f64,
-    /// Time of the measurement on the store's clock.
-    #[prost(uint64, tag = "2")]
-    pub measured_store_ms: u64,
-    /// Whether loads above the limit were seen to slow each other down.
-    #[prost(bool, tag = "3")]
-    pub is_ceiling: bool,
-}
-
 /// State of an adapter on a worker.
 #[derive(Clone, PartialEq, Message)]
 pub struct AdapterStatus {
@@ -361,20 +326,6 @@
     }
 }
 
-impl From<placement::BaseLoadLimit> for BaseLoadLimit {
-    fn from(limit: placement::BaseLoadLimit) -> Self {
-        let placement::BaseLoadLimit { loads, is_ceiling, measured_store_ms } = limit;
-        Self { loads, is_ceiling, measured_store_ms }
-    }
-}
-
-impl From<BaseLoadLimit> for placement::BaseLoadLimit {
-    fn from(limit: BaseLoadLimit) -> Self {
-        let BaseLoadLimit { loads, is_ceiling, measured_store_ms } = limit;
-        Self { loads, is_ceiling, measured_store_ms }
-    }
-}
-
 impl LoadRequest {
     /// Returns the name and version of the requested adapter.
     #[must_use]
