Choose the worker of a load by a constant cost for each waiting load

Cause: with the predicted wait in the cost, and requests that leave a worker whose predicted wait grows, requests moved among workers, which loaded the same adapters several times.

Change: the cost of a waiting load is constant again; the predicted wait is used for admission alone. A request stays with its loading worker.

--- a/crates/domain/src/dispatch/candidate.rs
+++ b/crates/domain/src/dispatch/candidate.rs
@@ -13,6 +13,8 @@
     Loading,
     /// The adapter is not loaded but can be.
     Absent {
+        /// Adapters that wait for a slot or a load on the worker.
+        waiting_loads: u32,
         /// Predicted time until the load would start.
         wait_ms: u32,
     },
--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -20,6 +20,9 @@
 const LOADING_COST_MS: f64 = 130.0;
 /// Round trip to a lease holder in another region, plus the risk that the adapter was unloaded.
 const CONFIRMATION_COST_MS: f64 = 80.0;
+/// Cost of each load that waits on a worker. It is constant, unlike the predicted wait: requests that
+/// follow a changing prediction have the same adapter loaded on several workers.
+const WAITING_LOAD_COST_MS: f64 = 40.0;
 /// Time that one generation in the batch adds to the others through longer steps.
 const GENERATION_COST_MS: f64 = 6.0;
 /// Time added by each call in flight on an app service.
@@ -146,7 +149,7 @@
             AdapterState::Resident => 0.0,
             AdapterState::Unconfirmed => CONFIRMATION_COST_MS,
             AdapterState::Loading => LOADING_COST_MS,
-            AdapterState::Absent { wait_ms } => f64::from(wait_ms) + MIN_LOAD_COST_MS,
+            AdapterState::Absent { wait_ms, .. } => f64::from(wait_ms) + MIN_LOAD_COST_MS,
         };
         Estimate {
             adapter_wait_ms,
@@ -220,11 +223,7 @@
             cost_ms += choice.preference_ms(worker);
             let is_loading_worker = choice.loading_worker == Some(worker);
             cost_ms += if is_loading_worker && candidate.adapter != AdapterState::Resident {
-                // A worker whose loads do not start any more is left for another one.
-                match candidate.adapter {
-                    AdapterState::Absent { wait_ms } => LOADING_COST_MS + f64::from(wait_ms),
-                    _ => LOADING_COST_MS,
-                }
+                LOADING_COST_MS
             } else {
                 self.load_cost_ms(choice, candidate.adapter, is_preferred, now_ms)
             };
@@ -244,12 +243,13 @@
         is_preferred: bool,
         now_ms: u64,
     ) -> f64 {
-        let wait_ms = match state {
+        let waiting_loads = match state {
             AdapterState::Resident => return 0.0,
             AdapterState::Unconfirmed => return CONFIRMATION_COST_MS,
             AdapterState::Loading => return LOADING_COST_MS,
-            AdapterState::Absent { wait_ms } => f64::from(wait_ms),
+            AdapterState::Absent { waiting_loads, .. } => waiting_loads,
         };
+        let wait_ms = f64::from(waiting_loads) * WAITING_LOAD_COST_MS;
         if is_preferred {
             return PREFERRED_LOAD_COST_MS + wait_ms;
         }
--- a/crates/edge/src/control/publisher.rs
+++ b/crates/edge/src/control/publisher.rs
@@ -96,6 +96,7 @@
             reported_ms,
             has_base_model: summary.has_base_model || !upstream.base_models.is_empty(),
             adapters: adapters(upstream, &summary, is_known),
+            waiting_loads: summary.waiting_loads,
             load_wait_ms: summary.load_wait_ms,
         };
         self.workers.insert(worker.clone(), Arc::new(view));
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -172,8 +172,8 @@
                 false => dispatch::AdapterState::Resident,
             });
         }
-        let wait_ms = worker.load_wait_ms;
-        worker.has_holder.then_some(dispatch::AdapterState::Absent { wait_ms })
+        let (waiting_loads, wait_ms) = (worker.waiting_loads, worker.load_wait_ms);
+        worker.has_holder.then_some(dispatch::AdapterState::Absent { waiting_loads, wait_ms })
     }
 
     /// Returns the oldest adapter version that may serve the request; 0 for any.
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -36,6 +36,8 @@
     pub has_base_model: bool,
     /// Adapters that are loaded or loading.
     pub adapters: FxHashMap<name::AdapterName, AdapterState>,
+    /// Adapters that wait for a free slot or for another load to finish.
+    pub waiting_loads: u32,
     /// Predicted time until a further load starts.
     pub load_wait_ms: u32,
 }
