Load base models that are on a worker's own disk at once

The schedule held them back, eight at a time.

Change: a worker at an address where a worker of its service held a base model counts as having a copy; it loads at once and doesn't take a turn.

Result: workers_that_restart_with_a_local_copy_load_at_once, which fails without the change.

--- a/crates/domain/src/placement/base_load_schedule.rs
+++ b/crates/domain/src/placement/base_load_schedule.rs
@@ -50,6 +50,8 @@
     pub started_unix_ms: u64,
     /// Whether it is loading the model.
     pub is_loading: bool,
+    /// Whether it has a local copy, which it loads without the weight store.
+    pub has_local_copy: bool,
 }
 
 /// A completed load of a base model.
@@ -148,6 +150,13 @@
             let order = |worker: &LackingWorker| (!worker.is_loading, worker.started_unix_ms);
             order(left).cmp(&order(right)).then_with(|| left.name.cmp(&right.name))
         });
+        let mut due = IndexSet::new();
+        lacking.retain(|worker| {
+            if worker.has_local_copy {
+                due.insert(worker.name.clone());
+            }
+            !worker.has_local_copy
+        });
         self.turns.retain(|name, _| lacking.iter().any(|worker| worker.name == *name));
         let measured = self.limit.map(|limit| limit.loads as usize);
         let limit = measured.unwrap_or(workers / WORKERS_PER_ASSUMED_LOAD);
@@ -157,7 +166,6 @@
         self.loading = loading;
         let slowdown = (loading as f64 / limit as f64).max(1.0);
         let hung_ms = (weight_store.load_ms as f64 * slowdown * HUNG_FACTOR) as u64;
-        let mut due = IndexSet::new();
         let mut counted = 0;
         for worker in lacking {
             if counted >= limit && !worker.is_loading {
--- a/crates/domain/src/placement/mod.rs
+++ b/crates/domain/src/placement/mod.rs
@@ -6,6 +6,7 @@
 mod base_load_schedule;
 mod concurrent_load_limit;
 mod load_turnover;
+mod local_copies;
 mod order;
 mod order_result;
 #[allow(clippy::module_inception)]
@@ -17,6 +18,7 @@
     BaseLoadLimit, BaseLoadSchedule, FinishedBaseLoad, LackingWorker, WeightStore,
 };
 pub use concurrent_load_limit::{ConcurrentLoadLimit, FinishedLoad, FleetLoads};
+pub use local_copies::LocalCopies;
 pub use order::Order;
 pub use order_result::OrderResult;
 pub use placement::{Limits, Placement};
--- a/crates/domain/tests/base_load_schedule.rs
+++ b/crates/domain/tests/base_load_schedule.rs
@@ -1,10 +1,12 @@
 //! Tests of the order in which the workers of a fleet load their base models.
 
 use indexmap::IndexSet;
+use jasminetack_domain::locality;
 use jasminetack_domain::name;
 use jasminetack_domain::placement::{
-    BaseLoadLimit, BaseLoadSchedule, FinishedBaseLoad, LackingWorker, WeightStore,
+    BaseLoadLimit, BaseLoadSchedule, FinishedBaseLoad, LackingWorker, LocalCopies, WeightStore,
 };
+use jasminetack_domain::upstream;
 
 const NOMINAL_MS: u64 = 4_000;
 const WEIGHT_STORE: WeightStore = WeightStore { load_ms: NOMINAL_MS, loads_per_s: 40.0 };
@@ -49,6 +51,7 @@
                 started_unix_ms: index as u64,
                 is_loading: started_ms
                     .is_some_and(|started_ms| index == own || started_ms <= known_until_ms),
+                has_local_copy: false,
             });
         }
         lacking
@@ -138,6 +141,7 @@
         name: name::WorkerName::from(name),
         started_unix_ms: u64::from(name == "second"),
         is_loading,
+        has_local_copy: false,
     };
     for first_is_loading in [false, true] {
         let lacking = || vec![worker("first", first_is_loading), worker("second", false)];
@@ -169,6 +173,7 @@
         name: name::WorkerName::from(format!("w{index}").as_str()),
         started_unix_ms: index / 2,
         is_loading: false,
+        has_local_copy: false,
     };
     let due = |order: Vec<u64>| -> IndexSet<name::WorkerName> {
         let lacking = order.into_iter().map(worker).collect();
@@ -187,6 +192,7 @@
             name: name::WorkerName::from(format!("w{index:03}").as_str()),
             started_unix_ms: index,
             is_loading: false,
+            has_local_copy: false,
         });
         let mut schedule = BaseLoadSchedule::default();
         let at_once = schedule.due(lacking.collect(), 850, weight_store, 0).len() as f64;
@@ -195,3 +201,41 @@
         assert!(begun.floor() <= permitted, "{begun} of {permitted} for {weight_store:?}");
     }
 }
+
+#[test]
+fn workers_that_restart_with_a_local_copy_load_at_once() {
+    // A crash of a quarter of a fleet: the restarted workers have the weights on their disks.
+    let lacking = (0..35).map(|index: u64| LackingWorker {
+        name: name::WorkerName::from(format!("w{index:02}").as_str()),
+        started_unix_ms: index,
+        is_loading: false,
+        has_local_copy: index != 3 && index != 9,
+    });
+    let mut schedule = BaseLoadSchedule::default();
+    let due = schedule.due(lacking.collect(), 9, WEIGHT_STORE, 0);
+    assert_eq!(due.len(), 34, "all that have a copy, and one from the store: {due:?}");
+}
+
+#[test]
+fn a_local_copy_belongs_to_an_address_and_a_service() {
+    let worker = |name: &str, port: u16, service: &str, has_model: bool| upstream::Upstream {
+        name: name::WorkerName::from(name),
+        service: name::ServiceName::from(service),
+        address: ([10, 0, 0, 1], port).into(),
+        locality: locality::Locality::new(
+            name::RegionName::from("r"),
+            name::FailureDomainName::from("a"),
+        ),
+        slots: 4,
+        is_draining: false,
+        started_unix_ms: 1,
+        base_models: has_model.then(|| name::BaseModelName::from("m")).into_iter().collect(),
+        adapters: Vec::new(),
+    };
+    let mut copies = LocalCopies::default();
+    copies.record(&worker("before", 80, "llm", true));
+    copies.record(&worker("empty", 81, "llm", false));
+    assert!(copies.contains(&worker("restarted", 80, "llm", false)));
+    assert!(!copies.contains(&worker("empty", 81, "llm", false)));
+    assert!(!copies.contains(&worker("other", 80, "other-llm", false)));
+}
--- a/crates/edge/src/control/base_loads.rs
+++ b/crates/edge/src/control/base_loads.rs
@@ -38,7 +38,10 @@
         let load = placement::FinishedBaseLoad {
             took_ms: now_ms.saturating_sub(started_ms),
             loads_at_start: 1 + others_at_start,
-            loads_at_end: 1 + lacking.iter().filter(|other| other.is_loading).count(),
+            loads_at_end: 1 + lacking
+                .iter()
+                .filter(|other| other.is_loading && !other.has_local_copy)
+                .count(),
         };
         self.base_loads.record(load, nominal_ms, store_ms);
         let (took_ms, at_start, at_end) = (load.took_ms, load.loads_at_start, load.loads_at_end);
@@ -71,6 +74,7 @@
                 name: upstream.name.clone(),
                 started_unix_ms: upstream.started_unix_ms,
                 is_loading: summary.is_loading_base_model,
+                has_local_copy: self.local_copies.contains(upstream),
             });
         }
         (lacking, workers, weight_store)
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -39,6 +39,7 @@
     pub(super) catalog: Catalog,
     pub(super) assignments: Assignments,
     pub(super) base_loads: placement::BaseLoadSchedule,
+    pub(super) local_copies: placement::LocalCopies,
     pub(super) removed_workers: RemovedWorkers,
     pub(super) peers: Peers,
     pub(super) lease_manager: LeaseManager,
@@ -84,6 +85,7 @@
             catalog: Catalog::default(),
             assignments: Assignments::default(),
             base_loads: placement::BaseLoadSchedule::default(),
+            local_copies: placement::LocalCopies::default(),
             removed_workers: RemovedWorkers::default(),
             peers: Peers::default(),
             lease_manager: LeaseManager::new(identity, times, clock::now_ms()),
@@ -212,12 +214,14 @@
                     spdlog::info!(
                         "worker-joined worker={worker} service={service} address={address}"
                     );
+                    self.local_copies.record(upstream);
                     self.assignments.apply_entry(upstream, true);
                 }
                 upstream::Change::Updated(upstream) => {
                     if upstream.is_draining {
                         spdlog::info!("worker-draining worker={}", upstream.name);
                     }
+                    self.local_copies.record(upstream);
                     self.assignments.apply_entry(upstream, false);
                 }
                 upstream::Change::Left(worker) => self.handle_worker_removal(worker, now_ms),
