Keep an index of holders and a running digest of the workers

Per tick, every 25 ms under load, each daemon looked up the holder of each worker by a scan of all daemons, and for each datagram it hashed all workers for the digest: both grow with daemons times workers.

Change: Peers keeps an index of holders and the loads of each daemon; Directory keeps its digest (the same value as before, so that two builds agree); workers without a holder are looked for every 100 ms.

--- a/crates/domain/src/upstream/directory.rs
+++ b/crates/domain/src/upstream/directory.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     upstreams: IndexMap<name::WorkerName, Arc<Upstream>>,
+    /// Sum of the hashes of all entries.
+    digest: u64,
     /// Workers whose entry expired during an outage, with the time at which they are removed.
     removal_due_ms: IndexMap<name::WorkerName, u64>,
     is_reachable: bool,
@@ -57,14 +59,7 @@
     /// Returns a hash of the worker set that does not depend on the order of the entries.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        let hash = |upstream: &Arc<Upstream>| {
-            let mut hasher = xxh3::Xxh3::new();
-            hasher.update(upstream.name.as_str().as_bytes());
-            hasher.update(&upstream.started_unix_ms.to_le_bytes());
-            hasher.update(&[u8::from(upstream.is_draining), upstream.base_models.len() as u8]);
-            hasher.digest()
-        };
-        self.upstreams.values().map(hash).fold(0, u64::wrapping_add)
+        self.digest
     }
 
     /// Records that the list could not be read.
@@ -118,7 +113,11 @@
         let is_same = known.is_some_and(|known| known.equals_except_adapters(&upstream));
         let is_new = known.is_none_or(|known| known.started_unix_ms != upstream.started_unix_ms);
         let upstream = Arc::new(upstream);
-        self.upstreams.insert(upstream.name.clone(), Arc::clone(&upstream));
+        self.digest = self.digest.wrapping_add(hash(&upstream));
+        if let Some(replaced) = self.upstreams.insert(upstream.name.clone(), Arc::clone(&upstream))
+        {
+            self.digest = self.digest.wrapping_sub(hash(&replaced));
+        }
         if is_same {
             return None;
         }
@@ -139,10 +138,16 @@
             return None;
         }
         self.removal_due_ms.swap_remove(worker);
-        self.upstreams.shift_remove(worker);
+        self.drop_entry(worker);
         Some(Change::Left(worker.clone()))
     }
 
+    fn drop_entry(&mut self, worker: &name::WorkerName) {
+        if let Some(dropped) = self.upstreams.shift_remove(worker) {
+            self.digest = self.digest.wrapping_sub(hash(&dropped));
+        }
+    }
+
     /// Removes the workers that did not register again within the grace period.
     pub fn remove_expired(&mut self, now_ms: u64) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -150,9 +155,18 @@
         let expired: Vec<_> = expired.map(|(worker, _)| worker.clone()).collect();
         for worker in expired {
             self.removal_due_ms.swap_remove(&worker);
-            self.upstreams.shift_remove(&worker);
+            self.drop_entry(&worker);
             changes.push(Change::Left(worker));
         }
         changes
     }
 }
+
+/// Returns the hash of what an entry says about routing.
+fn hash(upstream: &Upstream) -> u64 {
+    let mut bytes = upstream.name.as_str().as_bytes().to_vec();
+    bytes.extend_from_slice(&upstream.started_unix_ms.to_le_bytes());
+    bytes.push(u8::from(upstream.is_draining));
+    bytes.push(upstream.base_models.len() as u8);
+    xxh3::xxh3_64(&bytes)
+}
--- a/crates/domain/tests/upstream.rs
+++ b/crates/domain/tests/upstream.rs
@@ -127,3 +127,27 @@
     other.upsert(worker("a", 1, true));
     assert_ne!(one.digest(), other.digest());
 }
+
+#[test]
+fn digest_is_that_of_the_present_entries_whatever_came_before() {
+    let mut changed = upstream::Directory::default();
+    changed.mark_reachable(1_000, 1_000);
+    changed.upsert(worker("a", 1, false));
+    changed.upsert(worker("b", 1, false));
+    changed.upsert(worker("a", 2, true));
+    changed.upsert(worker("a", 3, false));
+    changed.remove(&name::WorkerName::from("b"), 10_000);
+    changed.upsert(worker("c", 1, false));
+    changed.mark_unreachable();
+    changed.mark_reachable(20_000, 20_000);
+    changed.remove(&name::WorkerName::from("c"), 20_000);
+    changed.remove_expired(30_000);
+    let mut fresh = upstream::Directory::default();
+    fresh.upsert(worker("a", 3, false));
+    assert_eq!(changed.digest(), fresh.digest());
+    for other in [worker("a", 2, false), worker("a", 3, true), worker("b", 3, false)] {
+        let mut directory = upstream::Directory::default();
+        directory.upsert(other);
+        assert_ne!(directory.digest(), fresh.digest());
+    }
+}
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -30,6 +30,8 @@
 /// It covers the propagation of two updates: that the adapter was loaded, and then that a request
 /// of another daemon uses it.
 const MIN_IDLE_MS: u64 = 200;
+/// Interval of looking for workers without a live holder.
+const CLAIM_INTERVAL_MS: u64 = 100;
 /// Interval of publishing a complete view, which drops holders that have stopped reporting.
 const FULL_VIEW_INTERVAL_MS: u64 = 1_000;
 
@@ -57,6 +59,7 @@
     pub(super) release_waiter: Option<oneshot::Sender<()>>,
     pub(super) last_remote_report_ms: u64,
     pub(super) last_full_view_ms: u64,
+    pub(super) next_claims_ms: u64,
     /// Workers whose state has changed since the last published view.
     pub(super) changed_workers: IndexSet<name::WorkerName>,
     pub(super) must_publish_all: bool,
@@ -102,6 +105,7 @@
             release_waiter: None,
             last_remote_report_ms: 0,
             last_full_view_ms: 0,
+            next_claims_ms: 0,
             changed_workers: IndexSet::new(),
             must_publish_all: false,
         }
@@ -133,7 +137,8 @@
         for (worker, fencing_token) in self.removed_workers.take_due(now_ms) {
             self.outputs.queue_store_job(self.lease_manager.removal_job(&worker, fencing_token));
         }
-        if !self.is_shutting_down {
+        if !self.is_shutting_down && now_ms >= self.next_claims_ms {
+            self.next_claims_ms = now_ms + CLAIM_INTERVAL_MS;
             self.claim_workers(now_ms);
         }
         if now_ms.saturating_sub(self.last_full_view_ms) >= FULL_VIEW_INTERVAL_MS {
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -36,6 +36,7 @@
 pub use lease_manager::{Identity, LeaseTimes};
 pub use message::Message;
 pub use outputs::{OutgoingDatagram, Outputs, WorkerCall, WorkerJob};
+pub use peers::Peers;
 pub use publisher::Publisher;
 pub use store_job::{StoreJob, StoreReply};
 pub use writer::Writer;
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -8,6 +8,7 @@
 use jasminetack_domain::order_lease;
 use jasminetack_domain::placement;
 use jasminetack_wire::fleet;
+use rustc_hash::FxHashMap;
 
 /// Minimum time without a datagram after which a daemon counts as failed; datagrams may be lost or
 /// delayed.
@@ -39,6 +40,8 @@
     /// Requests in flight by adapter on workers of the local daemon, and the time of the last
     /// update.
     uses: IndexMap<name::WorkerName, (u64, Vec<(name::AdapterName, u32)>)>,
+    /// Adapter loads in flight on the assigned workers.
+    loads_in_flight: usize,
     /// Time without a datagram after which the daemon counts as failed.
     pub failure_timeout_ms: u64,
     started_unix_ms: u64,
@@ -55,6 +58,7 @@
             is_leaving: false,
             assignments: IndexMap::new(),
             uses: IndexMap::new(),
+            loads_in_flight: 0,
             failure_timeout_ms: MIN_FAILURE_TIMEOUT_MS,
             started_unix_ms: 0,
             sequence: 0,
@@ -72,6 +76,8 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     peers: IndexMap<name::HostName, Peer>,
+    /// Daemons that claim to hold a worker; usually one.
+    holders: FxHashMap<name::WorkerName, Vec<name::HostName>>,
 }
 
 impl Peers {
@@ -86,7 +92,7 @@
     }
 
     /// Returns the number of other daemons.
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.peers.len()
     }
 
@@ -102,7 +108,16 @@
 
     /// Removes daemons that have failed and whose leases are no longer listed.
     pub fn retain_listed(&mut self, listed: &[name::HostName], now_ms: u64) {
-        self.peers.retain(|host, peer| listed.contains(host) || peer.is_live(now_ms));
+        let holders = &mut self.holders;
+        self.peers.retain(|host, peer| {
+            let is_kept = listed.contains(host) || peer.is_live(now_ms);
+            if !is_kept {
+                for worker in peer.assignments.keys() {
+                    remove_holder(holders, worker, host);
+                }
+            }
+            is_kept
+        });
     }
 
     /// Applies the state of a daemon.
@@ -117,9 +132,10 @@
         now_ms: u64,
     ) -> Option<Vec<name::WorkerName>> {
         let host = name::HostName::from(datagram.host.as_str());
+        let holders = &mut self.holders;
         let locality = fleet::new_locality(&state.region, &state.failure_domain);
         let new = || Peer::new(address, locality.clone());
-        let peer = self.peers.entry(host).or_insert_with(new);
+        let peer = self.peers.entry(host.clone()).or_insert_with(new);
         let received = (datagram.started_unix_ms, datagram.sequence);
         if received <= (peer.started_unix_ms, peer.sequence) {
             return None;
@@ -148,8 +164,18 @@
             }
             assignments.insert(worker, held);
         }
-        let ended = peer.assignments.keys().filter(|worker| !assignments.contains_key(*worker));
-        changed.extend(ended.cloned());
+        for worker in peer.assignments.keys() {
+            if !assignments.contains_key(worker) {
+                remove_holder(holders, worker, &host);
+                changed.push(worker.clone());
+            }
+        }
+        for worker in assignments.keys() {
+            if !peer.assignments.contains_key(worker) {
+                holders.entry(worker.clone()).or_default().push(host.clone());
+            }
+        }
+        peer.loads_in_flight = assignments.values().map(|(_, summary)| loading(summary)).sum();
         peer.assignments = assignments;
         Some(changed)
     }
@@ -202,7 +228,8 @@
         &self,
         worker: &name::WorkerName,
     ) -> Option<(&name::HostName, &Peer, u64, &placement::Summary)> {
-        let holders = self.peers.iter().filter_map(|(host, peer)| {
+        let holders = self.holders.get(worker)?.iter().filter_map(|host| {
+            let (_, host, peer) = self.peers.get_full(host)?;
             let (fencing_token, summary) = peer.assignments.get(worker)?;
             Some((host, peer, *fencing_token, summary))
         });
@@ -212,10 +239,7 @@
     /// Returns the number of adapter loads in flight on workers of other live daemons.
     pub fn loads_in_flight(&self, now_ms: u64) -> usize {
         let live = self.peers.values().filter(|peer| peer.is_live(now_ms));
-        let assignments = live.flat_map(|peer| peer.assignments.values());
-        assignments
-            .map(|(_, summary)| summary.held.iter().filter(|held| held.is_loading).count())
-            .sum()
+        live.map(|peer| peer.loads_in_flight).sum()
     }
 
     /// Returns the addresses of the daemons that match a predicate.
@@ -226,3 +250,20 @@
         self.peers.values().filter(|peer| matches(peer)).map(|peer| peer.address).collect()
     }
 }
+
+/// Returns the number of adapters that a worker is loading.
+fn loading(summary: &placement::Summary) -> usize {
+    summary.held.iter().filter(|held| held.is_loading).count()
+}
+
+fn remove_holder(
+    holders: &mut FxHashMap<name::WorkerName, Vec<name::HostName>>,
+    worker: &name::WorkerName,
+    host: &name::HostName,
+) {
+    let Some(hosts) = holders.get_mut(worker) else { return };
+    hosts.retain(|other| other != host);
+    if hosts.is_empty() {
+        holders.remove(worker);
+    }
+}
--- a/crates/edge/src/control/publisher.rs
+++ b/crates/edge/src/control/publisher.rs
@@ -62,7 +62,7 @@
             ingress: catalog.ingress().cloned(),
             services,
             adapter_versions: Arc::clone(catalog.adapter_versions()),
-            daemon_count: peers.len() + 1,
+            daemon_count: peers.count() + 1,
             is_shutting_down,
         }));
         self.revision.send_modify(|revision| *revision += 1);
--- a/crates/edge/src/control/reports.rs
+++ b/crates/edge/src/control/reports.rs
@@ -84,7 +84,7 @@
 
     /// Returns the interval of reports to daemons of other regions.
     pub(super) fn remote_report_interval_ms(&self) -> u64 {
-        let peers = u64::try_from(self.peers.len()).unwrap_or(u64::MAX);
+        let peers = u64::try_from(self.peers.count()).unwrap_or(u64::MAX);
         let scaled = MIN_REMOTE_REPORT_INTERVAL_MS * peers / MIN_REMOTE_INTERVAL_PEERS;
         scaled.clamp(MIN_REMOTE_REPORT_INTERVAL_MS, MAX_REMOTE_REPORT_INTERVAL_MS)
     }
