Leave the own prompt out of the wait that refuses a request

The wait that is compared with the target held the time to read the request's own prompt, so rider checks (9,190 tokens, 480 ms, up to 25,000 tokens) were refused with a short queue or none.

--- a/crates/domain/src/dispatch/admission.rs
+++ b/crates/domain/src/dispatch/admission.rs
@@ -33,11 +33,13 @@
         self.deadline_ms.saturating_sub(now_ms) as f64
     }
 
-    /// Returns by how much a request would begin too late to be taken in.
+    /// Returns by how much a request would wait too long to be taken in.
+    ///
+    /// The time to read its own prompt is left out, or long prompts would always be refused.
     fn excess_ms(&self, estimate: Estimate) -> f64 {
         let target_ms = self.target_ms.saturating_sub(self.received_ms) as f64;
-        let queue_excess_ms = estimate.first_part_ms - target_ms * MAX_QUEUE_SHARE;
-        let total_excess_ms = estimate.until_first_part_ms() - target_ms * MAX_TARGET_FACTOR;
+        let queue_excess_ms = estimate.queue_ms - target_ms * MAX_QUEUE_SHARE;
+        let total_excess_ms = estimate.wait_ms() - target_ms * MAX_TARGET_FACTOR;
         queue_excess_ms.max(total_excess_ms)
     }
 }
@@ -89,8 +91,8 @@
     now_ms: u64,
 ) -> Admission {
     // The wait for the adapter is predicted for a new request; one that waits already is ahead of it.
-    let wait_ms = if is_taken_in { 0.0 } else { estimate.adapter_wait_ms };
-    let until_end_ms = wait_ms + estimate.first_part_ms + estimate.generation_ms;
+    let wait_ms = if is_taken_in { estimate.queue_ms } else { estimate.wait_ms() };
+    let until_end_ms = wait_ms + estimate.service_ms();
     let deadline_excess_ms = until_end_ms - limits.left_ms(now_ms);
     let target_excess_ms = limits.excess_ms(estimate);
     let (reason, excess_ms) = if deadline_excess_ms > 0.0 {
--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -153,53 +153,50 @@
         };
         Estimate {
             adapter_wait_ms,
-            first_part_ms: self.remaining_first_part_ms(choice, candidate.upstream, now_ms),
+            queue_ms: self.remaining_queue_ms(candidate.upstream, now_ms),
+            prefill_ms: self.prefill_ms(choice, &candidate.upstream.name, now_ms),
             generation_ms: self.generation_time.predict_ms(choice.size.answer_tokens),
         }
     }
 
-    /// Predicts the time until the first part of the answer of a worker that holds the adapter, with
-    /// the load as it was reported.
-    fn first_part_ms(
-        &self,
-        choice: &ChoiceRequest<'_>,
-        upstream: &upstream::Upstream,
-        now_ms: u64,
-    ) -> f64 {
+    /// Predicts how long a worker takes for the load that was reported.
+    fn queue_ms(&self, upstream: &upstream::Upstream) -> f64 {
         let (requests, unread_tokens) = self.loads.outstanding(&upstream.name);
-        let load = (f64::from(requests), f64::from(unread_tokens));
-        self.first_part_after_ms(load, choice, upstream, now_ms)
+        self.time_of_load_ms(f64::from(requests), f64::from(unread_tokens), upstream)
     }
 
-    /// Predicts the same time with what is left of the reported load: a request is not refused because
-    /// of load that has passed since the report.
-    fn remaining_first_part_ms(
+    /// Predicts how long a worker takes for what is left of that load: a request is not refused
+    /// because of load that has passed since the report.
+    fn remaining_queue_ms(&self, upstream: &upstream::Upstream, now_ms: u64) -> f64 {
+        let request_ms = self.generation_time.mean_ms();
+        let worker = &upstream.name;
+        let (requests, unread_tokens) =
+            self.loads.remaining(worker, PREFILL_TOKENS_PER_MS, request_ms, now_ms);
+        self.time_of_load_ms(requests, unread_tokens, upstream)
+    }
+
+    fn time_of_load_ms(
         &self,
-        choice: &ChoiceRequest<'_>,
+        requests: f64,
+        unread_tokens: f64,
         upstream: &upstream::Upstream,
-        now_ms: u64,
     ) -> f64 {
-        let request_ms = self.generation_time.mean_ms();
-        let load = self.loads.remaining(&upstream.name, PREFILL_TOKENS_PER_MS, request_ms, now_ms);
-        self.first_part_after_ms(load, choice, upstream, now_ms)
+        // With all slots in use, one becomes free at this interval on average.
+        let slot_ms = self.generation_time.mean_ms() / f64::from(upstream.slots.max(1));
+        let beyond = (requests + 1.0 - f64::from(upstream.slots)).max(0.0);
+        unread_tokens / PREFILL_TOKENS_PER_MS + beyond * slot_ms
     }
 
-    /// Predicts the time until the first part after `load`, in requests and unread tokens.
-    fn first_part_after_ms(
+    /// Predicts how long a worker reads the prompt of the request.
+    fn prefill_ms(
         &self,
-        (requests, unread_tokens): (f64, f64),
         choice: &ChoiceRequest<'_>,
-        upstream: &upstream::Upstream,
+        worker: &name::WorkerName,
         now_ms: u64,
     ) -> f64 {
-        let worker = &upstream.name;
         let cached = self.prompt_cache.cached_tokens(worker, choice.adapter, choice.parts, now_ms);
-        let unread = unread_tokens + f64::from(choice.size.prompt_tokens)
-            - f64::from(cached.min(choice.size.prompt_tokens));
-        // With all slots in use, one becomes free at this interval on average.
-        let slot_ms = self.generation_time.mean_ms() / f64::from(upstream.slots.max(1));
-        let beyond = (requests + 1.0 - f64::from(upstream.slots)).max(0.0);
-        unread / PREFILL_TOKENS_PER_MS + beyond * slot_ms
+        let unread_tokens = choice.size.prompt_tokens.saturating_sub(cached);
+        f64::from(unread_tokens) / PREFILL_TOKENS_PER_MS
     }
 
     fn cost_ms(
@@ -219,7 +216,7 @@
         };
         if choice.size.is_generation() {
             cost_ms += f64::from(requests) * GENERATION_COST_MS;
-            cost_ms += self.first_part_ms(choice, upstream, now_ms);
+            cost_ms += self.queue_ms(upstream) + self.prefill_ms(choice, worker, now_ms);
             cost_ms += choice.preference_ms(worker);
             let is_loading_worker = choice.loading_worker == Some(worker);
             cost_ms += if is_loading_worker && candidate.adapter != AdapterState::Resident {
