--- a/crates/domain/src/dispatch/admission.rs
+++ b/crates/domain/src/dispatch/admission.rs
@@ -1,4 +1,4 @@
-//! Whether a request is taken in at the predicted load or refused with a time to return.
+//! Whether a request is admitted at the predicted load or refused with a time to return.
 
 use super::Estimate;
 
@@ -22,7 +22,7 @@
 pub struct TimeLimits {
     /// Time at which the answer should begin.
     pub target_ms: u64,
-    /// Time after which the answer is useless.
+    /// Time at which the caller gives up.
     pub deadline_ms: u64,
     /// Time at which the request was received.
     pub received_ms: u64,
@@ -33,7 +33,7 @@
         self.deadline_ms.saturating_sub(now_ms) as f64
     }
 
-    /// Returns by how much a request would wait too long to be taken in.
+    /// Returns by how much a request would wait too long to be admitted.
     ///
     /// The time to read its own prompt is left out, or long prompts would always be refused.
     fn excess_ms(&self, estimate: Estimate) -> f64 {
@@ -78,26 +78,26 @@
     }
 }
 
-/// Decides whether to take in a request, or to keep one that was taken in and still waits, with the
-/// estimate of the best worker.
+/// Decides whether to admit a request, or to keep an admitted one that still waits, with the estimate
+/// of the best worker.
 ///
 /// `random` is uniformly distributed in 0..1.
 #[must_use]
 pub fn decide(
     limits: TimeLimits,
     estimate: Estimate,
-    is_taken_in: bool,
+    is_admitted: bool,
     random: f64,
     now_ms: u64,
 ) -> Admission {
     // The wait for the adapter is predicted for a new request; one that waits already is ahead of it.
-    let wait_ms = if is_taken_in { estimate.queue_ms } else { estimate.wait_ms() };
+    let wait_ms = if is_admitted { estimate.queue_ms } else { estimate.wait_ms() };
     let until_end_ms = wait_ms + estimate.service_ms();
     let deadline_excess_ms = until_end_ms - limits.left_ms(now_ms);
     let target_excess_ms = limits.excess_ms(estimate);
     let (reason, excess_ms) = if deadline_excess_ms > 0.0 {
         (RefusalReason::DeadlineUnreachable, deadline_excess_ms)
-    } else if target_excess_ms > 0.0 && !is_taken_in {
+    } else if target_excess_ms > 0.0 && !is_admitted {
         (RefusalReason::Overloaded, target_excess_ms)
     } else {
         return Admission::Admitted;
--- a/crates/domain/src/placement/base_load_schedule.rs
+++ b/crates/domain/src/placement/base_load_schedule.rs
@@ -4,7 +4,8 @@
 
 use crate::name;
 
-/// Workers of a service for each concurrent load, until a load has been measured.
+/// Workers of a service for each concurrent load, until a load has been measured. Too many at once only
+/// slow each other down until the first one ends; too few leave the weight store idle.
 const WORKERS_PER_ASSUMED_LOAD: usize = 16;
 /// Ratio to the nominal time below which the weights came from the worker's local copy.
 const LOCAL_COPY_RATIO: f64 = 0.6;
@@ -76,6 +77,14 @@
     pub measured_store_ms: u64,
 }
 
+/// Turn of a worker to load.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    /// Time since which the worker should load, or does.
+    since_ms: u64,
+    is_loading: bool,
+}
+
 /// Decides which workers load their base model now.
 ///
 /// Above a limit that the weight store does not publish, concurrent loads share its bandwidth: one
@@ -84,8 +93,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct BaseLoadSchedule {
     limit: Option<BaseLoadLimit>,
-    /// Workers whose turn has come: since when, and whether they were loading.
-    turns: IndexMap<name::WorkerName, (u64, bool)>,
+    /// Workers whose turn has come.
+    turns: IndexMap<name::WorkerName, Turn>,
     /// Workers that were loading at the last decision.
     loading: usize,
     /// Concurrent loads that the last decision permitted.
@@ -171,12 +180,13 @@
             if counted >= limit && !worker.is_loading {
                 break;
             }
-            let turn = self.turns.entry(worker.name.clone()).or_insert((now_ms, false));
-            if turn.1 != worker.is_loading {
-                *turn = (now_ms, worker.is_loading);
+            let new = Turn { since_ms: now_ms, is_loading: worker.is_loading };
+            let turn = self.turns.entry(worker.name.clone()).or_insert(new);
+            if turn.is_loading != worker.is_loading {
+                *turn = new;
             }
             let timeout_ms = if worker.is_loading { hung_ms } else { START_TIMEOUT_MS };
-            counted += usize::from(now_ms.saturating_sub(turn.0) < timeout_ms);
+            counted += usize::from(now_ms.saturating_sub(turn.since_ms) < timeout_ms);
             due.insert(worker.name);
         }
         due
--- a/crates/domain/tests/admission.rs
+++ b/crates/domain/tests/admission.rs
@@ -1,4 +1,4 @@
-//! Tests of the decision to take in or refuse a request, on the load patterns that it answers.
+//! Tests of the decision to admit or refuse a request, on the load patterns that it answers.
 
 use std::collections::VecDeque;
 
@@ -32,14 +32,14 @@
 #[test]
 fn a_request_that_cannot_be_complete_by_its_deadline_is_refused_at_once() {
     let slow = estimate(0.0, 500.0, 7_600.0);
-    for is_taken_in in [false, true] {
-        let admission = admission::decide(limits(0), slow, is_taken_in, 0.5, 0);
+    for is_admitted in [false, true] {
+        let admission = admission::decide(limits(0), slow, is_admitted, 0.5, 0);
         assert_eq!(reason(admission), Some(RefusalReason::DeadlineUnreachable));
     }
 }
 
 #[test]
-fn a_request_that_waits_is_kept_when_others_are_no_longer_taken_in() {
+fn an_admitted_request_is_kept_when_others_are_refused() {
     let late = estimate(1_500.0, 100.0, 1_000.0);
     let refused = admission::decide(limits(0), late, false, 0.5, 0);
     assert_eq!(reason(refused), Some(RefusalReason::Overloaded));
@@ -103,7 +103,7 @@
         callers.push_back((now as u64, now as u64, false));
     }
     let mut free_ms = 0.0_f64;
-    // Time, daemon and end of the prefill of each request that was taken in.
+    // Time, daemon and end of the prefill of each request that was admitted.
     let mut sent: Vec<(u64, usize, f64)> = Vec::new();
     while let Some((now_ms, first_ms, has_returned)) = callers.pop_front() {
         let daemon = random.random_range(0..DAEMONS);
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -88,7 +88,7 @@
     fn check_admission(
         &self,
         target: &Target,
-        is_taken_in: bool,
+        is_admitted: bool,
         now_ms: u64,
     ) -> Result<(), Refusal> {
         if self.possible_executions > 0 {
@@ -96,7 +96,7 @@
         }
         let (limits, random) = (self.time_limits(), rand::random());
         let estimate = target.estimate;
-        match admission::decide(limits, estimate, is_taken_in, random, now_ms) {
+        match admission::decide(limits, estimate, is_admitted, random, now_ms) {
             dispatch::Admission::Admitted => Ok(()),
             dispatch::Admission::Refused { reason, retry_after_ms } => {
                 Err(Refusal::not_executed(reason.as_str(), retry_after_ms))
