List a table instead of following more changes than fit into one response

The list of workers changes 100 times a second there by heartbeats, and a daemon whose neighbours read for it has thousands of changes to follow. The store returns the oldest of them together with its present time; the daemon took its copy for current and confirmed that of others.

Change: 100 changes or more in a response make the feed list the table, which has one row a worker.

--- a/crates/edge/src/control/feed.rs
+++ b/crates/edge/src/control/feed.rs
@@ -11,6 +11,10 @@
 use crate::store;
 use crate::store::MetadataStore;
 
+/// Changes in one response from which the table is listed instead. The store returns a part of the
+/// changes if there are many, and the copy would be taken for current although it is not.
+const MAX_CHANGES: usize = 100;
+
 /// Result of a read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FeedEvent {
@@ -90,6 +94,7 @@
 
     fn follow(&mut self, after: u64) -> Result<FeedEvent, store::StoreError> {
         match self.store.changes(self.table, after)? {
+            store::Changes::Rows { rows, .. } if rows.len() >= MAX_CHANGES => self.list(),
             store::Changes::Rows { rows, version, store_ms } => {
                 self.version = Some(version.max(after));
                 self.newest = self.newest.max(version);
