--- a/crates/edge/src/control/feed.rs
+++ b/crates/edge/src/control/feed.rs
@@ -11,9 +11,10 @@
 use crate::store;
 use crate::store::MetadataStore;
 
-/// Changes in one response from which the table is listed instead. The store returns a part of the
-/// changes if there are many, and the copy would be taken for current although it is not.
-const MAX_CHANGES: usize = 100;
+/// Changes in one response from which the table is listed instead. A response holds at most 500 rows;
+/// if there are more, the store returns the oldest with its present time, and the copy would be taken
+/// for current although it is not.
+const MAX_CHANGES: usize = 400;
 
 /// Result of a read.
 #[derive(Clone, Debug, PartialEq, Eq)]
