Log a worker that is kept although its entry is missing

Callers may be sent to such a worker for 2 s after a daemon starts or reads the list again; the log didn't name it until worker-left, so that this couldn't be told from a late read. Not measured: the line is written at most once for each worker.

--- a/crates/domain/src/upstream/directory.rs
+++ b/crates/domain/src/upstream/directory.rs
@@ -56,6 +56,12 @@
         self.upstreams.get(worker)
     }
 
+    /// Returns whether a worker is kept although its entry is missing.
+    #[must_use]
+    pub fn is_missing(&self, worker: &name::WorkerName) -> bool {
+        self.removal_due_ms.contains_key(worker)
+    }
+
     /// Returns a hash of the worker set that does not depend on the order of the entries.
     #[must_use]
     pub fn digest(&self) -> u64 {
--- a/crates/edge/src/control/catalog.rs
+++ b/crates/edge/src/control/catalog.rs
@@ -142,7 +142,7 @@
                 let unlisted = self.unlisted_workers(&listing);
                 let mut changes = self.apply_workers_rows(listing.rows, dialect, now_ms);
                 for worker in unlisted {
-                    changes.workers.extend(self.directory.remove(&worker, now_ms));
+                    changes.workers.extend(self.remove_worker(&worker, now_ms));
                 }
                 changes.has_changed = !changes.workers.is_empty();
                 changes
@@ -169,7 +169,7 @@
             *known = row.version;
             let change = match decode(&row, dialect) {
                 Some(upstream) => self.directory.upsert(upstream),
-                None => self.directory.remove(&name::WorkerName::from(row.key.as_str()), now_ms),
+                None => self.remove_worker(&name::WorkerName::from(row.key.as_str()), now_ms),
             };
             if let Some(change) = change {
                 changes.workers.push(change);
@@ -185,6 +185,20 @@
         self.directory.observe_series(series);
     }
 
+    /// Removes a worker whose entry is missing, or logs that it is kept because it may register again.
+    fn remove_worker(
+        &mut self,
+        worker: &name::WorkerName,
+        now_ms: u64,
+    ) -> Option<upstream::Change> {
+        let was_missing = self.directory.is_missing(worker);
+        let change = self.directory.remove(worker, now_ms);
+        if !was_missing && self.directory.is_missing(worker) {
+            spdlog::info!("worker-missing worker={worker} outcome=kept");
+        }
+        change
+    }
+
     /// Returns the known workers that a listing does not contain.
     fn unlisted_workers(&self, listing: &store::Listing) -> Vec<name::WorkerName> {
         let mut unlisted = Vec::new();
