Leave workers that are kept without an entry out of the directory's digest

Which of the causes the users met isn't known; this one was found by reading the code and is suspected only.

Cause: a daemon that has just started, or whose last read failed, keeps a worker whose entry is missing for 2 s. Its digest still contained the worker, together with the store time of its latest read. Daemons of the region that hadn't read since compared equal and took their own copies, which list the worker, for current as of then, so that they neither read nor dropped it until the first daemon did: up to 2,000 ms + 200 ms to the next datagram + 500 ms rank delay + 100 ms read + 300 ms for a choice made before, above DrainMs (2,500).

Evidence: the test fails without the change (equal digests).

Change: the digest covers the listed workers only. The others then see a newer, different copy and read within their rank delay.

--- a/crates/domain/src/upstream/directory.rs
+++ b/crates/domain/src/upstream/directory.rs
@@ -31,7 +31,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     upstreams: IndexMap<name::WorkerName, Arc<Upstream>>,
-    /// Sum of the hashes of all entries.
+    /// Sum of the hashes of the entries that are listed, so that a worker that is kept without an entry
+    /// does not confirm the copies of daemons that have not read of its removal yet.
     digest: u64,
     /// Workers whose entry expired during an outage, with the time at which they are removed.
     removal_due_ms: IndexMap<name::WorkerName, u64>,
@@ -62,7 +63,7 @@
         self.removal_due_ms.contains_key(worker)
     }
 
-    /// Returns a hash of the worker set that does not depend on the order of the entries.
+    /// Returns a hash of the listed workers that does not depend on the order of the entries.
     #[must_use]
     pub fn digest(&self) -> u64 {
         self.digest
@@ -114,14 +115,14 @@
     /// A difference only in the adapters is not reported as a change: the lease holder of the worker
     /// publishes more recent information on them.
     pub fn upsert(&mut self, upstream: Upstream) -> Option<Change> {
-        self.removal_due_ms.swap_remove(&upstream.name);
+        let was_missing = self.removal_due_ms.swap_remove(&upstream.name).is_some();
         let known = self.upstreams.get(&upstream.name);
         let is_same = known.is_some_and(|known| known.equals_except_adapters(&upstream));
         let is_new = known.is_none_or(|known| known.started_unix_ms != upstream.started_unix_ms);
         let upstream = Arc::new(upstream);
         self.digest = self.digest.wrapping_add(hash(&upstream));
-        if let Some(replaced) = self.upstreams.insert(upstream.name.clone(), Arc::clone(&upstream))
-        {
+        let replaced = self.upstreams.insert(upstream.name.clone(), Arc::clone(&upstream));
+        if let Some(replaced) = replaced.filter(|_| !was_missing) {
             self.digest = self.digest.wrapping_sub(hash(&replaced));
         }
         if is_same {
@@ -135,25 +136,22 @@
     /// Just after an outage of the list, the worker is kept for `REREGISTRATION_GRACE_MS`, since a
     /// live worker whose entry expired registers again.
     pub fn remove(&mut self, worker: &name::WorkerName, now_ms: u64) -> Option<Change> {
-        let known = self.upstreams.get(worker)?;
+        let known = Arc::clone(self.upstreams.get(worker)?);
         let until_ms = self.reachable_since_ms + REREGISTRATION_GRACE_MS;
         let may_register_again =
             self.reachable_since_ms > 0 && now_ms < until_ms && !known.is_draining;
+        if !self.is_missing(worker) {
+            self.digest = self.digest.wrapping_sub(hash(&known));
+        }
         if may_register_again {
             self.removal_due_ms.insert(worker.clone(), until_ms);
             return None;
         }
         self.removal_due_ms.swap_remove(worker);
-        self.drop_entry(worker);
+        self.upstreams.shift_remove(worker);
         Some(Change::Left(worker.clone()))
     }
 
-    fn drop_entry(&mut self, worker: &name::WorkerName) {
-        if let Some(dropped) = self.upstreams.shift_remove(worker) {
-            self.digest = self.digest.wrapping_sub(hash(&dropped));
-        }
-    }
-
     /// Removes the workers that did not register again within the grace period.
     pub fn remove_expired(&mut self, now_ms: u64) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -161,7 +159,7 @@
         let expired: Vec<_> = expired.map(|(worker, _)| worker.clone()).collect();
         for worker in expired {
             self.removal_due_ms.swap_remove(&worker);
-            self.drop_entry(&worker);
+            self.upstreams.shift_remove(&worker);
             changes.push(Change::Left(worker));
         }
         changes
--- a/crates/domain/tests/upstream.rs
+++ b/crates/domain/tests/upstream.rs
@@ -151,3 +151,26 @@
         assert_ne!(directory.digest(), fresh.digest());
     }
 }
+
+#[test]
+fn a_worker_that_is_kept_without_an_entry_does_not_confirm_copies_that_list_it() {
+    let mut kept = upstream::Directory::default();
+    let mut listed = upstream::Directory::default();
+    kept.mark_reachable(1_000, 1_000);
+    for directory in [&mut kept, &mut listed] {
+        directory.upsert(worker("stays", 1, false));
+        directory.upsert(worker("leaves", 1, false));
+    }
+    let leaves = name::WorkerName::from("leaves");
+    assert_eq!(kept.remove(&leaves, 1_500), None);
+    assert!(kept.get(&leaves).is_some());
+    assert_ne!(kept.digest(), listed.digest());
+    let mut dropped = listed.clone();
+    dropped.remove(&leaves, 1_500);
+    assert_eq!(kept.digest(), dropped.digest());
+    let mut registered = kept.clone();
+    registered.upsert(worker("leaves", 1, false));
+    assert_eq!(registered.digest(), listed.digest());
+    kept.remove_expired(1_000 + upstream::REREGISTRATION_GRACE_MS);
+    assert_eq!(kept.digest(), dropped.digest());
+}
