Name the shared segments of the prompt when an attempt fails

A segment's identifier is a type of its own now, written in hexadecimal like in the callers' requests.

--- a/crates/domain/src/dispatch/prompt_cache_index.rs
+++ b/crates/domain/src/dispatch/prompt_cache_index.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 use rustc_hash::FxBuildHasher;
 
+use super::{PromptSegment, SegmentId};
 use crate::name;
 
 /// Maximum number of entries; the oldest are evicted first.
@@ -10,15 +11,6 @@
 /// Time after which a worker is assumed to have evicted a segment.
 const LIFETIME_MS: u64 = 20_000;
 
-/// Segment of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PromptSegment {
-    /// Identifier of the text.
-    pub id: u64,
-    /// Length in tokens.
-    pub tokens: u32,
-}
-
 /// Tracks the prompt prefixes that workers have prefilled for an adapter.
 #[derive(Clone, Debug, Default)]
 pub struct PromptCacheIndex {
@@ -35,9 +27,8 @@
         segments: &[PromptSegment],
         now_ms: u64,
     ) {
-        let Some((_, shared)) = segments.split_last() else { return };
         let mut chain = seed(adapter);
-        for segment in shared {
+        for segment in PromptSegment::shared(segments) {
             chain = extend(chain, segment.id);
             self.prefilled.insert((worker.clone(), chain), now_ms);
         }
@@ -55,10 +46,9 @@
         segments: &[PromptSegment],
         now_ms: u64,
     ) -> u32 {
-        let Some((_, shared)) = segments.split_last() else { return 0 };
         let mut chain = seed(adapter);
         let mut cached = 0;
-        for segment in shared {
+        for segment in PromptSegment::shared(segments) {
             chain = extend(chain, segment.id);
             let Some(prefilled_ms) = self.prefilled.get(&(worker.clone(), chain)) else { break };
             if now_ms.saturating_sub(*prefilled_ms) > LIFETIME_MS {
@@ -74,9 +64,9 @@
     adapter.map_or(0, |adapter| xxhash_rust::xxh3::xxh3_64(adapter.as_str().as_bytes()))
 }
 
-fn extend(chain: u64, id: u64) -> u64 {
+fn extend(chain: u64, id: SegmentId) -> u64 {
     let mut bytes = [0; 16];
     bytes[..8].copy_from_slice(&chain.to_le_bytes());
-    bytes[8..].copy_from_slice(&id.to_le_bytes());
+    bytes[8..].copy_from_slice(&u64::from(id).to_le_bytes());
     xxhash_rust::xxh3::xxh3_64(&bytes)
 }
--- a/crates/domain/tests/dispatch.rs
+++ b/crates/domain/tests/dispatch.rs
@@ -186,14 +186,14 @@
 fn cached_tokens_cover_the_shared_prefix_of_a_prompt() {
     let mut memory = dispatch::PromptCacheIndex::default();
     let parts = [
-        dispatch::PromptSegment { id: 1, tokens: 2_500 },
-        dispatch::PromptSegment { id: 2, tokens: 3_800 },
-        dispatch::PromptSegment { id: 3, tokens: 900 },
+        dispatch::PromptSegment { id: 1.into(), tokens: 2_500 },
+        dispatch::PromptSegment { id: 2.into(), tokens: 3_800 },
+        dispatch::PromptSegment { id: 3.into(), tokens: 900 },
     ];
     let worker = name::WorkerName::from("w");
     memory.record(&worker, None, &parts, 0);
     assert_eq!(memory.cached_tokens(&worker, None, &parts, 1), 6_300);
-    let other = [parts[0], dispatch::PromptSegment { id: 9, tokens: 10 }, parts[2]];
+    let other = [parts[0], dispatch::PromptSegment { id: 9.into(), tokens: 10 }, parts[2]];
     assert_eq!(memory.cached_tokens(&worker, None, &other, 1), 2_500);
     let adapter = name::AdapterName::from("m/a");
     assert_eq!(memory.cached_tokens(&worker, Some(&adapter), &parts, 1), 0);
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -124,6 +124,7 @@
         let route = route.ok_or(Refusal::rejected(StatusCode::NOT_FOUND, "no such route"))?;
         record.set_route(route, ingress.version());
         record.set_adapter(facts.adapter.as_ref());
+        record.set_prompt_segments(&facts.prompt_segments);
         let service = route.service(rand::random());
         let service = service.ok_or(Refusal::not_executed("no service", RETRY_AFTER_MS))?.clone();
         shared.count_request(&service, received_ms);
--- a/crates/edge/src/traffic/request_record.rs
+++ b/crates/edge/src/traffic/request_record.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use jasminetack_domain::dispatch;
 use jasminetack_domain::ingress;
 use jasminetack_domain::name;
 use jasminetack_domain::route;
@@ -26,6 +27,7 @@
     load_wait_ms: u64,
     worker: Option<name::WorkerName>,
     adapter: Option<name::AdapterName>,
+    prompt_segments: Arc<[dispatch::PromptSegment]>,
     /// Worker that was last asked to load the adapter.
     loading_worker: Option<name::WorkerName>,
     /// Predicted time at the selected worker, and those of the next best ones.
@@ -55,6 +57,7 @@
             load_wait_ms: 0,
             worker: None,
             adapter: None,
+            prompt_segments: Arc::default(),
             loading_worker: None,
             predictions: String::new(),
             first_byte_ms: None,
@@ -85,6 +88,11 @@
         self.adapter = adapter.cloned();
     }
 
+    /// Sets the segments of the prompt.
+    pub fn set_prompt_segments(&mut self, segments: &Arc<[dispatch::PromptSegment]>) {
+        self.prompt_segments = Arc::clone(segments);
+    }
+
     /// Sets the worker that is asked to load the adapter.
     pub fn set_loading_worker(&mut self, worker: &name::WorkerName) {
         self.loading_worker = Some(worker.clone());
@@ -113,8 +121,9 @@
     pub fn record_attempt_failure(&self, worker: &name::WorkerName, result: &str) {
         let age_ms = clock::now_ms().saturating_sub(self.received_ms);
         let (id, attempt) = (&self.request_id, self.attempts);
+        let segments = format_shared_segments(&self.prompt_segments);
         spdlog::info!(
-            "attempt-failed request={id} attempt={attempt} worker={worker} result={result} age_ms={age_ms}"
+            "attempt-failed request={id} attempt={attempt} worker={worker} result={result} age_ms={age_ms} segments={segments}"
         );
         self.metrics.record_attempt_failure(result);
     }
@@ -154,6 +163,13 @@
     }
 }
 
+/// Formats the segments of a prompt that other requests may share; `none` without any.
+fn format_shared_segments(segments: &[dispatch::PromptSegment]) -> String {
+    let shared = dispatch::PromptSegment::shared(segments).iter();
+    let ids: Vec<_> = shared.map(|segment| segment.id.to_string()).collect();
+    if ids.is_empty() { "none".to_owned() } else { ids.join(",") }
+}
+
 /// Formats the predicted times at the selected worker and at the next best ones.
 fn format_predictions(decision: &route::Decision) -> String {
     let mut others: Vec<_> = decision.considered.iter().collect();
