Quarantine segments of prompts on which workers crash

Cause: failures were counted by worker only. A request that crashes its worker was followed by the next one with the same segment at the next best worker. Class: a fault that travels with the input was taken for a fault of the machine.

Change: domain aggregate quarantine::Quarantine; daemons tell each other of crashes, quarantines and clearances in datagrams; requests with a quarantined segment are refused with 503 and the time left as Retry-After, before they wait or are repeated.

--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod name;
 pub mod order_lease;
 pub mod placement;
+pub mod quarantine;
 pub mod quota;
 pub mod request;
 pub mod route;
--- /dev/null
+++ b/crates/domain/src/quarantine/mod.rs
@@ -0,0 +1,25 @@
+//! Segments of prompts on which workers crash.
+//!
+//! A request with such a segment ends every worker that starts to answer it, and a repeat ends the next
+//! one. The daemons tell each other which requests workers crashed on; a segment that these requests
+//! have in common, and that no answer has survived, is quarantined: requests with it are refused.
+
+mod answered_segments;
+mod crash_log;
+mod evidence;
+#[allow(clippy::module_inception)]
+mod quarantine;
+mod segment_change;
+mod suspect_segment;
+mod verdict;
+mod worker_crash;
+
+pub use quarantine::Quarantine;
+pub use segment_change::SegmentChange;
+pub use suspect_segment::SuspectSegment;
+pub use verdict::{PeerVerdict, Verdict};
+pub use worker_crash::WorkerCrash;
+
+/// Time from the first part of an answer within which a worker crashes if the prompt is the cause. An
+/// answer that lasts longer has survived.
+pub const ONSET_MS: u64 = 1_000;
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -6,6 +6,7 @@
 use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
 use jasminetack_domain::placement;
+use jasminetack_domain::quarantine;
 use jasminetack_domain::upstream;
 use jasminetack_wire::fleet;
 use parking_lot::Mutex;
@@ -43,6 +44,7 @@
     pub(super) base_loads: placement::BaseLoadSchedule,
     pub(super) local_copies: placement::LocalCopies,
     pub(super) removed_workers: RemovedWorkers,
+    pub(super) quarantine: quarantine::Quarantine,
     pub(super) peers: Peers,
     pub(super) lease_manager: LeaseManager,
     pub(super) operator: Freshness,
@@ -90,6 +92,7 @@
             base_loads: placement::BaseLoadSchedule::default(),
             local_copies: placement::LocalCopies::default(),
             removed_workers: RemovedWorkers::default(),
+            quarantine: quarantine::Quarantine::default(),
             peers: Peers::default(),
             lease_manager: LeaseManager::new(identity, times, clock::now_ms()),
             operator,
@@ -147,6 +150,7 @@
             self.assignments.log_slot_counts();
             self.chooser.lock().loads.expire(now_ms);
         }
+        self.update_quarantine(now_ms);
         self.send_orders(now_ms);
         self.publish_changes(now_ms);
     }
@@ -180,6 +184,11 @@
             Message::AdapterUse { worker, adapter, is_used } => {
                 self.handle_use_change(&worker, &adapter, is_used, now_ms);
             }
+            Message::WorkerCrashed(crash) => self.handle_worker_crash(&crash, now_ms),
+            Message::AnswerSurvived { segments, started_ms } => {
+                let changes = self.quarantine.record_answer(&segments, started_ms, now_ms);
+                self.apply_segment_changes(&changes, now_ms);
+            }
             Message::OrderResult { worker, fencing_token, order, result } => {
                 self.metrics.record_order(result.as_str());
                 let base_load = self.assignments.apply_order_result(
@@ -296,7 +305,7 @@
         if served.is_empty() {
             return;
         }
-        let state = self.daemon_state(None);
+        let state = self.daemon_state(None, now_ms);
         let served = served.iter().filter_map(|host| self.peers.get(host));
         let receivers = served.map(|peer| peer.address).collect();
         self.send_state(state, receivers);
@@ -339,7 +348,7 @@
         if let Some(job) = release {
             self.outputs.queue_store_job(job);
         }
-        let state = self.daemon_state(None);
+        let state = self.daemon_state(None, now_ms);
         let receivers = self.peers.addresses(|_| true);
         self.send_state(state, receivers);
         if !is_written {
--- a/crates/edge/src/control/datagrams.rs
+++ b/crates/edge/src/control/datagrams.rs
@@ -30,11 +30,12 @@
                 // The sender has not been notified yet that the adapter is usable.
                 let receivers =
                     self.peers.get(&host).map(|peer| peer.address).into_iter().collect();
-                let state = self.daemon_state(None);
+                let state = self.daemon_state(None, now_ms);
                 self.send_state(state, receivers);
             }
         }
         self.apply_peer_uses(&datagram, now_ms);
+        self.apply_peer_crashes(&datagram, now_ms);
         let Some(state) = &datagram.state else { return };
         let address = match fleet::parse_address(&state.address) {
             Ok(address) => address,
@@ -46,6 +47,7 @@
         let Some(changed) = self.peers.apply_state(&datagram, state, address, now_ms) else {
             return;
         };
+        self.apply_peer_quarantine(state, now_ms);
         let host = name::HostName::from(datagram.host.as_str());
         if state.has_loads {
             let loads = state.loads.iter().map(dispatch::ReportedLoad::from).collect();
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -1,8 +1,12 @@
 //! Messages to the control thread.
 
+use std::sync::Arc;
+
 use jasminetack_domain::adapter;
+use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
 use jasminetack_domain::placement;
+use jasminetack_domain::quarantine;
 use jasminetack_wire::fleet;
 use tokio::sync::oneshot;
 
@@ -40,6 +44,15 @@
         /// Whether a request of this daemon uses the adapter now.
         is_used: bool,
     },
+    /// A worker crashed while it served requests of this daemon.
+    WorkerCrashed(quarantine::WorkerCrash),
+    /// An answer of a worker has survived the time in which its prompt could have crashed the worker.
+    AnswerSurvived {
+        /// Segments of the prompt.
+        segments: Arc<[dispatch::PromptSegment]>,
+        /// Time of the first part of the answer.
+        started_ms: u64,
+    },
     /// Result of an order.
     OrderResult {
         /// The worker.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod outputs;
 mod peers;
 mod publisher;
+mod quarantined_segments;
 mod removed_workers;
 mod reports;
 mod store_job;
--- a/crates/edge/src/control/publisher.rs
+++ b/crates/edge/src/control/publisher.rs
@@ -4,6 +4,7 @@
 
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
+use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
 use jasminetack_domain::placement;
 use jasminetack_domain::upstream;
@@ -21,12 +22,18 @@
     view: Arc<ArcSwap<view::View>>,
     revision: watch::Sender<u64>,
     workers: IndexMap<name::WorkerName, Arc<view::WorkerView>>,
+    quarantined: Arc<FxHashMap<dispatch::SegmentId, u64>>,
 }
 
 impl Publisher {
     /// Creates a publisher that replaces a shared view.
     pub fn new(view: Arc<ArcSwap<view::View>>, revision: watch::Sender<u64>) -> Self {
-        Self { view, revision, workers: IndexMap::new() }
+        Self { view, revision, workers: IndexMap::new(), quarantined: Arc::default() }
+    }
+
+    /// Sets the quarantined segments of the next view, with the time until which each is quarantined.
+    pub fn set_quarantined(&mut self, segments: FxHashMap<dispatch::SegmentId, u64>) {
+        self.quarantined = Arc::new(segments);
     }
 
     /// Publishes the current state; updates only the `changed` workers, or all if it is `None`.
@@ -63,6 +70,7 @@
             services,
             adapter_versions: Arc::clone(catalog.adapter_versions()),
             daemon_count: peers.count() + 1,
+            quarantined: Arc::clone(&self.quarantined),
             is_shutting_down,
         }));
         self.revision.send_modify(|revision| *revision += 1);
--- a/crates/edge/src/control/reports.rs
+++ b/crates/edge/src/control/reports.rs
@@ -34,7 +34,8 @@
     pub fn report(&mut self, now_ms: u64) {
         let uses = self.take_uses(now_ms);
         let loads = self.chooser.lock().loads.report();
-        let state = self.daemon_state(Some(loads.iter().map(fleet::WorkerLoad::from).collect()));
+        let state =
+            self.daemon_state(Some(loads.iter().map(fleet::WorkerLoad::from).collect()), now_ms);
         let is_remote_due =
             now_ms.saturating_sub(self.last_remote_report_ms) >= self.remote_report_interval_ms();
         if is_remote_due {
@@ -116,15 +117,19 @@
     }
 
     /// Returns a state without loads and worker statuses, which reports the state of the tables.
-    pub(super) fn table_only_state(&self) -> fleet::DaemonState {
+    pub(super) fn table_only_state(&self, now_ms: u64) -> fleet::DaemonState {
         fleet::DaemonState {
             has_worker_statuses: false,
             worker_statuses: Vec::new(),
-            ..self.daemon_state(None)
+            ..self.daemon_state(None, now_ms)
         }
     }
 
-    pub(super) fn daemon_state(&self, loads: Option<Vec<fleet::WorkerLoad>>) -> fleet::DaemonState {
+    pub(super) fn daemon_state(
+        &self,
+        loads: Option<Vec<fleet::WorkerLoad>>,
+        now_ms: u64,
+    ) -> fleet::DaemonState {
         let identity = self.lease_manager.identity();
         let assignments = self.assignments.iter();
         let statuses = assignments.map(|(worker, assignment)| {
@@ -143,6 +148,8 @@
             base_load_limit: self.base_loads.limit().map(fleet::BaseLoadLimit::from),
             operator: table_state(&self.operator, self.catalog.operator_digest()),
             workers: table_state(&self.workers, self.catalog.directory().digest()),
+            quarantined: self.quarantined_segments(now_ms),
+            cleared: self.cleared_segments(now_ms),
         }
     }
 
@@ -167,6 +174,7 @@
             workers_rows: Vec::new(),
             use_changes: Vec::new(),
             uses: Vec::new(),
+            crashes: Vec::new(),
         }
     }
 }
--- a/crates/edge/src/control/store_replies.rs
+++ b/crates/edge/src/control/store_replies.rs
@@ -81,7 +81,7 @@
         self.peers.retain_listed(&listed, now_ms);
         if is_new {
             // Daemons that know this one send it their states with their next reports.
-            let state = self.daemon_state(None);
+            let state = self.daemon_state(None, now_ms);
             let receivers = self.peers.addresses(|_| true);
             self.send_state(state, receivers);
         }
--- a/crates/edge/src/control/table_reads.rs
+++ b/crates/edge/src/control/table_reads.rs
@@ -36,13 +36,13 @@
         let shared = if is_first { Vec::new() } else { std::mem::take(&mut changes.rows) };
         self.apply_catalog_changes(changes, now_ms);
         if was_read {
-            self.share_rows(table, shared);
+            self.share_rows(table, shared, now_ms);
         }
     }
 
     /// Sends rows to the other daemons of the region, so that they need not read them.
-    pub(super) fn share_rows(&mut self, table: store::Table, rows: Vec<store::Row>) {
-        let state = self.table_only_state();
+    pub(super) fn share_rows(&mut self, table: store::Table, rows: Vec<store::Row>, now_ms: u64) {
+        let state = self.table_only_state(now_ms);
         let mut datagram = self.next_datagram(Some(state), Vec::new());
         let size: usize = rows.iter().filter_map(|row| row.value.as_ref()).map(Vec::len).sum();
         // Rows that do not fit into a datagram are read by each daemon.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -31,6 +31,10 @@
     failed_attempts: Family<Label, Counter>,
     orders: Family<Label, Counter>,
     store_calls: Family<StoreCall, Counter>,
+    /// Crashes of workers that this daemon noticed.
+    pub worker_crashes: Counter,
+    /// Segments whose requests are refused.
+    pub quarantined_segments: Gauge,
 }
 
 impl Metrics {
@@ -56,6 +60,12 @@
         registry.register("orders", "Orders to workers by result", orders.clone());
         let help = "Calls to the metadata store by kind, table and result";
         registry.register("store_calls", help, store_calls.clone());
+        let worker_crashes = Counter::default();
+        let help = "Crashes of workers that broke off answers to this daemon";
+        registry.register("worker_crashes", help, worker_crashes.clone());
+        let quarantined_segments = Gauge::default();
+        let help = "Segments of prompts whose requests are refused";
+        registry.register("quarantined_segments", help, quarantined_segments.clone());
         let registry = Mutex::new(registry);
         Self {
             registry,
@@ -66,6 +76,8 @@
             failed_attempts,
             orders,
             store_calls,
+            worker_crashes,
+            quarantined_segments,
         }
     }
 
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -12,6 +12,7 @@
 use jasminetack_domain::upstream;
 use tokio::time;
 
+use super::answer_watch::AnswerWatch;
 use super::connection::Connection;
 use super::load_guard::LoadGuard;
 use super::pool::Pool;
@@ -27,6 +28,8 @@
     pub connection: Connection,
     /// Accounting of the request in the worker's load.
     pub load: LoadGuard,
+    /// What the response tells of its prompt.
+    pub answer: AnswerWatch,
 }
 
 /// Why an attempt has no response.
@@ -51,6 +54,7 @@
     upstream: &upstream::Upstream,
     mut request: Request<Full<Bytes>>,
     mut load: LoadGuard,
+    mut answer: AnswerWatch,
     timeout_ms: u64,
 ) -> Result<(Response<Incoming>, Exchange), AttemptError> {
     let worker = &upstream.name;
@@ -71,13 +75,14 @@
         let mut error = match result {
             Ok(response) => {
                 load.record_data(clock::now_ms());
-                return Ok((response, Exchange { connection, load }));
+                return Ok((response, Exchange { connection, load, answer }));
             }
             Err(error) => error,
         };
         // hyper returns the request if it wrote none of it; the worker cannot have executed it then.
         let Some(returned) = error.take_message() else {
             load.record_failure(clock::now_ms());
+            answer.record_interruption();
             if connection.is_reused {
                 pool.close_before(worker, started_ms);
             }
--- a/crates/edge/src/traffic/connection.rs
+++ b/crates/edge/src/traffic/connection.rs
@@ -19,7 +19,7 @@
 use crate::clock;
 
 /// Timeout for opening a connection; a round trip between regions takes 40 ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// `TCP_USER_TIMEOUT`: time after which unacknowledged data closes a connection.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time before the first TCP keepalive probe, and the interval between probes.
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -1,8 +1,10 @@
 //! The traffic thread: requests of callers, connections to workers and datagrams between daemons,
 //! on one single-threaded tokio runtime.
 
+mod answer_watch;
 mod attempt;
 mod connection;
+mod crash_watch;
 mod datagram_socket;
 mod event_buffer;
 mod forwarded_parts;
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 use tokio::time::{self, Sleep};
 
+use super::answer_watch::AnswerWatch;
 use super::attempt::{self, Exchange};
 use super::load_guard::LoadGuard;
 use super::refusal::{RETRY_AFTER_MS, Refusal};
@@ -206,10 +207,12 @@
             let parts = &self.facts.prompt_segments;
             chooser.lock().prompt_cache.record(worker, adapter, parts, now_ms);
         }
+        let (pool, upstream) = (&self.shared.pool, &target.upstream);
+        let answer =
+            AnswerWatch::new(&self.shared.crash_watch, upstream, &self.facts.prompt_segments);
         let timeout_ms = self.attempt_timeout_ms(now_ms);
-        let sent =
-            attempt::send(&self.shared.pool, &target.upstream, request, load, timeout_ms).await;
-        let (response, exchange) = match sent {
+        let sent = attempt::send(pool, upstream, request, load, answer, timeout_ms).await;
+        let (response, mut exchange) = match sent {
             Ok(response) => response,
             Err(error) => return Err(self.attempt_failed(worker, error, record)),
         };
@@ -224,6 +227,9 @@
             return Err(self.not_executed(worker, facts, &head, record));
         }
         self.possible_executions += 1;
+        if !head.status.is_success() {
+            exchange.answer.stop();
+        }
         let is_failure = head.status.is_server_error();
         if is_failure {
             exchange.load.record_failure(clock::now_ms());
--- a/crates/edge/src/traffic/relay.rs
+++ b/crates/edge/src/traffic/relay.rs
@@ -8,6 +8,7 @@
 use hyper::body::{self, Body, Incoming};
 use tokio::time::Sleep;
 
+use super::answer_watch::AnswerWatch;
 use super::attempt::Exchange;
 use super::connection::Connection;
 use super::load_guard::LoadGuard;
@@ -21,6 +22,7 @@
     incoming: Incoming,
     connection: Option<Connection>,
     load: LoadGuard,
+    answer: AnswerWatch,
     record: RequestRecord,
     deadline: Pin<Box<Sleep>>,
     pool: Arc<Pool>,
@@ -36,10 +38,11 @@
         deadline: Pin<Box<Sleep>>,
         pool: Arc<Pool>,
     ) -> Self {
-        let Exchange { connection, load } = exchange;
+        let Exchange { connection, load, answer } = exchange;
         let connection = Some(connection);
         let is_complete = false;
-        let mut relay = Self { incoming, connection, load, record, deadline, pool, is_complete };
+        let mut relay =
+            Self { incoming, connection, load, answer, record, deadline, pool, is_complete };
         relay.complete_at_end();
         relay
     }
@@ -67,12 +70,14 @@
                     let Ok(data) = frame.into_data() else { continue };
                     let now_ms = clock::now_ms();
                     self.load.record_data(now_ms);
+                    self.answer.record_part(now_ms);
                     self.record.record_part(now_ms);
                     self.complete_at_end();
                     Some(Ok(data))
                 }
                 Some(Err(_)) => {
                     self.load.record_failure(clock::now_ms());
+                    self.answer.record_interruption();
                     Some(Err(self.fail("worker-broke-off")))
                 }
                 None => {
@@ -105,6 +110,7 @@
         }
         let now_ms = clock::now_ms();
         self.load.record_data(now_ms);
+        self.answer.record_end(now_ms);
         self.record.set_outcome("answered");
         if let Some(connection) = self.connection.take() {
             self.pool.put(self.load.worker(), connection, now_ms);
--- a/crates/edge/src/traffic/shared_state.rs
+++ b/crates/edge/src/traffic/shared_state.rs
@@ -10,6 +10,7 @@
 use rustc_hash::FxHashMap;
 use tokio::sync::watch;
 
+use super::crash_watch::CrashWatch;
 use super::pool::Pool;
 use crate::control;
 use crate::host;
@@ -34,6 +35,8 @@
     pub chooser: Arc<Mutex<dispatch::Chooser>>,
     /// Idle connections to workers.
     pub pool: Arc<Pool>,
+    /// Detection of crashed workers.
+    pub crash_watch: Arc<CrashWatch>,
     /// Message queue of the control thread.
     pub control: Sender<control::Message>,
     /// Metrics of the daemon.
@@ -53,8 +56,19 @@
         control: Sender<control::Message>,
         metrics: Arc<metrics::Metrics>,
     ) -> Self {
-        let (pool, retry_budgets) = (Arc::default(), Mutex::default());
-        Self { dialect, host, view, revision, chooser, pool, control, metrics, retry_budgets }
+        let crash_watch = Arc::new(CrashWatch::new(control.clone()));
+        Self {
+            dialect,
+            host,
+            view,
+            revision,
+            chooser,
+            pool: Arc::default(),
+            crash_watch,
+            control,
+            metrics,
+            retry_budgets: Mutex::default(),
+        }
     }
 
     /// Counts a caller's request, which adds to the retry budget of its service.
--- a/crates/edge/src/traffic/stream_relay.rs
+++ b/crates/edge/src/traffic/stream_relay.rs
@@ -102,12 +102,14 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(_)) => {
                     exchange.load.record_failure(clock::now_ms());
+                    exchange.answer.record_interruption();
                     return RelayEnd::Interrupted;
                 }
                 None => break,
             };
             let now_ms = clock::now_ms();
             exchange.load.record_data(now_ms);
+            exchange.answer.record_part(now_ms);
             let Some(complete) = self.events.push(&data) else {
                 exchange.load.record_failure(clock::now_ms());
                 return RelayEnd::Interrupted;
@@ -124,8 +126,10 @@
         if !remainder.is_empty() && self.chunks.send(Ok(remainder)).await.is_err() {
             return RelayEnd::CallerDisconnected;
         }
-        let Exchange { connection, load } = exchange;
-        self.request.pool().put(load.worker(), connection, clock::now_ms());
+        let Exchange { connection, load, mut answer } = exchange;
+        let now_ms = clock::now_ms();
+        answer.record_end(now_ms);
+        self.request.pool().put(load.worker(), connection, now_ms);
         RelayEnd::Complete
     }
 
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -48,7 +48,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the wait or the request's deadline is over, or when every worker was excluded.
+    /// Fails when the wait or the request's deadline is over, when every worker was excluded, or when
+    /// the prompt has a quarantined segment.
     pub(super) async fn find_worker(
         &mut self,
         record: &mut RequestRecord,
@@ -63,6 +64,7 @@
                 return Err(self.give_up("deadline"));
             }
             self.revision.borrow_and_update();
+            self.check_quarantine(now_ms)?;
             if let Some(target) = self.select_worker(now_ms) {
                 self.check_admission(&target, now_ms > started_ms, now_ms)?;
                 if target.state == dispatch::AdapterState::Resident {
@@ -84,6 +86,17 @@
         }
     }
 
+    /// Refuses the request if workers crash on a segment of its prompt.
+    fn check_quarantine(&self, now_ms: u64) -> Result<(), Refusal> {
+        let view = self.shared.view.load();
+        let Some(until_ms) = view.quarantined_until_ms(&self.facts.prompt_segments, now_ms) else {
+            return Ok(());
+        };
+        let refusal = self.give_up("segment in quarantine");
+        let retry_after_ms = refusal.retry_after_ms.and(Some(until_ms.saturating_sub(now_ms)));
+        Err(Refusal { retry_after_ms, ..refusal })
+    }
+
     /// Refuses the request if it cannot be served usefully at the predicted load.
     fn check_admission(
         &self,
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use jasminetack_domain::dispatch;
 use jasminetack_domain::ingress;
 use jasminetack_domain::name;
 use jasminetack_domain::upstream;
@@ -19,6 +20,8 @@
     pub adapter_versions: Arc<IndexMap<name::AdapterName, u32>>,
     /// Number of known daemons, including this one.
     pub daemon_count: usize,
+    /// Segments on which workers crash, with the time until which requests with them are refused.
+    pub quarantined: Arc<FxHashMap<dispatch::SegmentId, u64>>,
     /// Whether the daemon is shutting down.
     pub is_shutting_down: bool,
 }
@@ -57,4 +60,16 @@
     pub fn workers(&self, service: &name::ServiceName) -> &[Arc<WorkerView>] {
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
+
+    /// Returns the time until which requests with a prompt are refused because of one of its segments.
+    #[must_use]
+    pub fn quarantined_until_ms(
+        &self,
+        segments: &[dispatch::PromptSegment],
+        now_ms: u64,
+    ) -> Option<u64> {
+        let shared = dispatch::PromptSegment::shared(segments).iter();
+        let until = shared.filter_map(|segment| self.quarantined.get(&segment.id));
+        until.copied().max().filter(|until_ms| now_ms < *until_ms)
+    }
 }
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -12,7 +12,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time;
 
 use super::http_server::{self, Body, Handler};
@@ -22,6 +22,8 @@
 
 /// Exceeds the response timeout of every test.
 const UNRESPONSIVE_DURATION: Duration = Duration::from_secs(600);
+/// Time from a crash to the restart.
+const RESTART_TIME: Duration = Duration::from_secs(1);
 /// Configuration of a worker.
 #[derive(Clone, Debug)]
 pub struct WorkerConfig {
@@ -54,6 +56,8 @@
     adapters: Mutex<BTreeMap<String, (u64, Instant)>>,
     published_versions: Mutex<BTreeMap<String, u64>>,
     log: Mutex<WorkerLog>,
+    /// Notified when the worker crashes.
+    crash: Notify,
 }
 
 impl Worker {
@@ -69,6 +73,7 @@
             adapters: Mutex::default(),
             published_versions: Mutex::default(),
             log: Mutex::default(),
+            crash: Notify::new(),
         });
         let address = http_server::serve(Arc::clone(&worker), ([127, 0, 0, 1], 0).into())?;
         Ok((worker, address))
@@ -266,6 +271,11 @@
             let response = framed_response(status, format!("done {attempt_id}"), faults.framing);
             return Some(with_identity_headers(response, response_attempt_id));
         }
+        if faults.crashes_on_segment.is_some_and(|id| has_segment(&head.headers, id)) {
+            time::sleep(self.config.event_interval).await;
+            self.crash.notify_one();
+            return None;
+        }
         let (sender, receiver) = mpsc::channel(1);
         let label = adapter.unwrap_or_else(|| "base".to_owned());
         tokio::spawn(self.stream(guard, label, resumed_after, faults.abort_stream_after, sender));
@@ -307,6 +317,11 @@
         self.log.lock().connections += 1;
     }
 
+    async fn wait_for_crash(&self) -> Duration {
+        self.crash.notified().await;
+        RESTART_TIME
+    }
+
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         let faults = *self.faults.lock();
         if faults.is_unresponsive {
@@ -343,6 +358,14 @@
     }
 }
 
+/// Returns whether a prompt has a segment that other prompts may share.
+fn has_segment(headers: &HeaderMap, id: u64) -> bool {
+    let prefix = headers.get("Prompt-Prefix").and_then(|prefix| prefix.to_str().ok());
+    let shared = prefix.and_then(|prefix| prefix.rsplit_once(',')).map_or("", |(shared, _)| shared);
+    let mut ids = shared.split(',').filter_map(|segment| segment.split_once(':'));
+    ids.any(|(text, _)| u64::from_str_radix(text, 16) == Ok(id))
+}
+
 fn with_identity_headers(mut response: Response<Body>, attempt_id: &str) -> Response<Body> {
     let headers = response.headers_mut();
     headers.insert("Attempt-Id", attempt_id.parse().expect("an identifier is visible ASCII"));
--- a/crates/standins/src/fleet/worker_faults.rs
+++ b/crates/standins/src/fleet/worker_faults.rs
@@ -31,6 +31,8 @@
     pub withholds_order_responses: bool,
     /// Requests to a plain service are executed and return status 500.
     pub returns_errors: bool,
+    /// Segment of a prompt on which the worker crashes when it starts to answer.
+    pub crashes_on_segment: Option<u64>,
     /// How the responses of a plain service are framed.
     pub framing: ResponseFraming,
 }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -4,6 +4,7 @@
 //! datagrams are not retransmitted.
 
 mod base_load_limit;
+mod quarantine;
 mod rows;
 mod table_state;
 
@@ -18,6 +19,7 @@
 use snafu::ResultExt;
 
 pub use base_load_limit::BaseLoadLimit;
+pub use quarantine::{ClearedSegment, QuarantinedSegment, SuspectSegment, WorkerCrash};
 pub use rows::{Lease, UnansweredOrders, WorkerHolder};
 pub use table_state::TableState;
 
@@ -51,6 +53,9 @@
     /// All adapters that the sender uses on workers that the receiver controls, by worker.
     #[prost(message, repeated, tag = "9")]
     pub uses: Vec<WorkerUses>,
+    /// Crashes of workers that the sender has noticed.
+    #[prost(message, repeated, tag = "10")]
+    pub crashes: Vec<WorkerCrash>,
 }
 
 /// Adapters that the sender uses on one worker.
@@ -131,6 +136,12 @@
     /// Latest measurement of the weight store's limit that the sender knows.
     #[prost(message, optional, tag = "12")]
     pub base_load_limit: Option<BaseLoadLimit>,
+    /// Segments whose requests the sender refuses.
+    #[prost(message, repeated, tag = "13")]
+    pub quarantined: Vec<QuarantinedSegment>,
+    /// Suspected segments that the sender has lately found not to be the cause of crashes.
+    #[prost(message, repeated, tag = "14")]
+    pub cleared: Vec<ClearedSegment>,
 }
 
 /// Load that the sender puts on one worker.
