Take a stream that ends inside an event for broken off

Callers would see a stream without length or chunks, whose worker ended inside an event, end as complete: the half event was forwarded and the response closed in order. A resumable stream wasn't resumed.

Cause: the end of such a response is the end of its connection, which hyper reports like any complete body; nothing looked at the events. Besides, the HTTP version of the worker's response was copied, so that the caller's response to a worker that speaks HTTP/1.0 had no framing either. Class: framing of one hop taken for that of the next.

Evidence: a_stream_that_ends_inside_an_event_is_not_complete failed before (half of event 7 forwarded, complete), and again with the version mended but not the event.

Change: the end of a worker's response inside an event is an interruption in both relays; responses to callers are always HTTP/1.1. Result: both new tests pass; complete streams and plain responses without framing are still delivered.

--- a/crates/edge/src/traffic/event_buffer.rs
+++ b/crates/edge/src/traffic/event_buffer.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+use super::event_end::{self, MAX_DELIMITER_BYTES};
+
 /// Longest event; a longer one is not the answer of a sound worker.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
@@ -17,10 +19,10 @@
 impl EventBuffer {
     /// Appends data and returns the events that are complete; `None` when an event is too long.
     pub fn push(&mut self, data: &[u8]) -> Option<Bytes> {
-        // A delimiter that was not found before ends in the new data; it has up to 3 bytes.
-        let searched = self.partial.len().saturating_sub(3);
+        // A delimiter that was not found before ends in the new data.
+        let searched = self.partial.len().saturating_sub(MAX_DELIMITER_BYTES);
         self.partial.extend_from_slice(data);
-        let Some(end) = last_event_end(&self.partial, searched) else {
+        let Some(end) = event_end::last_event_end(&self.partial, searched) else {
             return (self.partial.len() <= MAX_EVENT_BYTES).then(Bytes::new);
         };
         let complete = self.partial.split_to(end).freeze();
@@ -40,23 +42,10 @@
         self.partial.clear();
     }
 
-    /// Takes the remaining data after the end of the stream.
-    pub fn take_remainder(&mut self) -> Bytes {
-        self.partial.split().freeze()
-    }
-}
-
-/// Returns the end of the last complete event; the search for its delimiter starts at `from`.
-fn last_event_end(data: &[u8], from: usize) -> Option<usize> {
-    let mut end = None;
-    for position in from..data.len() {
-        if data[position..].starts_with(b"\n\n") {
-            end = Some(position + 2);
-        } else if data[position..].starts_with(b"\n\r\n") {
-            end = Some(position + 3);
-        }
+    /// Returns whether the data so far ends inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        !self.partial.is_empty()
     }
-    end
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod crash_watch;
 mod datagram_socket;
 mod event_buffer;
+mod event_end;
 mod forwarded_parts;
 mod head_limit;
 mod health_server;
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::http::request;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use jasminetack_domain::ingress;
 use jasminetack_domain::name;
 use tokio::sync::watch;
@@ -281,16 +281,19 @@
     ) -> Response<ResponseBody> {
         let (mut head, incoming) = response.into_parts();
         worker_request::remove_connection_headers(&mut head.headers);
+        // The caller's connection has a framing of its own: one that ends with the connection would hide
+        // that a response was broken off.
+        head.version = Version::HTTP_11;
         record.record_response(head.status.as_u16());
         let deadline = self.deadline_timer();
         let kind = self.route.kind;
-        let is_resumable = kind.is_stream() && kind.is_idempotent() && head.status.is_success();
-        let body = if is_resumable {
+        let has_events = kind.is_stream() && head.status.is_success();
+        let body = if has_events && kind.is_idempotent() {
             head.headers.remove(header::CONTENT_LENGTH);
             ResponseBody::events(StreamRelay::start(self, incoming, exchange, record, deadline))
         } else {
             let pool = Arc::clone(&self.shared.pool);
-            ResponseBody::relay(Relay::new(exchange, incoming, record, deadline, pool))
+            ResponseBody::relay(Relay::new(exchange, incoming, record, deadline, pool, has_events))
         };
         Response::from_parts(head, body)
     }
--- a/crates/edge/src/traffic/relay.rs
+++ b/crates/edge/src/traffic/relay.rs
@@ -11,6 +11,7 @@
 use super::answer_watch::AnswerWatch;
 use super::attempt::Exchange;
 use super::connection::Connection;
+use super::event_end::EventEnd;
 use super::load_guard::LoadGuard;
 use super::pool::Pool;
 use super::request_record::RequestRecord;
@@ -26,23 +27,37 @@
     record: RequestRecord,
     deadline: Pin<Box<Sleep>>,
     pool: Arc<Pool>,
+    /// End of the data so far if the response is a stream of events.
+    event_end: Option<EventEnd>,
     is_complete: bool,
 }
 
 impl Relay {
-    /// Creates a relay that fails at the deadline.
+    /// Creates a relay that fails at the deadline; a stream of events also fails if it ends inside an
+    /// event.
     pub fn new(
         exchange: Exchange,
         incoming: Incoming,
         record: RequestRecord,
         deadline: Pin<Box<Sleep>>,
         pool: Arc<Pool>,
+        has_events: bool,
     ) -> Self {
         let Exchange { connection, load, answer } = exchange;
         let connection = Some(connection);
+        let event_end = has_events.then(EventEnd::default);
         let is_complete = false;
-        let mut relay =
-            Self { incoming, connection, load, answer, record, deadline, pool, is_complete };
+        let mut relay = Self {
+            incoming,
+            connection,
+            load,
+            answer,
+            record,
+            deadline,
+            pool,
+            event_end,
+            is_complete,
+        };
         relay.complete_at_end();
         relay
     }
@@ -72,14 +87,14 @@
                     self.load.record_data(now_ms);
                     self.answer.record_part(now_ms);
                     self.record.record_part(now_ms);
+                    if let Some(event_end) = &mut self.event_end {
+                        event_end.push(&data);
+                    }
                     self.complete_at_end();
                     Some(Ok(data))
                 }
-                Some(Err(_)) => {
-                    self.load.record_failure(clock::now_ms());
-                    self.answer.record_interruption();
-                    Some(Err(self.fail("worker-broke-off")))
-                }
+                Some(Err(_)) => Some(Err(self.fail_broken_off())),
+                None if self.is_inside_event() => Some(Err(self.fail_broken_off())),
                 None => {
                     self.complete();
                     None
@@ -88,6 +103,17 @@
         }
     }
 
+    /// Returns whether a stream of events has ended inside one.
+    fn is_inside_event(&self) -> bool {
+        self.event_end.as_ref().is_some_and(EventEnd::is_inside_event)
+    }
+
+    fn fail_broken_off(&mut self) -> IncompleteResponse {
+        self.load.record_failure(clock::now_ms());
+        self.answer.record_interruption();
+        self.fail("worker-broke-off")
+    }
+
     fn fail(&mut self, reason: &'static str) -> IncompleteResponse {
         self.record.set_outcome(reason);
         self.record.record_attempt_failure(self.load.worker(), reason);
--- a/crates/edge/src/traffic/stream_relay.rs
+++ b/crates/edge/src/traffic/stream_relay.rs
@@ -122,9 +122,10 @@
                 return RelayEnd::CallerDisconnected;
             }
         }
-        let remainder = self.events.take_remainder();
-        if !remainder.is_empty() && self.chunks.send(Ok(remainder)).await.is_err() {
-            return RelayEnd::CallerDisconnected;
+        if self.events.is_inside_event() {
+            exchange.load.record_failure(clock::now_ms());
+            exchange.answer.record_interruption();
+            return RelayEnd::Interrupted;
         }
         let Exchange { connection, load, mut answer } = exchange;
         let now_ms = clock::now_ms();
--- a/crates/standins/src/fleet/response_stream.rs
+++ b/crates/standins/src/fleet/response_stream.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use hyper::{Response, StatusCode, header};
+use hyper::{Response, StatusCode, Version, header};
 use tokio::sync::mpsc;
 use tokio::time;
 
@@ -43,7 +43,7 @@
     let is_truncated = match framing {
         ResponseFraming::Length => return http_server::response(status, text),
         ResponseFraming::Empty => return http_server::response(status, ""),
-        ResponseFraming::Chunked => false,
+        ResponseFraming::Chunked | ResponseFraming::UntilClose => false,
         ResponseFraming::Truncated => true,
     };
     let (sender, receiver) = mpsc::channel(1);
@@ -60,8 +60,16 @@
     });
     let mut response = Response::new(StreamBody::new(ResponseStream { receiver }).boxed());
     *response.status_mut() = status;
+    if framing == ResponseFraming::UntilClose {
+        end_with_connection(&mut response);
+    }
     if is_truncated {
         response.headers_mut().insert(header::CONTENT_LENGTH, length.into());
     }
     response
 }
+
+/// Makes a response end with its connection: hyper sends no chunks in HTTP/1.0.
+pub fn end_with_connection(response: &mut Response<Body>) {
+    *response.version_mut() = Version::HTTP_10;
+}
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -16,8 +16,8 @@
 use tokio::time;
 
 use super::http_server::{self, Body, Handler};
-use super::response_stream::{ResponseStream, framed_response};
-use super::worker_faults::WorkerFaults;
+use super::response_stream::{ResponseStream, end_with_connection, framed_response};
+use super::worker_faults::{ResponseFraming, WorkerFaults};
 use super::worker_log::{ReceivedOrder, Run, WorkerLog};
 
 /// Exceeds the response timeout of every test.
@@ -281,7 +281,11 @@
         tokio::spawn(self.stream(guard, label, resumed_after, faults.abort_stream_after, sender));
         let stream = ResponseStream { receiver };
         let body = StreamBody::new(stream).boxed();
-        Some(with_identity_headers(Response::new(body), response_attempt_id))
+        let mut response = Response::new(body);
+        if faults.framing == ResponseFraming::UntilClose {
+            end_with_connection(&mut response);
+        }
+        Some(with_identity_headers(response, response_attempt_id))
     }
 
     async fn stream(
--- a/crates/standins/src/fleet/worker_faults.rs
+++ b/crates/standins/src/fleet/worker_faults.rs
@@ -1,6 +1,6 @@
 //! Injected faults of a worker.
 
-/// Framing of the responses of a plain service.
+/// Framing of responses.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ResponseFraming {
     /// With `Content-Length`.
@@ -12,6 +12,8 @@
     Empty,
     /// The connection is closed before the number of bytes in `Content-Length` was sent.
     Truncated,
+    /// With neither a length nor chunks; the response ends with its connection.
+    UntilClose,
 }
 
 /// Injected faults of a worker; all are off by default.
@@ -33,6 +35,7 @@
     pub returns_errors: bool,
     /// Segment of a prompt on which the worker crashes when it starts to answer.
     pub crashes_on_segment: Option<u64>,
-    /// How the responses of a plain service are framed.
+    /// How the responses of a plain service are framed; streams know `UntilClose` only, and have chunks
+    /// otherwise.
     pub framing: ResponseFraming,
 }
