--- a/crates/edge/tests/freshness.rs
+++ b/crates/edge/tests/freshness.rs
@@ -1,6 +1,8 @@
 //! Tests of the scheduling of table reads.
 
+use jasminetack_domain::locality;
 use jasminetack_domain::name;
+use jasminetack_domain::upstream;
 use jasminetack_edge::control::Freshness;
 
 /// Time within which a reported change is read in a region of three daemons.
@@ -209,3 +211,81 @@
     }
     assert!((9..=14).contains(&calls), "{calls} calls in 10 s");
 }
+
+/// A daemon's copy of the table of workers.
+struct Copy {
+    freshness: Freshness,
+    directory: upstream::Directory,
+}
+
+impl Copy {
+    fn new(host: &str, rank: usize) -> Self {
+        let mut freshness = freshness(host);
+        freshness.set_rank(rank);
+        Self { freshness, directory: upstream::Directory::default() }
+    }
+
+    fn read(&mut self, is_listed: bool, now_ms: u64) {
+        let worker = name::WorkerName::from("leaves");
+        self.directory.mark_reachable(now_ms, now_ms);
+        if !is_listed {
+            self.directory.remove(&worker, now_ms);
+        } else if self.directory.get(&worker).is_none() {
+            self.directory.upsert(upstream::Upstream {
+                name: worker,
+                service: name::ServiceName::from("llm"),
+                address: ([127, 0, 0, 1], 80).into(),
+                locality: locality::Locality::new(
+                    name::RegionName::from("r"),
+                    name::FailureDomainName::from("a"),
+                ),
+                slots: 4,
+                is_draining: false,
+                started_unix_ms: 1,
+                base_models: Vec::new(),
+                adapters: Vec::new(),
+            });
+        }
+        self.freshness.record_read(now_ms);
+    }
+
+    fn has_worker(&self) -> bool {
+        self.directory.iter().next().is_some()
+    }
+}
+
+#[test]
+fn a_worker_that_leaves_just_after_the_first_reader_started_is_dropped_by_the_others_in_time() {
+    /// Age of a copy, rank delay, tick and read, as in the sum of bounds of docs/platform.md.
+    const BOUND_MS: u64 = 900 + 500 + 100 + 100;
+    const REPORT_INTERVAL_MS: u64 = 200;
+    const LEAVES_MS: u64 = 60_200;
+    let mut reader = Copy::new("reader", 0);
+    let mut other = Copy::new("other", 1);
+    other.read(true, 1_000);
+    // The daemon that reads for the region has just started.
+    reader.read(true, 60_000);
+    other.freshness.apply_peer_state(true, 60_000, 60_000);
+    for now_ms in (60_000..).step_by(20) {
+        let is_listed = now_ms < LEAVES_MS;
+        let mut has_read = false;
+        for copy in [&mut reader, &mut other] {
+            copy.directory.remove_expired(now_ms);
+            if copy.freshness.begin_read(Some(now_ms), now_ms) {
+                copy.read(is_listed, now_ms);
+                has_read = true;
+            }
+        }
+        if has_read || now_ms % REPORT_INTERVAL_MS == 0 {
+            let is_same = reader.directory.digest() == other.directory.digest();
+            let states = [&reader, &other].map(|copy| copy.freshness.as_of_store_ms());
+            let [of_reader, of_other] = states.map(|as_of_ms| as_of_ms.expect("a read"));
+            other.freshness.apply_peer_state(is_same, of_reader, now_ms);
+            reader.freshness.apply_peer_state(is_same, of_other, now_ms);
+        }
+        if !other.has_worker() {
+            assert!(now_ms <= LEAVES_MS + BOUND_MS, "{} ms later", now_ms - LEAVES_MS);
+            return;
+        }
+    }
+}
