Report surviving answers in batches, and check a crashed worker twice

Each surviving answer woke the control thread, which plans orders after each message; now those of 100 ms go in one message. A lost first packet took a worker that had crashed for one that can't be reached, so that its crash wasn't counted; the check is repeated once.

--- a/crates/domain/src/quarantine/mod.rs
+++ b/crates/domain/src/quarantine/mod.rs
@@ -10,12 +10,14 @@
 #[allow(clippy::module_inception)]
 mod quarantine;
 mod segment_change;
+mod survived_answer;
 mod suspect_segment;
 mod verdict;
 mod worker_crash;
 
 pub use quarantine::Quarantine;
 pub use segment_change::SegmentChange;
+pub use survived_answer::SurvivedAnswer;
 pub use suspect_segment::SuspectSegment;
 pub use verdict::{PeerVerdict, Verdict};
 pub use worker_crash::WorkerCrash;
--- a/crates/domain/src/quarantine/quarantine.rs
+++ b/crates/domain/src/quarantine/quarantine.rs
@@ -7,7 +7,7 @@
 use super::answered_segments::AnsweredSegments;
 use super::crash_log::CrashLog;
 use super::evidence::Evidence;
-use super::{PeerVerdict, SegmentChange, Verdict, WorkerCrash};
+use super::{PeerVerdict, SegmentChange, SurvivedAnswer, Verdict, WorkerCrash};
 use crate::dispatch;
 
 /// Separate crashes from which a segment may be quarantined. Requests that merely were on the same
@@ -54,17 +54,13 @@
     }
 
     /// Records an answer that has survived: none of its segments crashed the worker.
-    pub fn record_answer(
-        &mut self,
-        segments: &[dispatch::PromptSegment],
-        started_ms: u64,
-        now_ms: u64,
-    ) -> Vec<SegmentChange> {
+    pub fn record_answer(&mut self, answer: &SurvivedAnswer, now_ms: u64) -> Vec<SegmentChange> {
+        let started_ms = answer.started_ms;
         if self.answer_starts_ms.len() >= MAX_ANSWER_STARTS {
             self.answer_starts_ms.pop_front();
         }
         self.answer_starts_ms.push_back(started_ms);
-        let shared = dispatch::PromptSegment::shared(segments).iter();
+        let shared = dispatch::PromptSegment::shared(&answer.segments).iter();
         let changes = shared.map(|segment| self.clear(segment.id, started_ms, now_ms));
         changes.flatten().collect()
     }
--- a/crates/domain/tests/quarantine.rs
+++ b/crates/domain/tests/quarantine.rs
@@ -20,6 +20,10 @@
     ids.map(|id| dispatch::PromptSegment { id: id.into(), tokens: 100 }).collect()
 }
 
+fn answer(shared: &[u64], started_ms: u64) -> quarantine::SurvivedAnswer {
+    quarantine::SurvivedAnswer { segments: prompt(shared).into(), started_ms }
+}
+
 fn crash(worker: u64, requests: &[&[u64]]) -> quarantine::WorkerCrash {
     let worker = name::WorkerName::from(format!("w{worker}"));
     let mut crash = quarantine::WorkerCrash::new(worker, 1);
@@ -56,12 +60,12 @@
 fn segments_with_surviving_answers_are_not_quarantined_with_the_deadly_one() {
     let mut quarantine = quarantine::Quarantine::default();
     for now_ms in [100, 200, 300] {
-        quarantine.record_answer(&prompt(&[FIRST, SUBJECT]), now_ms, now_ms + 1_500);
+        quarantine.record_answer(&answer(&[FIRST, SUBJECT], now_ms), now_ms + 1_500);
     }
     record_deadly_crashes(&mut quarantine, 2_000);
     // Requests of the same caller and beginning survive on other workers.
     for now_ms in [2_100, 2_700, 3_200] {
-        quarantine.record_answer(&prompt(&[FIRST, SUBJECT]), now_ms, now_ms + 1_100);
+        quarantine.record_answer(&answer(&[FIRST, SUBJECT], now_ms), now_ms + 1_100);
     }
     quarantine.update(2_000 + DECISION_MS);
     assert_eq!(quarantined(&quarantine, 2_000 + DECISION_MS), [DEADLY]);
@@ -80,7 +84,7 @@
 fn workers_that_crash_one_after_the_other_do_not_quarantine_what_was_answered_before() {
     // Every worker crashes for a reason of its own, so that nothing is answered for a while.
     let mut quarantine = quarantine::Quarantine::default();
-    quarantine.record_answer(&prompt(&[FIRST, SUBJECT]), 100, 1_500);
+    quarantine.record_answer(&answer(&[FIRST, SUBJECT], 100), 1_500);
     for index in 0..8 {
         quarantine.record_crash(&crash(index, &[&[FIRST, SUBJECT]]), 2_000 + 400 * index);
     }
@@ -90,10 +94,10 @@
 #[test]
 fn a_segment_that_became_deadly_is_quarantined_while_other_requests_are_answered() {
     let mut quarantine = quarantine::Quarantine::default();
-    quarantine.record_answer(&prompt(&[FIRST, DEADLY]), 100, 1_500);
+    quarantine.record_answer(&answer(&[FIRST, DEADLY], 100), 1_500);
     record_deadly_crashes(&mut quarantine, 2_000);
     for now_ms in [2_100, 2_700, 3_200] {
-        quarantine.record_answer(&prompt(&[FIRST, SUBJECT]), now_ms, now_ms + 1_100);
+        quarantine.record_answer(&answer(&[FIRST, SUBJECT], now_ms), now_ms + 1_100);
     }
     quarantine.update(2_000 + DECISION_MS);
     assert_eq!(quarantined(&quarantine, 2_000 + DECISION_MS), [DEADLY]);
@@ -115,7 +119,7 @@
     quarantine.update(1_000 + DECISION_MS);
     let segment = dispatch::SegmentId::from(DEADLY);
     let reported = quarantine.active(6_000).next().expect("a verdict").1.to_peers(6_000);
-    let changes = quarantine.record_answer(&prompt(&[FIRST, DEADLY]), 5_500, 6_500);
+    let changes = quarantine.record_answer(&answer(&[FIRST, DEADLY], 5_500), 6_500);
     assert_eq!(changes, [quarantine::SegmentChange::Cleared(segment)]);
     assert_eq!(quarantine.apply_verdict(segment, reported, 6_600), None);
     assert!(quarantine.clearances().any(|(cleared, _)| cleared == segment));
@@ -174,7 +178,7 @@
         running.retain(|(_, started_ms, shared)| {
             let has_survived = now_ms >= started_ms + quarantine::ONSET_MS;
             if has_survived {
-                quarantine.record_answer(&prompt(shared), *started_ms, now_ms);
+                quarantine.record_answer(&answer(shared, *started_ms), now_ms);
             }
             !has_survived
         });
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -185,10 +185,7 @@
                 self.handle_use_change(&worker, &adapter, is_used, now_ms);
             }
             Message::WorkerCrashed(crash) => self.handle_worker_crash(&crash, now_ms),
-            Message::AnswerSurvived { segments, started_ms } => {
-                let changes = self.quarantine.record_answer(&segments, started_ms, now_ms);
-                self.apply_segment_changes(&changes, now_ms);
-            }
+            Message::AnswersSurvived(answers) => self.handle_survived_answers(&answers, now_ms),
             Message::OrderResult { worker, fencing_token, order, result } => {
                 self.metrics.record_order(result.as_str());
                 let base_load = self.assignments.apply_order_result(
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -1,9 +1,6 @@
 //! Messages to the control thread.
 
-use std::sync::Arc;
-
 use jasminetack_domain::adapter;
-use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
 use jasminetack_domain::placement;
 use jasminetack_domain::quarantine;
@@ -46,13 +43,8 @@
     },
     /// A worker crashed while it served requests of this daemon.
     WorkerCrashed(quarantine::WorkerCrash),
-    /// An answer of a worker has survived the time in which its prompt could have crashed the worker.
-    AnswerSurvived {
-        /// Segments of the prompt.
-        segments: Arc<[dispatch::PromptSegment]>,
-        /// Time of the first part of the answer.
-        started_ms: u64,
-    },
+    /// Answers did not crash their workers.
+    AnswersSurvived(Vec<quarantine::SurvivedAnswer>),
     /// Result of an order.
     OrderResult {
         /// The worker.
--- a/crates/edge/src/control/quarantined_segments.rs
+++ b/crates/edge/src/control/quarantined_segments.rs
@@ -39,6 +39,19 @@
         self.outputs.queue_datagram(OutgoingDatagram { receivers, datagram });
     }
 
+    /// Records answers that did not crash their workers.
+    pub(super) fn handle_survived_answers(
+        &mut self,
+        answers: &[quarantine::SurvivedAnswer],
+        now_ms: u64,
+    ) {
+        let mut changes = Vec::new();
+        for answer in answers {
+            changes.extend(self.quarantine.record_answer(answer, now_ms));
+        }
+        self.apply_segment_changes(&changes, now_ms);
+    }
+
     /// Records the crashes that another daemon noticed.
     pub(super) fn apply_peer_crashes(&mut self, datagram: &fleet::Datagram, now_ms: u64) {
         for crash in &datagram.crashes {
--- a/crates/edge/src/traffic/answer_watch.rs
+++ b/crates/edge/src/traffic/answer_watch.rs
@@ -62,7 +62,9 @@
 
     fn record_survival(&mut self, started_ms: u64) {
         if !std::mem::replace(&mut self.is_done, true) {
-            self.crash_watch.record_survival(&self.segments, started_ms);
+            let segments = Arc::clone(&self.segments);
+            let answer = quarantine::SurvivedAnswer { segments, started_ms };
+            self.crash_watch.record_survival(answer);
         }
     }
 }
--- a/crates/edge/src/traffic/crash_watch.rs
+++ b/crates/edge/src/traffic/crash_watch.rs
@@ -1,6 +1,7 @@
-//! Detection of workers that crash while they answer.
+//! Detection of workers that crash while they answer, and of answers that survive.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +22,11 @@
 /// other answers break.
 const GATHER_TIME: Duration = Duration::from_millis(30);
 
+/// Connections that are tried before a worker counts as unreachable; the first packet may be lost.
+const MAX_CONNECT_ATTEMPTS: usize = 2;
+/// Time for which answers that survived are gathered into one message.
+const SURVIVAL_REPORT_DELAY: Duration = Duration::from_millis(100);
+
 /// Checks whether workers that broke off answers have crashed, and reports those that have.
 ///
 /// A worker has crashed if nobody listens on its address any more. A broken connection alone may have
@@ -30,12 +36,14 @@
     control: Sender<control::Message>,
     /// Workers that are being checked, with the requests that may be the cause.
     pending: Mutex<FxHashMap<name::WorkerName, quarantine::WorkerCrash>>,
+    /// Answers that survived and are not reported yet.
+    survived: Mutex<Vec<quarantine::SurvivedAnswer>>,
 }
 
 impl CrashWatch {
     /// Creates a watch that reports to the control thread.
     pub fn new(control: Sender<control::Message>) -> Self {
-        Self { control, pending: Mutex::default() }
+        Self { control, pending: Mutex::default(), survived: Mutex::default() }
     }
 
     /// Records that a worker broke off a request before or just after it started to answer.
@@ -58,25 +66,51 @@
     }
 
     /// Records that an answer has survived the time in which its prompt could have crashed the worker.
-    pub fn record_survival(&self, segments: &Arc<[dispatch::PromptSegment]>, started_ms: u64) {
-        let segments = Arc::clone(segments);
+    pub fn record_survival(self: &Arc<Self>, answer: quarantine::SurvivedAnswer) {
+        let mut survived = self.survived.lock();
+        if survived.is_empty() {
+            tokio::spawn(Arc::clone(self).report_survivals());
+        }
+        survived.push(answer);
+    }
+
+    async fn report_survivals(self: Arc<Self>) {
+        time::sleep(SURVIVAL_REPORT_DELAY).await;
+        let survived = std::mem::take(&mut *self.survived.lock());
         // The control thread ends only with the process.
-        let _ = self.control.send(control::Message::AnswerSurvived { segments, started_ms });
+        let _ = self.control.send(control::Message::AnswersSurvived(survived));
     }
 
     async fn check(self: Arc<Self>, upstream: Arc<upstream::Upstream>) {
         time::sleep(GATHER_TIME).await;
-        let opened = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(upstream.address)).await;
+        let outcome = check_listener(upstream.address).await;
         let Some(crash) = self.pending.lock().remove(&upstream.name) else { return };
-        let outcome = match opened {
+        if outcome != Listener::Gone {
+            spdlog::info!("interruption-checked worker={} outcome={outcome:?}", upstream.name);
+            return;
+        }
+        // The control thread ends only with the process.
+        let _ = self.control.send(control::Message::WorkerCrashed(crash));
+    }
+}
+
+/// Whether a worker listens on its address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Listener {
+    Present,
+    Gone,
+    Unreachable,
+}
+
+async fn check_listener(address: SocketAddr) -> Listener {
+    for _ in 0..MAX_CONNECT_ATTEMPTS {
+        match time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(_)) => return Listener::Present,
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                // The control thread ends only with the process.
-                let _ = self.control.send(control::Message::WorkerCrashed(crash));
-                return;
+                return Listener::Gone;
             }
-            Ok(Ok(_)) => "alive",
-            Ok(Err(_)) | Err(_) => "unreachable",
-        };
-        spdlog::info!("interruption-checked worker={} outcome={outcome}", upstream.name);
+            Ok(Err(_)) | Err(_) => {}
+        }
     }
+    Listener::Unreachable
 }
