Count a worker that crashes again before its restart is known

In 2 of 3 runs of the test with three daemons and four engines the segment was never quarantined: 23 of 43 deadly requests reached engines after the bound. Cause: the test's engines restarted under their name without a new start in their entry, and crashes of one process count once, so that four engines gave two or three separate crashes in all. On the users' platform a restart has a new start, but it isn't known until the entry is read. The test's engines restart without adapters and register with a new start, as the platform's workers do.

--- a/crates/domain/tests/quarantine.rs
+++ b/crates/domain/tests/quarantine.rs
@@ -112,6 +112,16 @@
     assert_eq!(quarantine.update(1_000 + DECISION_MS), []);
 }
 
+#[test]
+fn a_worker_that_crashes_again_before_its_restart_is_known_counts_again() {
+    let mut quarantine = quarantine::Quarantine::default();
+    for now_ms in [1_000, 4_000, 7_000] {
+        quarantine.record_crash(&crash(7, &[&[FIRST, DEADLY]]), now_ms);
+    }
+    quarantine.update(7_000 + DECISION_MS);
+    assert_eq!(quarantined(&quarantine, 7_000 + DECISION_MS), [DEADLY]);
+}
+
 #[test]
 fn a_surviving_answer_ends_a_quarantine_and_refutes_that_of_another_daemon() {
     let mut quarantine = quarantine::Quarantine::default();
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -58,6 +59,7 @@
     log: Mutex<WorkerLog>,
     /// Notified when the worker crashes.
     crash: Notify,
+    crashes: AtomicU64,
 }
 
 impl Worker {
@@ -74,6 +76,7 @@
             published_versions: Mutex::default(),
             log: Mutex::default(),
             crash: Notify::new(),
+            crashes: AtomicU64::new(0),
         });
         let address = http_server::serve(Arc::clone(&worker), ([127, 0, 0, 1], 0).into())?;
         Ok((worker, address))
@@ -94,6 +97,11 @@
         self.published_versions.lock().insert(adapter.to_owned(), version);
     }
 
+    /// Returns how many times the worker has crashed; it restarts without adapters.
+    pub fn crashes(&self) -> u64 {
+        self.crashes.load(Ordering::Relaxed)
+    }
+
     /// Drops all adapters, as a restart would.
     pub fn unload_all(&self) {
         self.adapters.lock().clear();
@@ -323,6 +331,8 @@
 
     async fn wait_for_crash(&self) -> Duration {
         self.crash.notified().await;
+        self.crashes.fetch_add(1, Ordering::Relaxed);
+        self.unload_all();
         RESTART_TIME
     }
 
