Quarantine a segment from 1.5 s after the first crash

Callers lose the streams of each worker that crashes until then. Observation time 2 s -> 1.5 s: the usual 0.5 s to the first part of an answer, and the second for which an answer must last to clear its segments.

--- a/crates/domain/src/quarantine/quarantine.rs
+++ b/crates/domain/src/quarantine/quarantine.rs
@@ -7,14 +7,15 @@
 use super::answered_segments::AnsweredSegments;
 use super::crash_log::CrashLog;
 use super::evidence::Evidence;
-use super::{PeerVerdict, SegmentChange, SurvivedAnswer, Verdict, WorkerCrash};
+use super::{ONSET_MS, PeerVerdict, SegmentChange, SurvivedAnswer, Verdict, WorkerCrash};
 use crate::dispatch;
 
 /// Separate crashes from which a segment may be quarantined. Requests that merely were on the same
 /// worker seldom are so a third time without an answer.
 const MIN_CRASHES: usize = 3;
-/// Time from the first crash to a quarantine, within which sound segments get answers that survive.
-const MIN_OBSERVATION_MS: u64 = 2_000;
+/// Time from the first crash to a quarantine, within which sound segments get answers that survive: the
+/// usual time to the first part of an answer, and the onset.
+const MIN_OBSERVATION_MS: u64 = 500 + ONSET_MS;
 /// Surviving answers to other requests that show that the workers are able to answer. Only segments
 /// that were answered before need them: that those aren't any more may have another cause.
 const MIN_OTHER_ANSWERS: usize = 3;
