Cover whole entries of workers by the directory's digest

The digest held the name, start, draining state and number of base models of each worker; a daemon that missed a change of the address, service, place, slots or base models took its copy for current as long as others had read the table, and sent requests by the old entry. The test fails before (2 of 7 different entries had digests of their own). Adapters stay out, as their holder reports them. Daemons of an older build read the table more often beside this one until they are replaced.

--- a/crates/domain/src/upstream/directory.rs
+++ b/crates/domain/src/upstream/directory.rs
@@ -166,11 +166,26 @@
     }
 }
 
-/// Returns the hash of what an entry says about routing.
+/// Returns the hash of an entry without its adapters, which the lease holder of the worker reports.
 fn hash(upstream: &Upstream) -> u64 {
-    let mut bytes = upstream.name.as_str().as_bytes().to_vec();
-    bytes.extend_from_slice(&upstream.started_unix_ms.to_le_bytes());
-    bytes.push(u8::from(upstream.is_draining));
-    bytes.push(upstream.base_models.len() as u8);
-    xxh3::xxh3_64(&bytes)
+    let Upstream {
+        name,
+        service,
+        address,
+        locality,
+        slots,
+        is_draining,
+        started_unix_ms,
+        base_models,
+        adapters: _,
+    } = upstream;
+    let (region, failure_domain) = (locality.region(), locality.failure_domain());
+    let mut text = format!(
+        "{name}\n{service}\n{address}\n{region}\n{failure_domain}\n{slots}\n{is_draining}\n{started_unix_ms}"
+    );
+    for base_model in base_models {
+        text.push('\n');
+        text.push_str(base_model.as_str());
+    }
+    xxh3::xxh3_64(text.as_bytes())
 }
--- a/crates/domain/tests/upstream.rs
+++ b/crates/domain/tests/upstream.rs
@@ -174,3 +174,36 @@
     kept.remove_expired(1_000 + upstream::REREGISTRATION_GRACE_MS);
     assert_eq!(kept.digest(), dropped.digest());
 }
+
+#[test]
+fn copies_with_a_different_entry_of_a_worker_do_not_confirm_each_other() {
+    let digest = |upstream: upstream::Upstream| {
+        let mut directory = upstream::Directory::default();
+        directory.upsert(upstream);
+        directory.digest()
+    };
+    let known = worker("w", 1, false);
+    let base_models = |name: &str| vec![name::BaseModelName::from(name)];
+    let others = [
+        upstream::Upstream { address: ([127, 0, 0, 1], 81).into(), ..known.clone() },
+        upstream::Upstream { service: name::ServiceName::from("app"), ..known.clone() },
+        upstream::Upstream { slots: 5, ..known.clone() },
+        upstream::Upstream {
+            locality: locality::Locality::new(
+                name::RegionName::from("r"),
+                name::FailureDomainName::from("b"),
+            ),
+            ..known.clone()
+        },
+        upstream::Upstream { base_models: base_models("one"), ..known.clone() },
+        upstream::Upstream { base_models: base_models("other"), ..known.clone() },
+    ];
+    let mut digests: Vec<_> = others.into_iter().chain([known.clone()]).map(digest).collect();
+    digests.sort_unstable();
+    digests.dedup();
+    assert_eq!(digests.len(), 7);
+    // The lease holder of a worker reports its adapters.
+    let adapter = jasminetack_domain::adapter::AdapterRef::new(name::AdapterName::from("a"), 1);
+    let loaded = upstream::Upstream { adapters: vec![adapter], ..known.clone() };
+    assert_eq!(digest(loaded), digest(known));
+}
