--- a/crates/entry/src/traffic/service_context.rs
+++ b/crates/entry/src/traffic/service_context.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
-use hyper::{Response, StatusCode};
+use hyper::{Response, StatusCode, Version};
 use jasminetack_domain::name;
 use jasminetack_domain::request;
 use jasminetack_domain::service;
@@ -204,6 +204,9 @@
 
 /// Prepares the head of a service's response for the caller.
 pub fn prepare_head(mut head: Response<()>, request_id: &name::RequestId) -> Response<()> {
+    // The caller's connection has a framing of its own: one that ends with the connection would hide
+    // that the response was broken off.
+    *head.version_mut() = Version::HTTP_11;
     service_call::remove_unforwarded_headers(head.headers_mut());
     if let Ok(value) = HeaderValue::from_str(request_id.as_str()) {
         head.headers_mut().insert(failure::REQUEST_ID_HEADER, value);
