--- a/crates/domain/src/quarantine/answered_segments.rs
+++ b/crates/domain/src/quarantine/answered_segments.rs
@@ -1,6 +1,7 @@
 //! Segments with surviving answers.
 
-use rustc_hash::FxHashMap;
+use indexmap::IndexMap;
+use rustc_hash::FxBuildHasher;
 
 use crate::dispatch;
 
@@ -10,8 +11,8 @@
 /// Start of the latest surviving answer by segment, for the most recently answered segments.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AnsweredSegments {
-    recent: FxHashMap<dispatch::SegmentId, u64>,
-    older: FxHashMap<dispatch::SegmentId, u64>,
+    recent: IndexMap<dispatch::SegmentId, u64, FxBuildHasher>,
+    older: IndexMap<dispatch::SegmentId, u64, FxBuildHasher>,
 }
 
 impl AnsweredSegments {
--- a/crates/domain/src/quarantine/crash_log.rs
+++ b/crates/domain/src/quarantine/crash_log.rs
@@ -4,66 +4,33 @@
 
 use indexmap::IndexMap;
 
+use super::WorkerCrash;
 use super::evidence::Evidence;
-use super::{SuspectSegment, WorkerCrash};
+use super::recorded_crash::RecordedCrash;
 use crate::dispatch;
-use crate::name;
 
-/// Time within which the daemons report a crash. A later report is of another crash, although the worker's
-/// new start is not known yet.
-const REPORT_SPREAD_MS: u64 = 1_500;
 /// Time for which a crash counts.
 const LIFETIME_MS: u64 = 600_000;
 /// Crashes that are kept; the oldest are dropped first.
 const MAX_CRASHES: usize = 128;
-/// Suspected segments that are kept for each crash.
-const MAX_SUSPECTS: usize = 256;
-
 /// Recent crashes of workers, the oldest first.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashLog {
-    crashes: VecDeque<Crash>,
-}
-
-#[derive(Clone, Debug)]
-struct Crash {
-    worker: name::WorkerName,
-    started_unix_ms: u64,
-    at_ms: u64,
-    suspects: IndexMap<dispatch::SegmentId, SuspectSegment>,
+    crashes: VecDeque<RecordedCrash>,
 }
 
 impl CrashLog {
     /// Records a crash as one daemon saw it.
     pub fn record(&mut self, crash: &WorkerCrash, now_ms: u64) {
-        let known = self.reported(crash, now_ms);
-        for suspect in &crash.suspects {
-            if let Some(seen) = known.suspects.get_mut(&suspect.id) {
-                seen.requests = seen.requests.saturating_add(suspect.requests);
-                seen.position = seen.position.max(suspect.position);
-            } else if known.suspects.len() < MAX_SUSPECTS {
-                known.suspects.insert(suspect.id, *suspect);
-            }
-        }
-    }
-
-    /// Returns the crash that a daemon reports, which is new if no other one has reported it.
-    fn reported(&mut self, crash: &WorkerCrash, now_ms: u64) -> &mut Crash {
-        let is_same = |known: &Crash| {
-            known.worker == crash.worker
-                && known.started_unix_ms == crash.started_unix_ms
-                && now_ms.saturating_sub(known.at_ms) < REPORT_SPREAD_MS
-        };
+        let is_same = |recorded: &RecordedCrash| recorded.is_reported_by(crash, now_ms);
         if let Some(position) = self.crashes.iter().rposition(is_same) {
-            return &mut self.crashes[position];
+            self.crashes[position].add_suspects(&crash.suspects);
+            return;
         }
         if self.crashes.len() >= MAX_CRASHES {
             self.crashes.pop_front();
         }
-        let (worker, started_unix_ms) = (crash.worker.clone(), crash.started_unix_ms);
-        let suspects = IndexMap::new();
-        self.crashes.push_back(Crash { worker, started_unix_ms, at_ms: now_ms, suspects });
-        self.crashes.back_mut().expect("the crash was just added")
+        self.crashes.push_back(RecordedCrash::new(crash, now_ms));
     }
 
     /// Drops crashes that no longer count.
--- a/crates/domain/src/quarantine/mod.rs
+++ b/crates/domain/src/quarantine/mod.rs
@@ -7,19 +7,22 @@
 mod answered_segments;
 mod crash_log;
 mod evidence;
+mod peer_verdict;
 #[allow(clippy::module_inception)]
 mod quarantine;
+mod recorded_crash;
 mod segment_change;
 mod survived_answer;
 mod suspect_segment;
 mod verdict;
 mod worker_crash;
 
+pub use peer_verdict::PeerVerdict;
 pub use quarantine::Quarantine;
 pub use segment_change::SegmentChange;
 pub use survived_answer::SurvivedAnswer;
 pub use suspect_segment::SuspectSegment;
-pub use verdict::{PeerVerdict, Verdict};
+pub use verdict::Verdict;
 pub use worker_crash::WorkerCrash;
 
 /// Time from the first part of an answer within which a worker crashes if the prompt is the cause. An
--- a/crates/domain/src/quarantine/quarantine.rs
+++ b/crates/domain/src/quarantine/quarantine.rs
@@ -66,14 +66,22 @@
         changes.flatten().collect()
     }
 
-    /// Records that an answer of another daemon to a request with the segment has survived.
-    pub fn apply_clearance(
+    /// Records that an answer to a request with the segment, here or at another daemon, has survived.
+    pub fn clear(
         &mut self,
         segment: dispatch::SegmentId,
         started_ms: u64,
         now_ms: u64,
     ) -> Option<SegmentChange> {
-        self.clear(segment, started_ms, now_ms)
+        self.answered.record(segment, started_ms);
+        // A single crash is no reason to tell the other daemons.
+        if self.crashes.exonerate(segment, started_ms) > 1 {
+            self.clearances.insert(segment, (started_ms, now_ms));
+        }
+        self.verdicts.get(&segment).filter(|verdict| verdict.first_crash_ms < started_ms)?;
+        self.verdicts.swap_remove(&segment);
+        self.clearances.insert(segment, (started_ms, now_ms));
+        Some(SegmentChange::Cleared(segment))
     }
 
     /// Applies the quarantine of a segment that another daemon decided.
@@ -107,7 +115,10 @@
         self.clearances
             .retain(|_, (_, known_ms)| now_ms.saturating_sub(*known_ms) < CLEARANCE_REPORT_MS);
         let mut changes = self.update_verdicts(now_ms);
-        if self.last_crash_ms.is_none_or(|crash_ms| now_ms - crash_ms > DECISION_TIME_MS) {
+        if self
+            .last_crash_ms
+            .is_none_or(|crash_ms| now_ms.saturating_sub(crash_ms) > DECISION_TIME_MS)
+        {
             return changes;
         }
         while self.verdicts.len() < MAX_VERDICTS
@@ -132,23 +143,6 @@
         self.clearances.iter().map(|(segment, (started_ms, _))| (*segment, *started_ms))
     }
 
-    fn clear(
-        &mut self,
-        segment: dispatch::SegmentId,
-        started_ms: u64,
-        now_ms: u64,
-    ) -> Option<SegmentChange> {
-        self.answered.record(segment, started_ms);
-        // A single crash is no reason to tell the other daemons.
-        if self.crashes.exonerate(segment, started_ms) > 1 {
-            self.clearances.insert(segment, (started_ms, now_ms));
-        }
-        self.verdicts.get(&segment).filter(|verdict| verdict.first_crash_ms < started_ms)?;
-        self.verdicts.swap_remove(&segment);
-        self.clearances.insert(segment, (started_ms, now_ms));
-        Some(SegmentChange::Cleared(segment))
-    }
-
     /// Ends quarantines whose time is over, and renews those whose segment was there in another crash.
     fn update_verdicts(&mut self, now_ms: u64) -> Vec<SegmentChange> {
         let mut changes = Vec::new();
--- a/crates/domain/src/quarantine/verdict.rs
+++ b/crates/domain/src/quarantine/verdict.rs
@@ -1,5 +1,7 @@
 //! Quarantine of one segment.
 
+use super::PeerVerdict;
+
 /// First quarantine of a segment.
 const INITIAL_DURATION_MS: u64 = 120_000;
 /// Longest quarantine of a segment.
@@ -17,17 +19,6 @@
     pub duration_ms: u64,
 }
 
-/// Quarantine of one segment as another daemon reports it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PeerVerdict {
-    /// Time since the first crash that counted.
-    pub first_crash_age_ms: u64,
-    /// Time for which requests with the segment are still refused.
-    pub remaining_ms: u64,
-    /// Length of the quarantine.
-    pub duration_ms: u64,
-}
-
 impl Verdict {
     /// Creates the first quarantine of a segment.
     pub(super) fn new(first_crash_ms: u64, now_ms: u64) -> Self {
--- a/crates/domain/tests/quarantine.rs
+++ b/crates/domain/tests/quarantine.rs
@@ -147,7 +147,7 @@
     assert!(told.apply_verdict(segment, reported, 90_000).is_some());
     assert_eq!(told.apply_verdict(segment, reported, 90_200), None);
     assert_eq!(quarantined(&told, 90_300), [DEADLY]);
-    assert!(told.apply_clearance(segment, 90_400, 91_500).is_some());
+    assert!(told.clear(segment, 90_400, 91_500).is_some());
     assert!(quarantined(&told, 91_500).is_empty());
 }
 
--- a/crates/edge/src/control/publisher.rs
+++ b/crates/edge/src/control/publisher.rs
@@ -8,7 +8,7 @@
 use jasminetack_domain::name;
 use jasminetack_domain::placement;
 use jasminetack_domain::upstream;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxBuildHasher, FxHashMap};
 use tokio::sync::watch;
 
 use super::assignments::Assignments;
@@ -22,7 +22,7 @@
     view: Arc<ArcSwap<view::View>>,
     revision: watch::Sender<u64>,
     workers: IndexMap<name::WorkerName, Arc<view::WorkerView>>,
-    quarantined: Arc<FxHashMap<dispatch::SegmentId, u64>>,
+    quarantined: Arc<IndexMap<dispatch::SegmentId, u64, FxBuildHasher>>,
 }
 
 impl Publisher {
@@ -32,7 +32,7 @@
     }
 
     /// Sets the quarantined segments of the next view, with the time until which each is quarantined.
-    pub fn set_quarantined(&mut self, segments: FxHashMap<dispatch::SegmentId, u64>) {
+    pub fn set_quarantined(&mut self, segments: IndexMap<dispatch::SegmentId, u64, FxBuildHasher>) {
         self.quarantined = Arc::new(segments);
     }
 
--- a/crates/edge/src/control/quarantined_segments.rs
+++ b/crates/edge/src/control/quarantined_segments.rs
@@ -1,8 +1,10 @@
 //! Segments of prompts on which workers crash, agreed with the other daemons.
 
+use indexmap::IndexMap;
 use jasminetack_domain::dispatch;
 use jasminetack_domain::quarantine;
 use jasminetack_wire::fleet;
+use rustc_hash::FxBuildHasher;
 
 use super::control_state::ControlState;
 use super::outputs::OutgoingDatagram;
@@ -18,6 +20,7 @@
     pub(super) fn handle_worker_crash(&mut self, crash: &quarantine::WorkerCrash, now_ms: u64) {
         let listed = self.catalog.directory().get(&crash.worker);
         if listed.is_none_or(|upstream| upstream.is_draining) {
+            spdlog::info!("worker-ended worker={} reason=leaving", crash.worker);
             return;
         }
         self.metrics.worker_crashes.inc();
@@ -66,8 +69,7 @@
         let mut changes = Vec::new();
         for cleared in &state.cleared {
             let started_ms = now_ms.saturating_sub(cleared.answer_age_ms);
-            let change =
-                self.quarantine.apply_clearance(cleared.segment.into(), started_ms, now_ms);
+            let change = self.quarantine.clear(cleared.segment.into(), started_ms, now_ms);
             changes.extend(change);
         }
         for quarantined in &state.quarantined {
@@ -109,7 +111,7 @@
             }
         }
         let active = self.quarantine.active(now_ms);
-        let active: rustc_hash::FxHashMap<dispatch::SegmentId, u64> =
+        let active: IndexMap<_, _, FxBuildHasher> =
             active.map(|(segment, verdict)| (segment, verdict.until_ms)).collect();
         self.metrics.quarantined_segments.set(i64::try_from(active.len()).unwrap_or(i64::MAX));
         self.publisher.set_quarantined(active);
--- a/crates/edge/src/traffic/crash_watch.rs
+++ b/crates/edge/src/traffic/crash_watch.rs
@@ -1,29 +1,23 @@
 //! Detection of workers that crash while they answer, and of answers that survive.
 
-use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crossbeam_channel::Sender;
+use indexmap::IndexMap;
 use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
 use jasminetack_domain::quarantine;
 use jasminetack_domain::upstream;
 use parking_lot::Mutex;
-use rustc_hash::FxHashMap;
-use tokio::net::TcpStream;
 use tokio::time;
 
-use super::connection::CONNECT_TIMEOUT;
+use super::listener::{self, Listener};
 use crate::control;
 
 /// Time from the first broken answer of a worker to the check whether it has crashed, in which the
 /// other answers break.
 const GATHER_TIME: Duration = Duration::from_millis(30);
-
-/// Connections that are tried before a worker counts as unreachable; the first packet may be lost.
-const MAX_CONNECT_ATTEMPTS: usize = 2;
 /// Time for which answers that survived are gathered into one message.
 const SURVIVAL_REPORT_DELAY: Duration = Duration::from_millis(100);
 
@@ -35,7 +29,7 @@
 pub struct CrashWatch {
     control: Sender<control::Message>,
     /// Workers that are being checked, with the requests that may be the cause.
-    pending: Mutex<FxHashMap<name::WorkerName, quarantine::WorkerCrash>>,
+    pending: Mutex<IndexMap<name::WorkerName, quarantine::WorkerCrash>>,
     /// Answers that survived and are not reported yet.
     survived: Mutex<Vec<quarantine::SurvivedAnswer>>,
 }
@@ -83,8 +77,8 @@
 
     async fn check(self: Arc<Self>, upstream: Arc<upstream::Upstream>) {
         time::sleep(GATHER_TIME).await;
-        let outcome = check_listener(upstream.address).await;
-        let Some(crash) = self.pending.lock().remove(&upstream.name) else { return };
+        let outcome = listener::check(upstream.address).await;
+        let Some(crash) = self.pending.lock().swap_remove(&upstream.name) else { return };
         if outcome != Listener::Gone {
             spdlog::info!("interruption-checked worker={} outcome={outcome:?}", upstream.name);
             return;
@@ -93,24 +87,3 @@
         let _ = self.control.send(control::Message::WorkerCrashed(crash));
     }
 }
-
-/// Whether a worker listens on its address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Listener {
-    Present,
-    Gone,
-    Unreachable,
-}
-
-async fn check_listener(address: SocketAddr) -> Listener {
-    for _ in 0..MAX_CONNECT_ATTEMPTS {
-        match time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(_)) => return Listener::Present,
-            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                return Listener::Gone;
-            }
-            Ok(Err(_)) | Err(_) => {}
-        }
-    }
-    Listener::Unreachable
-}
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -11,6 +11,7 @@
 mod forwarded_parts;
 mod head_limit;
 mod health_server;
+mod listener;
 mod load_guard;
 mod order_sender;
 mod pool;
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -7,7 +7,7 @@
 use jasminetack_domain::ingress;
 use jasminetack_domain::name;
 use jasminetack_domain::upstream;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxBuildHasher, FxHashMap};
 
 /// Snapshot of the fleet.
 #[derive(Clone, Debug, Default)]
@@ -21,7 +21,7 @@
     /// Number of known daemons, including this one.
     pub daemon_count: usize,
     /// Segments on which workers crash, with the time until which requests with them are refused.
-    pub quarantined: Arc<FxHashMap<dispatch::SegmentId, u64>>,
+    pub quarantined: Arc<IndexMap<dispatch::SegmentId, u64, FxBuildHasher>>,
     /// Whether the daemon is shutting down.
     pub is_shutting_down: bool,
 }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -4,9 +4,12 @@
 //! datagrams are not retransmitted.
 
 mod base_load_limit;
-mod quarantine;
+mod cleared_segment;
+mod quarantined_segment;
 mod rows;
+mod suspect_segment;
 mod table_state;
+mod worker_crash;
 
 use std::net::SocketAddr;
 
@@ -19,9 +22,12 @@
 use snafu::ResultExt;
 
 pub use base_load_limit::BaseLoadLimit;
-pub use quarantine::{ClearedSegment, QuarantinedSegment, SuspectSegment, WorkerCrash};
+pub use cleared_segment::ClearedSegment;
+pub use quarantined_segment::QuarantinedSegment;
 pub use rows::{Lease, UnansweredOrders, WorkerHolder};
+pub use suspect_segment::SuspectSegment;
 pub use table_state::TableState;
+pub use worker_crash::WorkerCrash;
 
 /// One datagram.
 #[derive(Clone, PartialEq, Message)]
