Keep the first crashes while more come than are kept

Found by reading for the size of two years ahead: with 80 and more crashes a second the log of 128 forgot the first one before the observation time was over, so that nothing was decided until the crashes became fewer. The test (200 crashes a second) fails before: no quarantine after 4 s. While the oldest crash is younger than 10 s, further ones are ignored; 128 are evidence enough.

--- a/crates/domain/src/quarantine/crash_log.rs
+++ b/crates/domain/src/quarantine/crash_log.rs
@@ -11,8 +11,12 @@
 
 /// Time for which a crash counts.
 const LIFETIME_MS: u64 = 600_000;
-/// Crashes that are kept; the oldest are dropped first.
+/// Crashes that are kept; the oldest are dropped first, unless they are recent.
 const MAX_CRASHES: usize = 128;
+/// Age up to which the first crashes are kept and further ones ignored, so that a decision need not wait
+/// until workers stop crashing.
+const RECENT_MS: u64 = 10_000;
+
 /// Recent crashes of workers, the oldest first.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashLog {
@@ -28,6 +32,10 @@
             return;
         }
         if self.crashes.len() >= MAX_CRASHES {
+            let oldest_ms = self.crashes.front().map_or(0, |crash| crash.at_ms);
+            if now_ms.saturating_sub(oldest_ms) < RECENT_MS {
+                return;
+            }
             self.crashes.pop_front();
         }
         self.crashes.push_back(RecordedCrash::new(crash, now_ms));
--- a/crates/domain/tests/quarantine.rs
+++ b/crates/domain/tests/quarantine.rs
@@ -122,6 +122,17 @@
     assert_eq!(quarantined(&quarantine, 7_000 + DECISION_MS), [DEADLY]);
 }
 
+#[test]
+fn crashes_that_come_faster_than_they_are_kept_are_decided_in_time() {
+    let mut quarantine = quarantine::Quarantine::default();
+    for index in 0..800 {
+        let now_ms = 1_000 + 5 * index;
+        quarantine.record_crash(&crash(index, &[&[FIRST, DEADLY]]), now_ms);
+        quarantine.update(now_ms);
+    }
+    assert_eq!(quarantined(&quarantine, 1_000 + DECISION_MS), [DEADLY]);
+}
+
 #[test]
 fn a_surviving_answer_ends_a_quarantine_and_refutes_that_of_another_daemon() {
     let mut quarantine = quarantine::Quarantine::default();
