Quarantine a segment only if it explains the crashes

Cause: three crashes without an answer between them are no evidence while workers crash for other reasons and little is answered: some of hundreds of segments are there three times by chance, and a segment that a third of the requests have may be missing among three answers.

Change: a segment must have been there in half of the unexplained crashes since its first one, and one that was answered before is quarantined only when four of the answers since would have had it, by its share of the requests on the crashed workers. crashes_of_other_causes_quarantine_nothing failed before (six of 60 subjects, four of 300) and with each half alone; it passes for 40 seeds. The test of a segment that became deadly has more answers to other requests than before (12 instead of 3), as the decision now asks for. All others are unchanged and pass.

--- a/crates/domain/src/quarantine/crash_log.rs
+++ b/crates/domain/src/quarantine/crash_log.rs
@@ -28,7 +28,7 @@
     pub fn record(&mut self, crash: &WorkerCrash, now_ms: u64) {
         let is_same = |recorded: &RecordedCrash| recorded.is_reported_by(crash, now_ms);
         if let Some(position) = self.crashes.iter().rposition(is_same) {
-            self.crashes[position].add_suspects(&crash.suspects);
+            self.crashes[position].add_report(crash);
             return;
         }
         if self.crashes.len() >= MAX_CRASHES {
@@ -69,15 +69,16 @@
     where
         IsKnown: Fn(dispatch::SegmentId) -> bool,
     {
+        let is_unexplained =
+            |crash: &&RecordedCrash| !crash.suspects.keys().any(|segment| is_known_cause(*segment));
+        let unexplained: Vec<_> = self.crashes.iter().filter(is_unexplained).collect();
         let mut all: IndexMap<dispatch::SegmentId, Evidence> = IndexMap::new();
-        for crash in &self.crashes {
-            if crash.suspects.keys().any(|segment| is_known_cause(*segment)) {
-                continue;
-            }
+        for (index, crash) in unexplained.iter().enumerate() {
+            let since = &unexplained[index..];
+            let all_requests = since.iter().map(|crash| crash.requests).sum();
             for suspect in crash.suspects.values() {
-                let segment = suspect.id;
-                let new = || Evidence { segment, crashes_ms: Vec::new(), requests: 0, position: 0 };
-                let evidence = all.entry(segment).or_insert_with(new);
+                let new = || Evidence::new(suspect.id, since.len(), all_requests);
+                let evidence = all.entry(suspect.id).or_insert_with(new);
                 evidence.crashes_ms.push(crash.at_ms);
                 evidence.requests = evidence.requests.saturating_add(suspect.requests);
                 evidence.position = evidence.position.max(suspect.position);
--- a/crates/domain/src/quarantine/evidence.rs
+++ b/crates/domain/src/quarantine/evidence.rs
@@ -6,19 +6,45 @@
 /// once.
 const COMMON_CAUSE_MS: u64 = 150;
 
+/// Causes that may crash workers at the same time. A segment that was there in a smaller part of the
+/// crashes is no cause: requests happen to be on workers that crash for other reasons.
+const MAX_CAUSES: usize = 2;
+
 /// Crashes of workers that had requests with one segment.
 #[derive(Clone, Debug)]
 pub(super) struct Evidence {
     pub segment: dispatch::SegmentId,
     /// Times of the crashes, ascending.
     pub crashes_ms: Vec<u64>,
+    /// Crashes without another known cause from the first of these on, with or without the segment.
+    pub all_crashes: usize,
     /// Requests with the segment on the crashed workers.
     pub requests: u32,
+    /// Requests in all of these crashes, with or without the segment.
+    pub all_requests: u32,
     /// Position of the segment in their prompts.
     pub position: u32,
 }
 
 impl Evidence {
+    /// Creates evidence without crashes.
+    pub fn new(segment: dispatch::SegmentId, all_crashes: usize, all_requests: u32) -> Self {
+        let (crashes_ms, requests, position) = (Vec::new(), 0, 0);
+        Self { segment, crashes_ms, all_crashes, requests, all_requests, position }
+    }
+
+    /// Predicts how many of a number of surviving answers would have the segment if it were no cause: its
+    /// share of them is that of the requests on the crashed workers.
+    pub fn expected_answers(&self, answers: usize) -> f64 {
+        answers as f64 * f64::from(self.requests) / f64::from(self.all_requests.max(1))
+    }
+
+    /// Returns whether the segment was there in so many of the crashes that it may be one of their
+    /// causes.
+    pub fn explains_crashes(&self) -> bool {
+        self.crashes_ms.len() * MAX_CAUSES >= self.all_crashes
+    }
+
     /// Returns the time of the first crash.
     pub fn first_crash_ms(&self) -> u64 {
         self.crashes_ms.first().copied().unwrap_or(u64::MAX)
--- a/crates/domain/src/quarantine/quarantine.rs
+++ b/crates/domain/src/quarantine/quarantine.rs
@@ -16,11 +16,11 @@
 /// Time from the first crash to a quarantine, within which sound segments get answers that survive: the
 /// usual time to the first part of an answer, and the onset.
 const MIN_OBSERVATION_MS: u64 = 500 + ONSET_MS;
-/// Surviving answers to other requests that show that the workers are able to answer. Only segments
-/// that were answered before need them: that those aren't any more may have another cause.
-const MIN_OTHER_ANSWERS: usize = 3;
+/// Surviving answers that a segment would be expected to have since the first crash if it were no cause.
+/// Only one that was answered before needs them: it may have no answers now because nothing has.
+const MIN_EXPECTED_ANSWERS: f64 = 4.0;
 /// Latest surviving answers whose start is remembered.
-const MAX_ANSWER_STARTS: usize = 64;
+const MAX_ANSWER_STARTS: usize = 256;
 /// Quarantined segments; above it, no more are added.
 const MAX_VERDICTS: usize = 32;
 /// Time after the last crash within which a decision is made.
@@ -177,11 +177,13 @@
     fn is_sufficient(&self, evidence: &Evidence, now_ms: u64) -> bool {
         let first_ms = evidence.first_crash_ms();
         if evidence.separate_crashes() < MIN_CRASHES
+            || !evidence.explains_crashes()
             || now_ms.saturating_sub(first_ms) < MIN_OBSERVATION_MS
         {
             return false;
         }
         let others = self.answer_starts_ms.iter().filter(|started_ms| **started_ms >= first_ms);
-        self.answered.latest_ms(evidence.segment).is_none() || others.count() >= MIN_OTHER_ANSWERS
+        self.answered.latest_ms(evidence.segment).is_none()
+            || evidence.expected_answers(others.count()) >= MIN_EXPECTED_ANSWERS
     }
 }
--- a/crates/domain/src/quarantine/recorded_crash.rs
+++ b/crates/domain/src/quarantine/recorded_crash.rs
@@ -19,7 +19,9 @@
     started_unix_ms: u64,
     /// Time of the first report.
     pub at_ms: u64,
-    /// Segments that may be the cause.
+    /// Number of requests that may be the cause.
+    pub requests: u32,
+    /// Their segments.
     pub suspects: IndexMap<dispatch::SegmentId, SuspectSegment>,
 }
 
@@ -27,9 +29,9 @@
     /// Records the first report of a crash.
     pub fn new(crash: &WorkerCrash, now_ms: u64) -> Self {
         let (worker, started_unix_ms) = (crash.worker.clone(), crash.started_unix_ms);
-        let mut recorded =
-            Self { worker, started_unix_ms, at_ms: now_ms, suspects: IndexMap::new() };
-        recorded.add_suspects(&crash.suspects);
+        let (requests, suspects) = (0, IndexMap::new());
+        let mut recorded = Self { worker, started_unix_ms, at_ms: now_ms, requests, suspects };
+        recorded.add_report(crash);
         recorded
     }
 
@@ -40,9 +42,10 @@
             && now_ms.saturating_sub(self.at_ms) < REPORT_SPREAD_MS
     }
 
-    /// Adds the segments that a report names.
-    pub fn add_suspects(&mut self, suspects: &[SuspectSegment]) {
-        for suspect in suspects {
+    /// Adds the requests of a report.
+    pub fn add_report(&mut self, crash: &WorkerCrash) {
+        self.requests = self.requests.saturating_add(crash.requests);
+        for suspect in &crash.suspects {
             if let Some(seen) = self.suspects.get_mut(&suspect.id) {
                 seen.requests = seen.requests.saturating_add(suspect.requests);
                 seen.position = seen.position.max(suspect.position);
--- a/crates/domain/tests/quarantine.rs
+++ b/crates/domain/tests/quarantine.rs
@@ -9,6 +9,8 @@
 const FIRST: u64 = 1;
 const SUBJECT: u64 = 20;
 const DEADLY: u64 = 666;
+/// Subjects of callers, each with a segment of its own.
+const SUBJECTS: u64 = 300;
 /// Time after which every test expects a decision: the observation time and one crash more.
 const DECISION_MS: u64 = 4_000;
 /// Time after the fifth crash from which hardly any request with the segment may reach a worker.
@@ -96,7 +98,7 @@
     let mut quarantine = quarantine::Quarantine::default();
     quarantine.record_answer(&answer(&[FIRST, DEADLY], 100), 1_500);
     record_deadly_crashes(&mut quarantine, 2_000);
-    for now_ms in [2_100, 2_700, 3_200] {
+    for now_ms in (2_100..3_300).step_by(100) {
         quarantine.record_answer(&answer(&[FIRST, SUBJECT], now_ms), now_ms + 1_100);
     }
     quarantine.update(2_000 + DECISION_MS);
@@ -188,7 +190,6 @@
 /// is back after 3 s.
 fn replay(seed: u64, deadly_share: u64) -> (Vec<u64>, Vec<u64>) {
     const WORKERS: usize = 9;
-    const SUBJECTS: u64 = 300;
     const TICK_MS: u64 = 100;
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let mut quarantine = quarantine::Quarantine::default();
@@ -250,3 +251,39 @@
         }
     }
 }
+
+/// Workers that crash in groups for reasons of their own while hardly any answer survives; returns the
+/// quarantined segments.
+///
+/// Each crashed worker had `REQUESTS` requests: the first segment is one of three, the second one of
+/// `SUBJECTS`.
+fn replay_other_causes(seed: u64) -> Vec<u64> {
+    const REQUESTS: usize = 6;
+    const GROUPS_MS: [u64; 7] = [3_000, 4_000, 5_000, 6_500, 8_000, 9_000, 12_000];
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let mut quarantine = quarantine::Quarantine::default();
+    let mut request = || [FIRST + random.next_u64() % 3, 100 + random.next_u64() % SUBJECTS];
+    for now_ms in (2_000..20_000).step_by(100) {
+        if now_ms % 500 == 0 {
+            quarantine.record_answer(&answer(&request(), now_ms - 1_200), now_ms);
+        }
+        if GROUPS_MS.contains(&now_ms) {
+            for worker in 0..5 {
+                let requests: Vec<_> = (0..REQUESTS).map(|_| request()).collect();
+                let requests: Vec<&[u64]> = requests.iter().map(<[u64; 2]>::as_slice).collect();
+                let mut seen = crash(worker, &requests);
+                seen.started_unix_ms = now_ms;
+                quarantine.record_crash(&seen, now_ms);
+            }
+        }
+        quarantine.update(now_ms);
+    }
+    quarantined(&quarantine, 20_000)
+}
+
+#[test]
+fn crashes_of_other_causes_quarantine_nothing() {
+    for seed in 0..40 {
+        assert_eq!(replay_other_causes(seed), [0; 0], "seed {seed}");
+    }
+}
--- a/crates/wire/src/fleet/worker_crash.rs
+++ b/crates/wire/src/fleet/worker_crash.rs
@@ -18,6 +18,9 @@
     /// Segments of the sender's requests that may be the cause.
     #[prost(message, repeated, tag = "3")]
     pub suspects: Vec<SuspectSegment>,
+    /// Number of these requests.
+    #[prost(uint32, tag = "4")]
+    pub requests: u32,
 }
 
 impl From<&quarantine::WorkerCrash> for WorkerCrash {
@@ -26,6 +29,7 @@
             worker: crash.worker.to_string(),
             started_unix_ms: crash.started_unix_ms,
             suspects: crash.suspects.iter().map(SuspectSegment::from).collect(),
+            requests: crash.requests,
         }
     }
 }
@@ -35,6 +39,7 @@
         Self {
             worker: name::WorkerName::from(crash.worker.as_str()),
             started_unix_ms: crash.started_unix_ms,
+            requests: crash.requests,
             suspects: crash.suspects.iter().map(quarantine::SuspectSegment::from).collect(),
         }
     }
