Keep a cleared segment from being quarantined again by a delayed report

Cause: both the first crash and the answer are told as ages, so that the delay of each datagram shifts them; when they are close to each other, one report has the crash first and the next one the answer. Change: a reported quarantine needs a first crash that is 1 s later than the last answer; a clearance needs an answer that started after the first crash, as before. Between the two nothing changes.

--- a/crates/domain/src/quarantine/quarantine.rs
+++ b/crates/domain/src/quarantine/quarantine.rs
@@ -25,6 +25,10 @@
 const MAX_VERDICTS: usize = 32;
 /// Time after the last crash within which a decision is made.
 const DECISION_TIME_MS: u64 = 10_000;
+/// Time by which the first crash of a reported quarantine must be later than the last answer to a request
+/// with the segment. Times that daemons report differ by the delay of datagrams, and a segment that has
+/// just been cleared must not be quarantined again by a daemon that does not know it yet.
+const CLEARANCE_MARGIN_MS: u64 = 1_000;
 /// Time for which other daemons are told that a segment is cleared.
 const CLEARANCE_REPORT_MS: u64 = 3_000;
 
@@ -93,9 +97,11 @@
     ) -> Option<SegmentChange> {
         let verdict = Verdict::from_peer(reported, now_ms);
         if let Some(latest_ms) = self.answered.latest_ms(segment)
-            && latest_ms > verdict.first_crash_ms
+            && latest_ms + CLEARANCE_MARGIN_MS > verdict.first_crash_ms
         {
-            self.clearances.insert(segment, (latest_ms, now_ms));
+            if latest_ms > verdict.first_crash_ms {
+                self.clearances.insert(segment, (latest_ms, now_ms));
+            }
             return None;
         }
         let known = self.verdicts.get(&segment);
--- a/crates/domain/tests/quarantine.rs
+++ b/crates/domain/tests/quarantine.rs
@@ -149,6 +149,27 @@
     assert!(quarantined(&quarantine, 6_600).is_empty());
 }
 
+#[test]
+fn a_cleared_segment_is_not_quarantined_again_by_reports_that_are_delayed() {
+    // Two daemons: one has decided and does not learn of the answer, the other one has the answer. Delays
+    // of datagrams shift the reported time of the first crash.
+    let mut quarantine = quarantine::Quarantine::default();
+    let segment = dispatch::SegmentId::from(DEADLY);
+    let mut changes = 0;
+    for round in 0..50 {
+        let now_ms = 10_000 + 200 * round;
+        let verdict = quarantine::PeerVerdict {
+            first_crash_age_ms: now_ms - 8_000 - 40 * (round % 3),
+            remaining_ms: 100_000,
+            duration_ms: 120_000,
+        };
+        changes += usize::from(quarantine.apply_verdict(segment, verdict, now_ms).is_some());
+        let started_ms = 8_000 + 30 * (round % 5);
+        changes += usize::from(quarantine.clear(segment, started_ms, now_ms + 100).is_some());
+    }
+    assert!(changes <= 2, "{changes} changes");
+}
+
 #[test]
 fn a_daemon_that_saw_no_crash_follows_the_verdict_and_the_clearance_of_others() {
     let mut decided = quarantine::Quarantine::default();
