Weigh the crashes without a segment against those with it

Cause: with hundreds of segments some are on three of six crashed workers by chance. Change: the weight of the evidence is the crashes with the segment less half of those without, and must reach 4; two segments that crash workers at the same time still reach it.

--- a/crates/domain/src/quarantine/evidence.rs
+++ b/crates/domain/src/quarantine/evidence.rs
@@ -6,9 +6,9 @@
 /// once.
 const COMMON_CAUSE_MS: u64 = 150;
 
-/// Causes that may crash workers at the same time. A segment that was there in a smaller part of the
-/// crashes is no cause: requests happen to be on workers that crash for other reasons.
-const MAX_CAUSES: usize = 2;
+/// Weight of a crash without the segment against one with it: requests happen to be on workers that crash
+/// for other reasons, but two segments may also crash workers at the same time.
+const OTHER_CRASH_WEIGHT: f64 = 0.5;
 
 /// Crashes of workers that had requests with one segment.
 #[derive(Clone, Debug)]
@@ -39,10 +39,10 @@
         answers as f64 * f64::from(self.requests) / f64::from(self.all_requests.max(1))
     }
 
-    /// Returns whether the segment was there in so many of the crashes that it may be one of their
-    /// causes.
-    pub fn explains_crashes(&self) -> bool {
-        self.crashes_ms.len() * MAX_CAUSES >= self.all_crashes
+    /// Returns the weight of the crashes with the segment less that of the others.
+    pub fn weight(&self) -> f64 {
+        let crashes = self.crashes_ms.len();
+        crashes as f64 - (self.all_crashes - crashes) as f64 * OTHER_CRASH_WEIGHT
     }
 
     /// Returns the time of the first crash.
--- a/crates/domain/src/quarantine/quarantine.rs
+++ b/crates/domain/src/quarantine/quarantine.rs
@@ -10,12 +10,14 @@
 use super::{ONSET_MS, PeerVerdict, SegmentChange, SurvivedAnswer, Verdict, WorkerCrash};
 use crate::dispatch;
 
-/// Separate crashes from which a segment may be quarantined. Requests that merely were on the same
-/// worker seldom are so a third time without an answer.
-const MIN_CRASHES: usize = 3;
+/// Weight of the evidence from which a segment is quarantined. Of hundreds of segments, hardly one is on
+/// four crashed workers by chance without an answer meanwhile.
+const MIN_WEIGHT: f64 = 4.0;
+/// Separate crashes that the evidence must contain.
+const MIN_SEPARATE_CRASHES: usize = 3;
 /// Time from the first crash to a quarantine, within which sound segments get answers that survive: the
-/// usual time to the first part of an answer, and the onset.
-const MIN_OBSERVATION_MS: u64 = 500 + ONSET_MS;
+/// usual time to the first part of an answer and to a report of another daemon, and the onset.
+const MIN_OBSERVATION_MS: u64 = 1_000 + ONSET_MS;
 /// Surviving answers that a segment would be expected to have since the first crash if it were no cause.
 /// Only one that was answered before needs them: it may have no answers now because nothing has.
 const MIN_EXPECTED_ANSWERS: f64 = 4.0;
@@ -182,8 +184,8 @@
 
     fn is_sufficient(&self, evidence: &Evidence, now_ms: u64) -> bool {
         let first_ms = evidence.first_crash_ms();
-        if evidence.separate_crashes() < MIN_CRASHES
-            || !evidence.explains_crashes()
+        if evidence.separate_crashes() < MIN_SEPARATE_CRASHES
+            || evidence.weight() < MIN_WEIGHT
             || now_ms.saturating_sub(first_ms) < MIN_OBSERVATION_MS
         {
             return false;
