Tell all daemons of a crash whose cause is known

Found by reading. A daemon that had quarantined a segment kept to itself the crash of a worker that a request with it, sent before, still caused. The others knew that crash only from their own broken requests, without the segment, and counted it against what those have in common. No test of its own: it takes daemons that decide at different times.

--- a/crates/edge/src/control/quarantined_segments.rs
+++ b/crates/edge/src/control/quarantined_segments.rs
@@ -14,7 +14,8 @@
 where
     Dialect: dialect::Dialect,
 {
-    /// Records a crash that this daemon noticed and tells all daemons of it, unless its cause is known.
+    /// Records a crash that this daemon noticed and tells all daemons of it, also if its cause is known: they
+    /// would count it against the other segments that their requests had on the worker.
     ///
     /// The end of a worker that leaves is no crash.
     pub(super) fn handle_worker_crash(&mut self, crash: &quarantine::WorkerCrash, now_ms: u64) {
@@ -33,9 +34,6 @@
             "worker-crashed worker={worker} started_unix_ms={started_unix_ms} segments={suspects} is_explained={is_explained}"
         );
         self.quarantine.record_crash(crash, now_ms);
-        if is_explained {
-            return;
-        }
         let mut datagram = self.next_datagram(None, Vec::new());
         datagram.crashes.push(fleet::WorkerCrash::from(crash));
         let receivers = self.peers.addresses(|_| true);
