Log the limit that a worker states with each request

What callers saw: slow answers of workers that had stated how many requests they accept.

Cause: the logs could not tell whether limits were not read, not added up over the daemons, or exceeded by repeats, because neither the limit nor a count of requests by worker was in them.

Change: the header is decoded and logged with each request and each failed attempt. Nothing is decided by it yet.

--- a/crates/edge/src/dialect/response_metadata.rs
+++ b/crates/edge/src/dialect/response_metadata.rs
@@ -1,7 +1,7 @@
 //! Metadata of a worker's response.
 
 /// Metadata in the head of a worker's response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseMetadata {
     /// Whether the response carries the identifier of the request that was sent.
     pub is_for_request: bool,
@@ -10,4 +10,6 @@
     /// Whether the request reached the wrong worker, or one that has not loaded what the request
     /// needs.
     pub is_misdirected: bool,
+    /// Requests per second that the worker accepts from all daemons together, if it states a limit.
+    pub limit_per_s: Option<f64>,
 }
--- a/crates/edge/src/traffic/request_record.rs
+++ b/crates/edge/src/traffic/request_record.rs
@@ -33,6 +33,8 @@
     /// Predicted time at the selected worker, and those of the next best ones.
     predictions: String,
     first_byte_ms: Option<u64>,
+    /// Limit that the worker stated in its last response.
+    limit_per_s: Option<f64>,
     parts: ForwardedParts,
     status: u16,
     outcome: &'static str,
@@ -61,6 +63,7 @@
             loading_worker: None,
             predictions: String::new(),
             first_byte_ms: None,
+            limit_per_s: None,
             parts: ForwardedParts::default(),
             status: 0,
             outcome: "caller-left",
@@ -106,6 +109,7 @@
     /// Records an attempt at the selected worker; every attempt after the first is logged.
     pub fn record_attempt(&mut self, decision: &route::Decision) {
         self.attempts += 1;
+        self.limit_per_s = None;
         self.worker = Some(decision.worker.clone());
         self.predictions = format_predictions(decision);
         if self.attempts > 1 {
@@ -122,12 +126,18 @@
         let age_ms = clock::now_ms().saturating_sub(self.received_ms);
         let (id, attempt) = (&self.request_id, self.attempts);
         let segments = format_shared_segments(&self.prompt_segments);
+        let limit_per_s = format_limit(self.limit_per_s);
         spdlog::info!(
-            "attempt-failed request={id} attempt={attempt} worker={worker} result={result} age_ms={age_ms} segments={segments}"
+            "attempt-failed request={id} attempt={attempt} worker={worker} result={result} age_ms={age_ms} limit_per_s={limit_per_s} segments={segments}"
         );
         self.metrics.record_attempt_failure(result);
     }
 
+    /// Sets the limit that the worker stated in its response.
+    pub fn set_limit(&mut self, limit_per_s: Option<f64>) {
+        self.limit_per_s = limit_per_s;
+    }
+
     /// Records the status of the response and the time to its head.
     pub fn record_response(&mut self, status: u16) {
         self.status = status;
@@ -156,13 +166,19 @@
         let asked = self.loading_worker.as_ref().map_or("none", name::WorkerName::as_str);
         let ForwardedParts { count: parts, longest_gap_ms, longest_gap_at_ms, .. } = self.parts;
         let timeout_ms = self.timeout_ms;
+        let limit_per_s = format_limit(self.limit_per_s);
         let predictions = if self.predictions.is_empty() { "none" } else { &self.predictions };
         spdlog::info!(
-            "request request={id} outcome={outcome:?} status={status} route={route} kind={kind} adapter={adapter} worker={worker} predicted_ms={predictions} attempts={attempts} asked={asked} load_wait_ms={load_wait_ms} first_ms={first_ms} parts={parts} longest_gap_ms={longest_gap_ms} longest_gap_at_ms={longest_gap_at_ms} total_ms={total_ms} timeout_ms={timeout_ms} configuration={version}"
+            "request request={id} outcome={outcome:?} status={status} route={route} kind={kind} adapter={adapter} worker={worker} predicted_ms={predictions} attempts={attempts} asked={asked} load_wait_ms={load_wait_ms} first_ms={first_ms} parts={parts} longest_gap_ms={longest_gap_ms} longest_gap_at_ms={longest_gap_at_ms} total_ms={total_ms} limit_per_s={limit_per_s} timeout_ms={timeout_ms} configuration={version}"
         );
     }
 }
 
+/// Formats the limit that a worker states; `none` without one.
+fn format_limit(limit_per_s: Option<f64>) -> String {
+    limit_per_s.map_or_else(|| "none".to_owned(), |limit_per_s| limit_per_s.to_string())
+}
+
 /// Formats the segments of a prompt that other requests may share; `none` without any.
 fn format_shared_segments(segments: &[dispatch::PromptSegment]) -> String {
     let shared = dispatch::PromptSegment::shared(segments).iter();
