--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -245,6 +245,18 @@
 
     async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         let faults = *self.faults.lock();
+        let mut response = self.respond(request, faults).await?;
+        if let Some(limit) = faults.stated_limit {
+            response.headers_mut().insert("Server-Limit", limit.parse().expect("a header value"));
+        }
+        Some(response)
+    }
+
+    async fn respond(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        faults: WorkerFaults,
+    ) -> Option<Response<Body>> {
         let (head, body) = request.into_parts();
         body.collect().await.ok()?;
         let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
--- a/crates/standins/src/fleet/worker_faults.rs
+++ b/crates/standins/src/fleet/worker_faults.rs
@@ -35,6 +35,8 @@
     pub returns_errors: bool,
     /// Segment of a prompt on which the worker crashes when it starts to answer.
     pub crashes_on_segment: Option<u64>,
+    /// Requests per second that responses state as the worker's limit.
+    pub stated_limit: Option<&'static str>,
     /// How the responses of a plain service are framed; streams know `UntilClose` only, and have chunks
     /// otherwise.
     pub framing: ResponseFraming,
