Divide the limit that a worker states among all daemons

What callers saw: a worker in need stated how many requests a second it accepts and went on to get as many as the others, so that its answers came late.

Cause: the limit was not read, and nothing adds up what all daemons send to one worker. The class is a bound for the fleet that each daemon can only break, not keep, alone.

Change: permits evenly spaced at the limit on the store's clock, each owned by one daemon by rendezvous hashing over the daemons that the store or their datagrams show. Every attempt takes one: first ones, repeats and resumed streams. A request that no worker can accept in the time that it may wait in a queue is refused at once, with a Retry-After from the sum of the limits. Limits, and that they ended, are exchanged with the store time at which they were seen.

--- a/crates/domain/examples/dispatch_cost.rs
+++ b/crates/domain/examples/dispatch_cost.rs
@@ -81,6 +81,8 @@
             size: dispatch::RequestSize { prompt_tokens: 600, answer_tokens: 70 },
             loading_worker: None,
             excluded: &[],
+            permit: None,
+            max_permit_wait_ms: 700,
         };
         chooser.choose(&choice, &candidates, u64::from(round));
     })
--- a/crates/domain/src/dispatch/admission.rs
+++ b/crates/domain/src/dispatch/admission.rs
@@ -29,6 +29,12 @@
 }
 
 impl TimeLimits {
+    /// Returns how long a request may wait in the queue of a worker to be admitted.
+    #[must_use]
+    pub fn max_queue_ms(&self) -> f64 {
+        self.target_ms.saturating_sub(self.received_ms) as f64 * MAX_QUEUE_SHARE
+    }
+
     fn left_ms(&self, now_ms: u64) -> f64 {
         self.deadline_ms.saturating_sub(now_ms) as f64
     }
@@ -38,7 +44,7 @@
     /// The time to read its own prompt is left out, or long prompts would always be refused.
     fn excess_ms(&self, estimate: Estimate) -> f64 {
         let target_ms = self.target_ms.saturating_sub(self.received_ms) as f64;
-        let queue_excess_ms = estimate.queue_ms - target_ms * MAX_QUEUE_SHARE;
+        let queue_excess_ms = estimate.queue_ms - self.max_queue_ms();
         let total_excess_ms = estimate.wait_ms() - target_ms * MAX_TARGET_FACTOR;
         queue_excess_ms.max(total_excess_ms)
     }
--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -7,6 +7,7 @@
 use crate::locality;
 use crate::member;
 use crate::name;
+use crate::request_limit;
 use crate::route;
 use crate::upstream;
 
@@ -46,6 +47,7 @@
 const UNHEALTHY_COST_MS: f64 = 20_000.0;
 /// Stall above which a worker counts as unhealthy.
 const UNHEALTHY_STALL_MS: u64 = 1_500;
+const MS_PER_S: f64 = 1_000.0;
 
 /// Chooses workers for requests and tracks their load, failures and latency.
 #[derive(Clone, Debug, Default)]
@@ -62,6 +64,8 @@
     pub generation_time: GenerationTime,
     /// Time to the first part of an answer, compared over the workers of a service.
     pub latencies: route::LatencyTracker,
+    /// Rates of requests that workers accept.
+    pub limits: request_limit::RequestLimits,
 }
 
 /// A chosen worker.
@@ -90,6 +94,10 @@
     pub loading_worker: Option<&'a name::WorkerName>,
     /// Workers that were already tried.
     pub excluded: &'a [name::WorkerName],
+    /// Worker for which the request has taken a permit, with the time until it can be used.
+    pub permit: Option<(&'a name::WorkerName, u64)>,
+    /// Longest time that the request may wait for a permit.
+    pub max_permit_wait_ms: u64,
 }
 
 impl ChoiceRequest<'_> {
@@ -107,16 +115,14 @@
         candidates: &[Candidate<'_>],
         now_ms: u64,
     ) -> Option<Choice> {
-        let mut considered = Vec::with_capacity(candidates.len());
+        let usable = self.usable(choice, candidates, now_ms);
+        let mut considered = Vec::with_capacity(usable.len());
         let mut best: Option<usize> = None;
-        let preferred = preferred(choice, candidates);
-        for candidate in candidates {
+        let preferred = preferred(choice, &usable);
+        for (candidate, wait_ms) in &usable {
             let worker = &candidate.upstream.name;
-            if candidate.upstream.is_draining || choice.excluded.contains(worker) {
-                continue;
-            }
             let is_preferred = preferred == Some(worker);
-            let cost_ms = self.cost_ms(choice, candidate, is_preferred, now_ms);
+            let cost_ms = self.cost_ms(choice, candidate, is_preferred, now_ms) + *wait_ms as f64;
             considered.push((worker.clone(), cost_ms as u64));
             let last = considered.len() - 1;
             if best.is_none_or(|best| considered[last].1 < considered[best].1) {
@@ -129,21 +135,62 @@
         } else {
             "lowest predicted time"
         };
-        let chosen = candidates.iter().find(|candidate| candidate.upstream.name == worker)?;
-        let estimate = self.estimate(choice, chosen, now_ms);
+        let (chosen, wait_ms) =
+            usable.iter().find(|(candidate, _)| candidate.upstream.name == worker)?;
+        let estimate = self.estimate(choice, chosen, *wait_ms, now_ms);
         let decision = route::Decision { worker, cost_ms, considered, reason };
         Some(Choice { decision, estimate })
     }
 
-    /// Predicts the times of a request on a worker.
+    /// Returns the candidates to which the request may be sent, with the time until then.
+    fn usable<'a>(
+        &mut self,
+        choice: &ChoiceRequest<'_>,
+        candidates: &[Candidate<'a>],
+        now_ms: u64,
+    ) -> Vec<(Candidate<'a>, u64)> {
+        let mut usable = Vec::with_capacity(candidates.len());
+        for candidate in candidates {
+            if !is_eligible(choice, candidate) {
+                continue;
+            }
+            let permit = choice.permit.filter(|(worker, _)| **worker == candidate.upstream.name);
+            let wait_ms = match permit {
+                Some((_, wait_ms)) => Some(wait_ms),
+                None => self.limits.wait_ms(candidate.upstream, now_ms),
+            };
+            let wait_ms = wait_ms.filter(|wait_ms| *wait_ms <= choice.max_permit_wait_ms);
+            let Some(wait_ms) = wait_ms else { continue };
+            usable.push((*candidate, wait_ms));
+        }
+        usable
+    }
+
+    /// Returns the mean time until a candidate with a limit accepts a request of any daemon, or `None` if
+    /// no candidate has one.
+    #[must_use]
+    pub fn limit_wait_ms(
+        &self,
+        choice: &ChoiceRequest<'_>,
+        candidates: &[Candidate<'_>],
+    ) -> Option<f64> {
+        let eligible = candidates.iter().filter(|candidate| is_eligible(choice, candidate));
+        let limits = eligible.filter_map(|candidate| self.limits.limit_per_s(candidate.upstream));
+        let per_s: f64 = limits.sum();
+        (per_s > 0.0).then(|| MS_PER_S / per_s)
+    }
+
+    /// Predicts the times of a request that can be sent to a worker after `wait_ms`.
     fn estimate(
         &self,
         choice: &ChoiceRequest<'_>,
         candidate: &Candidate<'_>,
+        wait_ms: u64,
         now_ms: u64,
     ) -> Estimate {
+        let wait_ms = wait_ms as f64;
         if !choice.size.is_generation() {
-            return Estimate::default();
+            return Estimate { queue_ms: wait_ms, ..Estimate::default() };
         }
         let adapter_wait_ms = match candidate.adapter {
             AdapterState::Resident => 0.0,
@@ -153,7 +200,8 @@
         };
         Estimate {
             adapter_wait_ms,
-            queue_ms: self.remaining_queue_ms(candidate.upstream, now_ms),
+            // The worker goes on with its queue while the request waits.
+            queue_ms: self.remaining_queue_ms(candidate.upstream, now_ms).max(wait_ms),
             prefill_ms: self.prefill_ms(choice, &candidate.upstream.name, now_ms),
             generation_ms: self.generation_time.predict_ms(choice.size.answer_tokens),
         }
@@ -271,16 +319,18 @@
     }
 }
 
+/// Returns whether a worker takes new requests and was not tried.
+fn is_eligible(choice: &ChoiceRequest<'_>, candidate: &Candidate<'_>) -> bool {
+    !candidate.upstream.is_draining && !choice.excluded.contains(&candidate.upstream.name)
+}
+
 /// Returns the preferred worker of an adapter by rendezvous hashing: daemons that know the same workers
 /// agree on it.
 fn preferred<'a>(
     choice: &ChoiceRequest<'_>,
-    candidates: &[Candidate<'a>],
+    usable: &[(Candidate<'a>, u64)],
 ) -> Option<&'a name::WorkerName> {
     let adapter = choice.adapter?.as_str();
-    let usable = candidates.iter().filter(|candidate| {
-        !candidate.upstream.is_draining && !choice.excluded.contains(&candidate.upstream.name)
-    });
-    let workers = usable.map(|candidate| &candidate.upstream.name);
+    let workers = usable.iter().map(|(candidate, _)| &candidate.upstream.name);
     workers.max_by_key(|worker| member::rendezvous::score(adapter, worker.as_str()))
 }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod request;
+pub mod request_limit;
 pub mod route;
 pub mod service;
 pub mod table;
--- a/crates/domain/src/order_lease/store_clock.rs
+++ b/crates/domain/src/order_lease/store_clock.rs
@@ -3,11 +3,17 @@
 /// Maximum time from sending a call until the store reads its clock.
 const MAX_READ_DELAY_MS: u64 = 1_200;
 
+/// Rate by which the two clocks may drift apart.
+const MAX_DRIFT_MS_PER_MS: f64 = 1e-4;
+
 /// Maps between the store's clock and the local boot clock.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreClock {
     /// Store time of the latest reading, and the boot time at which its call was sent.
     reading: Option<(u64, u64)>,
+    /// By how much the store's clock is ahead at most, from the reading with the shortest delay, and the
+    /// boot time of that reading.
+    ahead: Option<(f64, u64)>,
 }
 
 impl StoreClock {
@@ -15,9 +21,25 @@
     pub fn observe(&mut self, store_ms: u64, sent_boot_ms: u64) {
         if self.reading.is_none_or(|(known_ms, _)| store_ms >= known_ms) {
             self.reading = Some((store_ms, sent_boot_ms));
+            let ahead_ms = store_ms as f64 - sent_boot_ms as f64;
+            if self.ahead_bound_ms(sent_boot_ms).is_none_or(|known_ms| ahead_ms <= known_ms) {
+                self.ahead = Some((ahead_ms, sent_boot_ms));
+            }
         }
     }
 
+    /// Returns by how much the store's clock is ahead of the boot clock, which is negative if it is
+    /// behind. The error is the shortest delay of a call on its way to the store.
+    #[must_use]
+    pub fn ahead_ms(&self, boot_ms: u64) -> Option<i64> {
+        self.ahead_bound_ms(boot_ms).map(|ahead_ms| ahead_ms as i64)
+    }
+
+    fn ahead_bound_ms(&self, boot_ms: u64) -> Option<f64> {
+        let (ahead_ms, since_boot_ms) = self.ahead?;
+        Some(ahead_ms + boot_ms.saturating_sub(since_boot_ms) as f64 * MAX_DRIFT_MS_PER_MS)
+    }
+
     /// Returns a boot time by which the store's clock has reached `store_ms`.
     #[must_use]
     pub fn boot_ms_when_passed(&self, store_ms: u64) -> Option<u64> {
--- a/crates/domain/tests/dispatch.rs
+++ b/crates/domain/tests/dispatch.rs
@@ -67,6 +67,8 @@
             size: self.size,
             loading_worker: self.loading_worker.as_ref(),
             excluded: &self.excluded,
+            permit: None,
+            max_permit_wait_ms: 700,
         };
         let decision = self.chooser.choose(&choice, &candidates, now_ms)?;
         Some(decision.decision.worker.to_string())
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -148,9 +148,11 @@
             self.must_publish_all = true;
             self.rank_readers(now_ms);
             self.assignments.log_slot_counts();
+            self.remove_unlisted_limits(now_ms);
             self.chooser.lock().loads.expire(now_ms);
         }
         self.update_quarantine(now_ms);
+        self.update_permit_schedule(now_ms);
         self.send_orders(now_ms);
         self.publish_changes(now_ms);
     }
@@ -186,6 +188,9 @@
             }
             Message::WorkerCrashed(crash) => self.handle_worker_crash(&crash, now_ms),
             Message::AnswersSurvived(answers) => self.handle_survived_answers(&answers, now_ms),
+            Message::LimitChanged { worker, change } => {
+                self.handle_limit_change(&worker, change, now_ms);
+            }
             Message::OrderResult { worker, fencing_token, order, result } => {
                 self.metrics.record_order(result.as_str());
                 let base_load = self.assignments.apply_order_result(
@@ -305,7 +310,7 @@
         let state = self.daemon_state(None, now_ms);
         let served = served.iter().filter_map(|host| self.peers.get(host));
         let receivers = served.map(|peer| peer.address).collect();
-        self.send_state(state, receivers);
+        self.send_state(state, receivers, now_ms);
     }
 
     /// Publishes a view with the changes since the last one.
@@ -347,7 +352,7 @@
         }
         let state = self.daemon_state(None, now_ms);
         let receivers = self.peers.addresses(|_| true);
-        self.send_state(state, receivers);
+        self.send_state(state, receivers, now_ms);
         if !is_written {
             self.confirm_release();
         }
--- a/crates/edge/src/control/datagrams.rs
+++ b/crates/edge/src/control/datagrams.rs
@@ -31,11 +31,12 @@
                 let receivers =
                     self.peers.get(&host).map(|peer| peer.address).into_iter().collect();
                 let state = self.daemon_state(None, now_ms);
-                self.send_state(state, receivers);
+                self.send_state(state, receivers, now_ms);
             }
         }
         self.apply_peer_uses(&datagram, now_ms);
         self.apply_peer_crashes(&datagram, now_ms);
+        self.apply_peer_limits(&datagram, now_ms);
         let Some(state) = &datagram.state else { return };
         let address = match fleet::parse_address(&state.address) {
             Ok(address) => address,
--- a/crates/edge/src/control/lease_manager.rs
+++ b/crates/edge/src/control/lease_manager.rs
@@ -122,6 +122,17 @@
         !self.must_read_rows && self.lease.is_valid(now_ms)
     }
 
+    /// Returns whether the rows have been read, so that the other daemons are known.
+    pub fn has_read_rows(&self) -> bool {
+        self.rows_read_ms.is_some()
+    }
+
+    /// Returns whether a daemon had no valid lease when the rows were last read.
+    pub fn is_lease_expired(&self, host: &name::HostName) -> bool {
+        let lease = self.leases.get(host);
+        lease.is_none_or(|(row, _)| row.expires_store_ms < self.rows_store_ms)
+    }
+
     /// Iterates over the leases as last read.
     pub fn leases(&self) -> impl Iterator<Item = &order_lease::LeaseRow> {
         self.leases.values().map(|(row, _)| row)
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -4,6 +4,7 @@
 use jasminetack_domain::name;
 use jasminetack_domain::placement;
 use jasminetack_domain::quarantine;
+use jasminetack_domain::request_limit;
 use jasminetack_wire::fleet;
 use tokio::sync::oneshot;
 
@@ -45,6 +46,13 @@
     WorkerCrashed(quarantine::WorkerCrash),
     /// Answers did not crash their workers.
     AnswersSurvived(Vec<quarantine::SurvivedAnswer>),
+    /// A response changed what is known of the limit of a worker.
+    LimitChanged {
+        /// The worker.
+        worker: name::WorkerName,
+        /// The change.
+        change: request_limit::LimitChange,
+    },
     /// Result of an order.
     OrderResult {
         /// The worker.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -22,6 +22,7 @@
 mod store_job;
 mod store_replies;
 mod table_reads;
+mod worker_limits;
 mod writer;
 
 use std::time::{Duration, Instant};
--- a/crates/edge/src/control/reports.rs
+++ b/crates/edge/src/control/reports.rs
@@ -50,7 +50,7 @@
         let receivers = self.peers.addresses(|peer| {
             is_remote_due || *peer.locality.region() == region || holds_used_worker(peer)
         });
-        self.send_state(state, receivers);
+        self.send_state(state, receivers, now_ms);
         self.send_uses(uses);
     }
 
@@ -153,8 +153,14 @@
         }
     }
 
-    pub(super) fn send_state(&mut self, state: fleet::DaemonState, receivers: Vec<SocketAddr>) {
-        let datagram = self.next_datagram(Some(state), Vec::new());
+    pub(super) fn send_state(
+        &mut self,
+        state: fleet::DaemonState,
+        receivers: Vec<SocketAddr>,
+        now_ms: u64,
+    ) {
+        let mut datagram = self.next_datagram(Some(state), Vec::new());
+        datagram.limits = self.worker_limits(now_ms);
         self.outputs.queue_datagram(OutgoingDatagram { receivers, datagram });
     }
 
@@ -175,6 +181,7 @@
             use_changes: Vec::new(),
             uses: Vec::new(),
             crashes: Vec::new(),
+            limits: Vec::new(),
         }
     }
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -35,6 +35,8 @@
     pub worker_crashes: Counter,
     /// Segments whose requests are refused.
     pub quarantined_segments: Gauge,
+    /// Workers that state a limit of requests.
+    pub limited_workers: Gauge,
 }
 
 impl Metrics {
@@ -66,6 +68,9 @@
         let quarantined_segments = Gauge::default();
         let help = "Segments of prompts whose requests are refused";
         registry.register("quarantined_segments", help, quarantined_segments.clone());
+        let limited_workers = Gauge::default();
+        let help = "Workers that accept a limited number of requests";
+        registry.register("limited_workers", help, limited_workers.clone());
         let registry = Mutex::new(registry);
         Self {
             registry,
@@ -78,6 +83,7 @@
             store_calls,
             worker_crashes,
             quarantined_segments,
+            limited_workers,
         }
     }
 
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod listener;
 mod load_guard;
 mod order_sender;
+mod permit_guard;
 mod pool;
 mod proxy_request;
 mod refusal;
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -8,16 +8,19 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header;
-use hyper::http::request;
+use hyper::http::{request, response};
 use hyper::{Request, Response, StatusCode, Version};
 use jasminetack_domain::ingress;
 use jasminetack_domain::name;
+use jasminetack_domain::request_limit;
+use jasminetack_domain::upstream;
 use tokio::sync::watch;
 use tokio::time::{self, Sleep};
 
 use super::answer_watch::AnswerWatch;
 use super::attempt::{self, Exchange};
 use super::load_guard::LoadGuard;
+use super::permit_guard::PermitGuard;
 use super::refusal::{RETRY_AFTER_MS, Refusal};
 use super::relay::Relay;
 use super::request_record::RequestRecord;
@@ -28,6 +31,7 @@
 use super::worker_request;
 use super::worker_search::Target;
 use crate::clock;
+use crate::control;
 use crate::dialect;
 
 /// Timeout of requests without a deadline; the timeout of the route applies as well.
@@ -64,6 +68,8 @@
     pub(super) revision: watch::Receiver<u64>,
     /// Worker that was last asked to load the adapter, and when.
     pub(super) requested_load: Option<(name::WorkerName, u64)>,
+    /// Permit for the selected worker if it has a limit.
+    pub(super) permit: Option<PermitGuard>,
 }
 
 /// Proxies a request to a worker, or responds with a refusal when it cannot be served.
@@ -164,6 +170,7 @@
             is_retry_acquired: false,
             revision,
             requested_load: None,
+            permit: None,
         })
     }
 
@@ -197,6 +204,9 @@
             record.record_attempt_failure(worker, "no-budget");
             return Err(RetryDecision::GiveUp(self.give_up("no budget for a repeat")));
         }
+        if let Some(permit) = self.permit.take() {
+            permit.consume();
+        }
         record.record_attempt(&target.decision);
         let request = self.worker_request(target, last_event_id, now_ms);
         let (adapter, work) = (self.facts.adapter.as_ref(), self.facts.size);
@@ -224,6 +234,7 @@
             exchange.load.record_failure(clock::now_ms());
             return Err(self.execution_unknown(worker, "answer-of-another-request", record));
         }
+        self.observe_limit(upstream, facts, &head, now_ms);
         if facts.is_not_executed {
             return Err(self.not_executed(worker, facts, &head, record));
         }
@@ -245,6 +256,34 @@
         Ok((Response::from_parts(head, body), exchange))
     }
 
+    /// Records what a response states about the worker's limit.
+    ///
+    /// An error may come from a part of the worker that does not know of the limit, so only a success
+    /// without one ends it.
+    fn observe_limit(
+        &self,
+        upstream: &upstream::Upstream,
+        facts: dialect::ResponseMetadata,
+        head: &response::Parts,
+        sent_ms: u64,
+    ) {
+        if facts.limit_per_s.is_none() && !head.status.is_success() {
+            return;
+        }
+        let observation = request_limit::Observation {
+            worker: &upstream.name,
+            started_unix_ms: upstream.started_unix_ms,
+            limit_per_s: facts.limit_per_s,
+            sent_ms,
+        };
+        let change = self.shared.chooser.lock().limits.observe(&observation, clock::now_ms());
+        if let Some(change) = change {
+            let worker = upstream.name.clone();
+            // The control thread ends only with the process.
+            let _ = self.shared.control.send(control::Message::LimitChanged { worker, change });
+        }
+    }
+
     /// Returns whether the next attempt may be sent: no worker has been reached yet, or a retry was
     /// taken from the budget.
     fn acquire_retry(&mut self, now_ms: u64) -> bool {
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -11,6 +11,7 @@
 use jasminetack_domain::upstream;
 use tokio::time;
 
+use super::permit_guard::PermitGuard;
 use super::proxy_request::ProxyRequest;
 use super::refusal::Refusal;
 use super::request_record::RequestRecord;
@@ -40,6 +41,17 @@
     pub(super) estimate: dispatch::Estimate,
 }
 
+/// Result of selecting a worker.
+enum Selection {
+    Worker(Box<Target>),
+    /// All workers that could serve the request are at their limit.
+    AtLimit {
+        /// Mean time until one of them accepts a request.
+        wait_ms: f64,
+    },
+    NoWorker,
+}
+
 impl<Dialect> ProxyRequest<Dialect>
 where
     Dialect: dialect::Dialect,
@@ -65,24 +77,39 @@
             }
             self.revision.borrow_and_update();
             self.check_quarantine(now_ms)?;
-            if let Some(target) = self.select_worker(now_ms) {
-                self.check_admission(&target, now_ms > started_ms, now_ms)?;
-                if target.state == dispatch::AdapterState::Resident {
-                    record.set_load_wait(now_ms.saturating_sub(started_ms));
-                    return Ok(target);
+            let mut wait = VIEW_CHECK_INTERVAL;
+            match self.select_worker(now_ms) {
+                Selection::Worker(target) => {
+                    self.check_admission(&target, now_ms > started_ms, now_ms)?;
+                    if target.state == dispatch::AdapterState::Resident {
+                        let permit_wait_ms = self.acquire_permit(&target.upstream, now_ms);
+                        if permit_wait_ms == Some(0) {
+                            record.set_load_wait(now_ms.saturating_sub(started_ms));
+                            return Ok(*target);
+                        }
+                        wait = permit_wait_ms.map_or(wait, Duration::from_millis).min(wait);
+                    } else {
+                        self.permit = None;
+                        adapter_wait_ms = target.estimate.adapter_wait_ms;
+                        record.set_loading_worker(&target.decision.worker);
+                        self.request_load(&target.decision.worker, false, now_ms);
+                    }
+                }
+                Selection::AtLimit { wait_ms } => {
+                    return Err(self.refuse_after_wait("workers at their limit", wait_ms, now_ms));
                 }
-                adapter_wait_ms = target.estimate.adapter_wait_ms;
-                record.set_loading_worker(&target.decision.worker);
-                self.request_load(&target.decision.worker, false, now_ms);
-            } else if !self.excluded.is_empty() {
-                return Err(self.give_up("no other worker"));
+                Selection::NoWorker if !self.excluded.is_empty() => {
+                    return Err(self.give_up("no other worker"));
+                }
+                Selection::NoWorker => {}
             }
             if now_ms >= wait_until_ms {
                 record.set_load_wait(now_ms.saturating_sub(started_ms));
-                return Err(self.refuse_after_wait(adapter_wait_ms, now_ms));
+                let reason = "no worker with the adapter";
+                return Err(self.refuse_after_wait(reason, adapter_wait_ms, now_ms));
             }
             // A timeout and a new view are handled alike: the next round selects a worker again.
-            let _ = time::timeout(VIEW_CHECK_INTERVAL, self.revision.changed()).await;
+            let _ = time::timeout(wait, self.revision.changed()).await;
         }
     }
 
@@ -117,11 +144,29 @@
         }
     }
 
-    /// Builds the refusal of a request that has waited for its adapter as long as it may.
-    fn refuse_after_wait(&self, adapter_wait_ms: f64, now_ms: u64) -> Refusal {
-        let refusal = self.give_up("no worker with the adapter");
+    /// Takes a permit if the worker has a limit; returns the time until the request may be sent, or
+    /// `None` if it has to select a worker again.
+    fn acquire_permit(&mut self, upstream: &upstream::Upstream, now_ms: u64) -> Option<u64> {
+        let is_limited = self.shared.chooser.lock().limits.is_limited(upstream);
+        if !is_limited {
+            self.permit = None;
+            return Some(0);
+        }
+        let is_held = self.permit.as_ref().is_some_and(|permit| {
+            *permit.worker() == upstream.name && permit.wait_ms(now_ms).is_some()
+        });
+        if !is_held {
+            self.permit = None;
+            self.permit = PermitGuard::take(&self.shared.chooser, &upstream.name, now_ms);
+        }
+        self.permit.as_ref()?.wait_ms(now_ms)
+    }
+
+    /// Builds the refusal of a request that can be served after `wait_ms` at the earliest.
+    fn refuse_after_wait(&self, reason: &'static str, wait_ms: f64, now_ms: u64) -> Refusal {
+        let refusal = self.give_up(reason);
         let retry_after_ms =
-            admission::retry_after_ms(self.time_limits(), adapter_wait_ms, rand::random(), now_ms);
+            admission::retry_after_ms(self.time_limits(), wait_ms, rand::random(), now_ms);
         Refusal { retry_after_ms: refusal.retry_after_ms.and(Some(retry_after_ms)), ..refusal }
     }
 
@@ -133,8 +178,8 @@
         }
     }
 
-    /// Selects the best worker in the current view; `None` when no worker can serve the request.
-    pub(super) fn select_worker(&self, now_ms: u64) -> Option<Target> {
+    /// Selects the best worker in the current view.
+    fn select_worker(&self, now_ms: u64) -> Selection {
         let view = self.shared.view.load();
         let workers = view.workers(&self.service);
         let mut candidates = Vec::with_capacity(workers.len());
@@ -142,6 +187,10 @@
             let Some(adapter) = self.adapter_state(worker, &view, now_ms) else { continue };
             candidates.push(dispatch::Candidate { upstream: &worker.upstream, adapter });
         }
+        let permit = self.permit.as_ref().and_then(|permit| {
+            let wait_ms = permit.wait_ms(now_ms)?;
+            Some((permit.worker().clone(), wait_ms))
+        });
         let selection = dispatch::ChoiceRequest {
             host: &self.shared.host.name,
             from: &self.shared.host.locality,
@@ -150,13 +199,21 @@
             size: self.facts.size,
             loading_worker: self.requested_load.as_ref().map(|(worker, _)| worker),
             excluded: &self.excluded,
+            permit: permit.as_ref().map(|(worker, wait_ms)| (worker, *wait_ms)),
+            max_permit_wait_ms: self.time_limits().max_queue_ms() as u64,
+        };
+        let mut chooser = self.shared.chooser.lock();
+        let Some(choice) = chooser.choose(&selection, &candidates, now_ms) else {
+            let wait_ms = chooser.limit_wait_ms(&selection, &candidates);
+            return wait_ms.map_or(Selection::NoWorker, |wait_ms| Selection::AtLimit { wait_ms });
         };
-        let choice = self.shared.chooser.lock().choose(&selection, &candidates, now_ms)?;
+        drop(chooser);
         let dispatch::Choice { decision, estimate } = choice;
-        let chosen = candidates.iter().position(|known| known.upstream.name == decision.worker)?;
-        let state = candidates[chosen].adapter;
-        let upstream = workers.iter().find(|worker| worker.upstream.name == decision.worker)?;
-        Some(Target { upstream: Arc::clone(&upstream.upstream), decision, state, estimate })
+        let chosen = candidates.iter().find(|known| known.upstream.name == decision.worker);
+        let upstream = workers.iter().find(|worker| worker.upstream.name == decision.worker);
+        let Some((chosen, upstream)) = chosen.zip(upstream) else { return Selection::NoWorker };
+        let (state, upstream) = (chosen.adapter, Arc::clone(&upstream.upstream));
+        Selection::Worker(Box::new(Target { upstream, decision, state, estimate }))
     }
 
     /// Returns the state of the adapter on a worker, or `None` when the worker cannot serve the request.
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -10,6 +10,7 @@
 mod suspect_segment;
 mod table_state;
 mod worker_crash;
+mod worker_limit;
 
 use std::net::SocketAddr;
 
@@ -28,6 +29,7 @@
 pub use suspect_segment::SuspectSegment;
 pub use table_state::TableState;
 pub use worker_crash::WorkerCrash;
+pub use worker_limit::WorkerLimit;
 
 /// One datagram.
 #[derive(Clone, PartialEq, Message)]
@@ -62,6 +64,9 @@
     /// Crashes of workers that the sender has noticed.
     #[prost(message, repeated, tag = "10")]
     pub crashes: Vec<WorkerCrash>,
+    /// Limits of workers that the sender knows.
+    #[prost(message, repeated, tag = "11")]
+    pub limits: Vec<WorkerLimit>,
 }
 
 /// Adapters that the sender uses on one worker.
