Send nothing more to workers that state that they are leaving

What callers saw: requests went on to a worker that had said in its responses that it leaves, until the store's list told so as well; where its entry never says so, until it was gone.

Cause: leaving was read from the list of workers alone, and what responses say of it was not read. The class is one fact with two sources of which only one is heard.

Change: the directory marks the process, by name and start, as draining, so that every decision that heeds draining entries heeds it: choice, claims, loads, crash reports. The daemons tell each other. The mark outlives an absence of the entry and ends with the next process of that name. The digest compares what is listed and ignores it.

--- a/crates/domain/src/upstream/directory.rs
+++ b/crates/domain/src/upstream/directory.rs
@@ -16,6 +16,11 @@
 /// expires after three missed heartbeats, which take longer.
 const SERIES_TOLERANCE_MS: u64 = 2_000;
 
+/// Time for which other daemons are told that a worker stated that it is leaving.
+const LEAVING_REPORT_MS: u64 = 30_000;
+/// Time for which a leaving process is remembered without an entry, in case it registers again.
+const UNLISTED_LEAVING_TTL_MS: u64 = 600_000;
+
 /// Change of the directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -31,9 +36,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     upstreams: IndexMap<name::WorkerName, Arc<Upstream>>,
+    /// The entries as listed, without workers that are kept although their entry is missing.
+    listed: IndexMap<name::WorkerName, Arc<Upstream>>,
     /// Sum of the hashes of the entries that are listed, so that a worker that is kept without an entry
     /// does not confirm the copies of daemons that have not read of its removal yet.
     digest: u64,
+    /// Worker processes that stated that they are leaving.
+    leaving: IndexMap<name::WorkerName, LeavingProcess>,
     /// Workers whose entry expired during an outage, with the time at which they are removed.
     removal_due_ms: IndexMap<name::WorkerName, u64>,
     is_reachable: bool,
@@ -45,6 +54,13 @@
     peer_series: Option<ReadSeries>,
 }
 
+/// Worker process that stated that it is leaving.
+#[derive(Clone, Copy, Debug)]
+struct LeavingProcess {
+    started_unix_ms: u64,
+    recorded_ms: u64,
+}
+
 impl Directory {
     /// Iterates over the workers, including draining ones.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Upstream>> {
@@ -115,16 +131,18 @@
     /// A difference only in the adapters is not reported as a change: the lease holder of the worker
     /// publishes more recent information on them.
     pub fn upsert(&mut self, upstream: Upstream) -> Option<Change> {
-        let was_missing = self.removal_due_ms.swap_remove(&upstream.name).is_some();
+        self.removal_due_ms.swap_remove(&upstream.name);
         let known = self.upstreams.get(&upstream.name);
-        let is_same = known.is_some_and(|known| known.equals_except_adapters(&upstream));
+        let listed = self.listed.get(&upstream.name).or(known);
+        let is_same = listed.is_some_and(|listed| listed.equals_except_adapters(&upstream));
         let is_new = known.is_none_or(|known| known.started_unix_ms != upstream.started_unix_ms);
-        let upstream = Arc::new(upstream);
-        self.digest = self.digest.wrapping_add(hash(&upstream));
-        let replaced = self.upstreams.insert(upstream.name.clone(), Arc::clone(&upstream));
-        if let Some(replaced) = replaced.filter(|_| !was_missing) {
+        let listed = Arc::new(upstream);
+        self.digest = self.digest.wrapping_add(hash(&listed));
+        if let Some(replaced) = self.listed.insert(listed.name.clone(), Arc::clone(&listed)) {
             self.digest = self.digest.wrapping_sub(hash(&replaced));
         }
+        let upstream = if self.states_leaving(&listed) { drained(&listed) } else { listed };
+        self.upstreams.insert(upstream.name.clone(), Arc::clone(&upstream));
         if is_same {
             return None;
         }
@@ -140,8 +158,8 @@
         let until_ms = self.reachable_since_ms + REREGISTRATION_GRACE_MS;
         let may_register_again =
             self.reachable_since_ms > 0 && now_ms < until_ms && !known.is_draining;
-        if !self.is_missing(worker) {
-            self.digest = self.digest.wrapping_sub(hash(&known));
+        if let Some(listed) = self.listed.swap_remove(worker) {
+            self.digest = self.digest.wrapping_sub(hash(&listed));
         }
         if may_register_again {
             self.removal_due_ms.insert(worker.clone(), until_ms);
@@ -152,8 +170,51 @@
         Some(Change::Left(worker.clone()))
     }
 
-    /// Removes the workers that did not register again within the grace period.
+    /// Records that a worker process stated that it is leaving, whatever its entry says.
+    ///
+    /// It gets no new requests from now on, also if its entry is missing for a while.
+    pub fn record_leaving(
+        &mut self,
+        worker: &name::WorkerName,
+        started_unix_ms: u64,
+        now_ms: u64,
+    ) -> Option<Change> {
+        let new = LeavingProcess { started_unix_ms, recorded_ms: now_ms };
+        let process = self.leaving.entry(worker.clone()).or_insert(new);
+        if process.started_unix_ms < started_unix_ms {
+            *process = new;
+        }
+        let known = Arc::clone(self.upstreams.get(worker)?);
+        if known.is_draining || !self.states_leaving(&known) {
+            return None;
+        }
+        let upstream = drained(&known);
+        self.upstreams.insert(worker.clone(), Arc::clone(&upstream));
+        Some(Change::Updated(upstream))
+    }
+
+    /// Iterates over the processes that stated lately that they are leaving, with their start times.
+    pub fn recently_leaving(&self, now_ms: u64) -> impl Iterator<Item = (&name::WorkerName, u64)> {
+        let recent = self.leaving.iter().filter(move |(_, process)| {
+            now_ms.saturating_sub(process.recorded_ms) < LEAVING_REPORT_MS
+        });
+        recent.map(|(worker, process)| (worker, process.started_unix_ms))
+    }
+
+    /// Returns whether the process of an entry, or a later one of the worker, stated that it is leaving.
+    fn states_leaving(&self, upstream: &Upstream) -> bool {
+        let process = self.leaving.get(&upstream.name);
+        process.is_some_and(|process| process.started_unix_ms >= upstream.started_unix_ms)
+    }
+
+    /// Removes the workers that did not register again within the grace period, and forgets the leaving
+    /// processes that have been gone for long.
     pub fn remove_expired(&mut self, now_ms: u64) -> Vec<Change> {
+        let upstreams = &self.upstreams;
+        self.leaving.retain(|worker, process| {
+            upstreams.contains_key(worker)
+                || now_ms.saturating_sub(process.recorded_ms) < UNLISTED_LEAVING_TTL_MS
+        });
         let mut changes = Vec::new();
         let expired = self.removal_due_ms.iter().filter(|(_, until_ms)| **until_ms <= now_ms);
         let expired: Vec<_> = expired.map(|(worker, _)| worker.clone()).collect();
@@ -166,6 +227,11 @@
     }
 }
 
+/// Returns an entry as that of a worker that must not get new requests.
+fn drained(upstream: &Upstream) -> Arc<Upstream> {
+    Arc::new(Upstream { is_draining: true, ..upstream.clone() })
+}
+
 /// Returns the hash of an entry without its adapters, which the lease holder of the worker reports.
 fn hash(upstream: &Upstream) -> u64 {
     let Upstream {
--- a/crates/domain/tests/upstream.rs
+++ b/crates/domain/tests/upstream.rs
@@ -207,3 +207,30 @@
     let loaded = upstream::Upstream { adapters: vec![adapter], ..known.clone() };
     assert_eq!(digest(loaded), digest(known));
 }
+
+#[test]
+fn a_process_that_states_that_it_leaves_stays_unused_until_another_one_starts() {
+    let mut directory = upstream::Directory::default();
+    directory.mark_reachable(1_000, 1_000);
+    directory.upsert(worker("w", 1, false));
+    let digest = directory.digest();
+    let change = directory.record_leaving(&name::WorkerName::from("w"), 1, 5_000);
+    assert!(matches!(change, Some(upstream::Change::Updated(known)) if known.is_draining));
+    assert_eq!(directory.record_leaving(&name::WorkerName::from("w"), 1, 5_100), None);
+    // Daemons compare what is listed, which has not changed.
+    assert_eq!(directory.digest(), digest);
+    let is_unused = |directory: &upstream::Directory| {
+        directory.get(&name::WorkerName::from("w")).is_some_and(|known| known.is_draining)
+    };
+    directory.remove(&name::WorkerName::from("w"), 6_000);
+    directory.upsert(worker("w", 1, false));
+    assert!(is_unused(&directory));
+    // The row must be passed on to daemons that do not know that the worker leaves.
+    assert!(directory.upsert(worker("w", 1, true)).is_some());
+    assert_ne!(directory.digest(), digest);
+    directory.upsert(worker("w", 2, false));
+    assert!(!is_unused(&directory));
+    // An old message does not concern the new process.
+    assert_eq!(directory.record_leaving(&name::WorkerName::from("w"), 1, 7_000), None);
+    assert!(!is_unused(&directory));
+}
--- a/crates/edge/src/control/catalog.rs
+++ b/crates/edge/src/control/catalog.rs
@@ -185,6 +185,16 @@
         self.directory.observe_series(series);
     }
 
+    /// Records that a worker process stated that it is leaving.
+    pub fn record_leaving(
+        &mut self,
+        worker: &name::WorkerName,
+        started_unix_ms: u64,
+        now_ms: u64,
+    ) -> Option<upstream::Change> {
+        self.directory.record_leaving(worker, started_unix_ms, now_ms)
+    }
+
     /// Removes a worker whose entry is missing, or logs that it is kept because it may register again.
     fn remove_worker(
         &mut self,
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -188,6 +188,9 @@
             }
             Message::WorkerCrashed(crash) => self.handle_worker_crash(&crash, now_ms),
             Message::AnswersSurvived(answers) => self.handle_survived_answers(&answers, now_ms),
+            Message::WorkerLeaving { worker, started_unix_ms } => {
+                self.handle_leaving_worker(&worker, started_unix_ms, now_ms);
+            }
             Message::LimitChanged { worker, change } => {
                 self.handle_limit_change(&worker, change, now_ms);
             }
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -46,6 +46,13 @@
     WorkerCrashed(quarantine::WorkerCrash),
     /// Answers did not crash their workers.
     AnswersSurvived(Vec<quarantine::SurvivedAnswer>),
+    /// A worker stated in a response that it is leaving.
+    WorkerLeaving {
+        /// The worker.
+        worker: name::WorkerName,
+        /// Start of the worker process in milliseconds since the Unix epoch.
+        started_unix_ms: u64,
+    },
     /// A response changed what is known of the limit of a worker.
     LimitChanged {
         /// The worker.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod feed;
 mod freshness;
 mod lease_manager;
+mod leaving_workers;
 mod message;
 mod outputs;
 mod peers;
--- a/crates/edge/src/control/reports.rs
+++ b/crates/edge/src/control/reports.rs
@@ -161,6 +161,7 @@
     ) {
         let mut datagram = self.next_datagram(Some(state), Vec::new());
         datagram.limits = self.worker_limits(now_ms);
+        datagram.leaving = self.leaving_workers(now_ms);
         self.outputs.queue_datagram(OutgoingDatagram { receivers, datagram });
     }
 
@@ -182,6 +183,7 @@
             uses: Vec::new(),
             crashes: Vec::new(),
             limits: Vec::new(),
+            leaving: Vec::new(),
         }
     }
 }
--- a/crates/edge/src/dialect/response_metadata.rs
+++ b/crates/edge/src/dialect/response_metadata.rs
@@ -12,4 +12,6 @@
     pub is_misdirected: bool,
     /// Requests per second that the worker accepts from all daemons together, if it states a limit.
     pub limit_per_s: Option<f64>,
+    /// Whether the worker states that it is leaving.
+    pub is_leaving: bool,
 }
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -235,6 +235,12 @@
             return Err(self.execution_unknown(worker, "answer-of-another-request", record));
         }
         self.observe_limit(upstream, facts, &head, now_ms);
+        if facts.is_leaving && !upstream.is_draining {
+            let (worker, started_unix_ms) = (worker.clone(), upstream.started_unix_ms);
+            let leaving = control::Message::WorkerLeaving { worker, started_unix_ms };
+            // The control thread ends only with the process.
+            let _ = self.shared.control.send(leaving);
+        }
         if facts.is_not_executed {
             return Err(self.not_executed(worker, facts, &head, record));
         }
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -249,6 +250,9 @@
         if let Some(limit) = faults.stated_limit {
             response.headers_mut().insert("Server-Limit", limit.parse().expect("a header value"));
         }
+        if faults.states_leaving {
+            response.headers_mut().insert("Server-Leaving", HeaderValue::from_static("1"));
+        }
         Some(response)
     }
 
--- a/crates/standins/src/fleet/worker_faults.rs
+++ b/crates/standins/src/fleet/worker_faults.rs
@@ -37,6 +37,8 @@
     pub crashes_on_segment: Option<u64>,
     /// Requests per second that responses state as the worker's limit.
     pub stated_limit: Option<&'static str>,
+    /// Responses state that the worker is leaving.
+    pub states_leaving: bool,
     /// How the responses of a plain service are framed; streams know `UntilClose` only, and have chunks
     /// otherwise.
     pub framing: ResponseFraming,
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -5,6 +5,7 @@
 
 mod base_load_limit;
 mod cleared_segment;
+mod leaving_worker;
 mod quarantined_segment;
 mod rows;
 mod suspect_segment;
@@ -24,6 +25,7 @@
 
 pub use base_load_limit::BaseLoadLimit;
 pub use cleared_segment::ClearedSegment;
+pub use leaving_worker::LeavingWorker;
 pub use quarantined_segment::QuarantinedSegment;
 pub use rows::{Lease, UnansweredOrders, WorkerHolder};
 pub use suspect_segment::SuspectSegment;
@@ -67,6 +69,9 @@
     /// Limits of workers that the sender knows.
     #[prost(message, repeated, tag = "11")]
     pub limits: Vec<WorkerLimit>,
+    /// Workers that stated lately that they are leaving.
+    #[prost(message, repeated, tag = "12")]
+    pub leaving: Vec<LeavingWorker>,
 }
 
 /// Adapters that the sender uses on one worker.
