Leave workers alone for the time that they state with a 503

What callers saw: a worker that rejected a request and said for how long it wants no more went on to get requests of the same daemon, each of which cost a rejected attempt and a repeat.

Cause: Retry-After was read by callers of the daemon only; a worker's was not. A rejected request leaves the worker out for itself, and the next request knows nothing of it. The class is a fact about the worker that is kept with the request.

Change: the choice of a worker leaves out those that back off, by process, until the longest stated time has passed. If nothing else can serve a request it is refused at once with the time until the first worker wants requests again; it says so also if the request itself met the rejection. Waiting for the end was tried and dropped: all waiting requests were sent at once and rejected again, 0.7 s later.

--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -1,8 +1,8 @@
 //! Choice of a worker by the predicted time to the first part of the answer.
 
 use super::{
-    AdapterState, Candidate, Estimate, GenerationTime, Health, Loads, Popularity, PromptCacheIndex,
-    PromptSegment, RequestSize,
+    AdapterState, BackOffs, Candidate, Estimate, GenerationTime, Health, Loads, Popularity,
+    PromptCacheIndex, PromptSegment, RequestSize, Unavailability,
 };
 use crate::locality;
 use crate::member;
@@ -66,6 +66,8 @@
     pub latencies: route::LatencyTracker,
     /// Rates of requests that workers accept.
     pub limits: request_limit::RequestLimits,
+    /// Workers that want no requests for a time.
+    pub back_offs: BackOffs,
 }
 
 /// A chosen worker.
@@ -151,7 +153,10 @@
     ) -> Vec<(Candidate<'a>, u64)> {
         let mut usable = Vec::with_capacity(candidates.len());
         for candidate in candidates {
-            if !is_eligible(choice, candidate) {
+            // Requests that wait for the end of a back-off would all be sent at once.
+            if !is_eligible(choice, candidate)
+                || self.back_offs.wait_ms(candidate.upstream, now_ms) > 0
+            {
                 continue;
             }
             let permit = choice.permit.filter(|(worker, _)| **worker == candidate.upstream.name);
@@ -166,18 +171,32 @@
         usable
     }
 
-    /// Returns the mean time until a candidate with a limit accepts a request of any daemon, or `None` if
-    /// no candidate has one.
+    /// Returns why no candidate could be chosen, if it is because of what the workers state.
+    ///
+    /// Workers that were tried count as well: one that rejected the request may have stated for how
+    /// long it wants no more.
     #[must_use]
-    pub fn limit_wait_ms(
+    pub fn unavailability(
         &self,
-        choice: &ChoiceRequest<'_>,
         candidates: &[Candidate<'_>],
-    ) -> Option<f64> {
-        let eligible = candidates.iter().filter(|candidate| is_eligible(choice, candidate));
-        let limits = eligible.filter_map(|candidate| self.limits.limit_per_s(candidate.upstream));
-        let per_s: f64 = limits.sum();
-        (per_s > 0.0).then(|| MS_PER_S / per_s)
+        now_ms: u64,
+    ) -> Option<Unavailability> {
+        let mut limits_per_s = 0.0;
+        let mut back_off_ms = None;
+        for candidate in candidates {
+            let upstream = candidate.upstream;
+            if upstream.is_draining {
+                continue;
+            }
+            match self.back_offs.wait_ms(upstream, now_ms) {
+                0 => limits_per_s += self.limits.limit_per_s(upstream).unwrap_or(0.0),
+                wait_ms => back_off_ms = Some(back_off_ms.unwrap_or(wait_ms).min(wait_ms)),
+            }
+        }
+        if limits_per_s > 0.0 {
+            return Some(Unavailability::AtLimit { wait_ms: MS_PER_S / limits_per_s });
+        }
+        back_off_ms.map(|wait_ms| Unavailability::BackingOff { wait_ms: wait_ms as f64 })
     }
 
     /// Predicts the times of a request that can be sent to a worker after `wait_ms`.
--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 
 mod adapter_use;
 pub mod admission;
+mod back_offs;
 mod candidate;
 mod chooser;
 mod estimate;
@@ -18,9 +19,11 @@
 mod request_size;
 mod retry_budget;
 mod segment_id;
+mod unavailability;
 
 pub use adapter_use::AdapterUse;
 pub use admission::{Admission, RefusalReason, TimeLimits};
+pub use back_offs::BackOffs;
 pub use candidate::{AdapterState, Candidate};
 pub use chooser::{Choice, ChoiceRequest, Chooser};
 pub use estimate::Estimate;
@@ -34,3 +37,4 @@
 pub use request_size::RequestSize;
 pub use retry_budget::RetryBudget;
 pub use segment_id::SegmentId;
+pub use unavailability::Unavailability;
--- a/crates/domain/tests/dispatch.rs
+++ b/crates/domain/tests/dispatch.rs
@@ -252,3 +252,42 @@
     assert_eq!(remaining(2_500), (0.0, 0.0));
     assert_eq!(loads.outstanding(&worker), (8, 10_000));
 }
+
+#[test]
+fn a_worker_that_backs_off_is_not_chosen_until_the_time_it_stated_has_passed() {
+    let mut fixture = Fixture::new(&[
+        ("near", "here", dispatch::AdapterState::Resident),
+        ("far", "there", dispatch::AdapterState::Resident),
+    ]);
+    assert_eq!(fixture.choose(1_000).as_deref(), Some("near"));
+    let near = fixture.workers[0].0.clone();
+    fixture.chooser.back_offs.record(&near, 2_000, 1_000);
+    // A shorter time does not end a longer one.
+    fixture.chooser.back_offs.record(&near, 100, 1_500);
+    assert_eq!(fixture.choose(2_999).as_deref(), Some("far"));
+    assert_eq!(fixture.choose(3_000).as_deref(), Some("near"));
+    fixture.chooser.back_offs.record(&near, u64::MAX, 4_000);
+    assert_eq!(fixture.choose(u64::MAX - 1).as_deref(), Some("far"));
+    let restarted = upstream::Upstream { started_unix_ms: 2, ..near };
+    assert_eq!(fixture.chooser.back_offs.wait_ms(&restarted, 5_000), 0);
+}
+
+#[test]
+fn a_request_that_no_worker_accepts_gets_the_reason_and_the_shortest_time() {
+    let mut fixture = Fixture::new(&[
+        ("a", "here", dispatch::AdapterState::Resident),
+        ("b", "here", dispatch::AdapterState::Resident),
+    ]);
+    for ((worker, _), retry_after_ms) in fixture.workers.clone().iter().zip([3_000, 800]) {
+        fixture.chooser.back_offs.record(worker, retry_after_ms, 1_000);
+    }
+    assert_eq!(fixture.choose(1_100), None);
+    let candidates: Vec<_> = fixture
+        .workers
+        .iter()
+        .map(|(upstream, adapter)| dispatch::Candidate { upstream, adapter: *adapter })
+        .collect();
+    let reason = fixture.chooser.unavailability(&candidates, 1_100);
+    assert_eq!(reason, Some(dispatch::Unavailability::BackingOff { wait_ms: 700.0 }));
+    assert_eq!(fixture.chooser.unavailability(&candidates, 9_000), None);
+}
--- a/crates/edge/src/dialect/response_metadata.rs
+++ b/crates/edge/src/dialect/response_metadata.rs
@@ -14,4 +14,6 @@
     pub limit_per_s: Option<f64>,
     /// Whether the worker states that it is leaving.
     pub is_leaving: bool,
+    /// Time for which the worker wants no requests from this daemon, if it states one.
+    pub retry_after_ms: Option<u64>,
 }
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header;
-use hyper::http::{request, response};
+use hyper::http::request;
 use hyper::{Request, Response, StatusCode, Version};
 use jasminetack_domain::ingress;
 use jasminetack_domain::name;
@@ -234,13 +234,7 @@
             exchange.load.record_failure(clock::now_ms());
             return Err(self.execution_unknown(worker, "answer-of-another-request", record));
         }
-        self.observe_limit(upstream, facts, &head, now_ms);
-        if facts.is_leaving && !upstream.is_draining {
-            let (worker, started_unix_ms) = (worker.clone(), upstream.started_unix_ms);
-            let leaving = control::Message::WorkerLeaving { worker, started_unix_ms };
-            // The control thread ends only with the process.
-            let _ = self.shared.control.send(leaving);
-        }
+        self.observe_worker(upstream, facts, head.status, now_ms);
         if facts.is_not_executed {
             return Err(self.not_executed(worker, facts, &head, record));
         }
@@ -262,27 +256,49 @@
         Ok((Response::from_parts(head, body), exchange))
     }
 
-    /// Records what a response states about the worker's limit.
-    ///
-    /// An error may come from a part of the worker that does not know of the limit, so only a success
-    /// without one ends it.
-    fn observe_limit(
+    /// Records what a response states about its worker.
+    fn observe_worker(
         &self,
         upstream: &upstream::Upstream,
         facts: dialect::ResponseMetadata,
-        head: &response::Parts,
+        status: StatusCode,
         sent_ms: u64,
     ) {
-        if facts.limit_per_s.is_none() && !head.status.is_success() {
-            return;
+        let now_ms = clock::now_ms();
+        if facts.is_leaving && !upstream.is_draining {
+            let (worker, started_unix_ms) = (upstream.name.clone(), upstream.started_unix_ms);
+            let leaving = control::Message::WorkerLeaving { worker, started_unix_ms };
+            // The control thread ends only with the process.
+            let _ = self.shared.control.send(leaving);
+        }
+        if let Some(retry_after_ms) = facts.retry_after_ms
+            && status == StatusCode::SERVICE_UNAVAILABLE
+        {
+            let worker = &upstream.name;
+            spdlog::info!("worker-backs-off worker={worker} retry_after_ms={retry_after_ms}");
+            self.shared.chooser.lock().back_offs.record(upstream, retry_after_ms, now_ms);
+        }
+        // An error may come from a part of the worker that does not know of its limit, so only a
+        // success without one ends it.
+        if facts.limit_per_s.is_some() || status.is_success() {
+            self.observe_limit(upstream, facts.limit_per_s, sent_ms, now_ms);
         }
+    }
+
+    fn observe_limit(
+        &self,
+        upstream: &upstream::Upstream,
+        limit_per_s: Option<f64>,
+        sent_ms: u64,
+        now_ms: u64,
+    ) {
         let observation = request_limit::Observation {
             worker: &upstream.name,
             started_unix_ms: upstream.started_unix_ms,
-            limit_per_s: facts.limit_per_s,
+            limit_per_s,
             sent_ms,
         };
-        let change = self.shared.chooser.lock().limits.observe(&observation, clock::now_ms());
+        let change = self.shared.chooser.lock().limits.observe(&observation, now_ms);
         if let Some(change) = change {
             let worker = upstream.name.clone();
             // The control thread ends only with the process.
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -44,11 +44,8 @@
 /// Result of selecting a worker.
 enum Selection {
     Worker(Box<Target>),
-    /// All workers that could serve the request are at their limit.
-    AtLimit {
-        /// Mean time until one of them accepts a request.
-        wait_ms: f64,
-    },
+    /// All workers that could serve the request are unavailable.
+    Unavailable(dispatch::Unavailability),
     NoWorker,
 }
 
@@ -95,8 +92,9 @@
                         self.request_load(&target.decision.worker, false, now_ms);
                     }
                 }
-                Selection::AtLimit { wait_ms } => {
-                    return Err(self.refuse_after_wait("workers at their limit", wait_ms, now_ms));
+                Selection::Unavailable(reason) => {
+                    let wait_ms = reason.wait_ms();
+                    return Err(self.refuse_after_wait(reason.as_str(), wait_ms, now_ms));
                 }
                 Selection::NoWorker if !self.excluded.is_empty() => {
                     return Err(self.give_up("no other worker"));
@@ -204,8 +202,8 @@
         };
         let mut chooser = self.shared.chooser.lock();
         let Some(choice) = chooser.choose(&selection, &candidates, now_ms) else {
-            let wait_ms = chooser.limit_wait_ms(&selection, &candidates);
-            return wait_ms.map_or(Selection::NoWorker, |wait_ms| Selection::AtLimit { wait_ms });
+            let reason = chooser.unavailability(&candidates, now_ms);
+            return reason.map_or(Selection::NoWorker, Selection::Unavailable);
         };
         drop(chooser);
         let dispatch::Choice { decision, estimate } = choice;
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -268,10 +268,14 @@
         let response_attempt_id =
             if faults.mismatches_attempt_ids { "another" } else { &attempt_id };
         if faults.rejects_requests {
-            return Some(not_executed_response(
-                StatusCode::SERVICE_UNAVAILABLE,
-                response_attempt_id,
-            ));
+            self.log.lock().rejections.push(Instant::now());
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let mut response = not_executed_response(status, response_attempt_id);
+            if let Some(retry_after) = faults.rejection_retry_after {
+                let retry_after = HeaderValue::from_static(retry_after);
+                response.headers_mut().insert(RETRY_AFTER, retry_after);
+            }
+            return Some(response);
         }
         let adapter = match self.admit(&head.headers) {
             Ok(adapter) => adapter,
--- a/crates/standins/src/fleet/worker_faults.rs
+++ b/crates/standins/src/fleet/worker_faults.rs
@@ -21,6 +21,8 @@
 pub struct WorkerFaults {
     /// Requests are rejected with status 503 and `Not-Executed`.
     pub rejects_requests: bool,
+    /// Seconds for which rejections ask for no further requests.
+    pub rejection_retry_after: Option<&'static str>,
     /// Requests are executed, but the connection is closed before the response.
     pub drops_responses: bool,
     /// Number of events after which streams are aborted in the middle of an event.
--- a/crates/standins/src/fleet/worker_log.rs
+++ b/crates/standins/src/fleet/worker_log.rs
@@ -39,6 +39,8 @@
     pub connections: usize,
     /// Executed requests.
     pub runs: Vec<Run>,
+    /// Times at which requests were rejected.
+    pub rejections: Vec<Instant>,
     /// Received orders.
     pub orders: Vec<ReceivedOrder>,
     /// Number of unload orders for adapters that a running request was using.
