Load adapters on workers with a limit only with a permit

What callers saw: with most workers limited, the adapters of all requests were loaded on whichever worker had the next permit, so that requests waited for the weight store and came late or were refused.

Cause: a permit was taken only when the adapter was there, so many requests asked the same worker to load their adapters for one permit, and a popular adapter found no permit at its preferred worker and was loaded on one limited worker after the other. The class is a resource that is asked for before the right to use it is held.

Change: a request takes its permit before it asks a limited worker for a load. An adapter has two preferred workers, the first of all and the first without a limit; other limited workers load it only if the best worker can't serve the request usefully, which also spares that request a refusal.

The test with 16 of 20 workers limited fails without the rule: 16 of them were asked for the same adapter.

--- a/crates/domain/examples/dispatch_cost.rs
+++ b/crates/domain/examples/dispatch_cost.rs
@@ -83,6 +83,7 @@
             excluded: &[],
             permit: None,
             max_permit_wait_ms: 700,
+            only_limited: false,
         };
         chooser.choose(&choice, &candidates, u64::from(round));
     })
--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -100,6 +100,9 @@
     pub permit: Option<(&'a name::WorkerName, u64)>,
     /// Longest time that the request may wait for a permit.
     pub max_permit_wait_ms: u64,
+    /// Whether only workers with a limit are considered, which may then load the adapter for this request
+    /// alone.
+    pub only_limited: bool,
 }
 
 impl ChoiceRequest<'_> {
@@ -120,10 +123,17 @@
         let usable = self.usable(choice, candidates, now_ms);
         let mut considered = Vec::with_capacity(usable.len());
         let mut best: Option<usize> = None;
-        let preferred = preferred(choice, &usable);
+        let homes = self.homes(choice, candidates);
         for (candidate, wait_ms) in &usable {
             let worker = &candidate.upstream.name;
-            let is_preferred = preferred == Some(worker);
+            let is_preferred = homes.contains(&Some(worker));
+            let is_excluded = match choice.only_limited {
+                true => !self.limits.is_limited(candidate.upstream),
+                false => !is_preferred && self.is_load_wasted(choice, candidate, homes),
+            };
+            if is_excluded {
+                continue;
+            }
             let cost_ms = self.cost_ms(choice, candidate, is_preferred, now_ms) + *wait_ms as f64;
             considered.push((worker.clone(), cost_ms as u64));
             let last = considered.len() - 1;
@@ -171,6 +181,47 @@
         usable
     }
 
+    /// Returns the preferred workers of an adapter by rendezvous hashing: the first one of all, and the
+    /// first one without a limit, which serves what the other does not accept.
+    ///
+    /// Daemons that know the same workers and limits agree on them.
+    fn homes<'a>(
+        &self,
+        choice: &ChoiceRequest<'_>,
+        candidates: &[Candidate<'a>],
+    ) -> [Option<&'a name::WorkerName>; 2] {
+        let Some(adapter) = choice.adapter else { return [None; 2] };
+        let (mut first, mut first_unlimited) = (None, None);
+        for candidate in candidates {
+            if !is_eligible(choice, candidate) {
+                continue;
+            }
+            let worker = &candidate.upstream.name;
+            let ranked =
+                Some((member::rendezvous::score(adapter.as_str(), worker.as_str()), worker));
+            first = first.max(ranked);
+            if !self.limits.is_limited(candidate.upstream) {
+                first_unlimited = first_unlimited.max(ranked);
+            }
+        }
+        [first, first_unlimited].map(|home| home.map(|(_, worker)| worker))
+    }
+
+    /// Returns whether a load on a worker would serve hardly any request because of the worker's limit,
+    /// while there are workers without one.
+    fn is_load_wasted(
+        &self,
+        choice: &ChoiceRequest<'_>,
+        candidate: &Candidate<'_>,
+        [_, first_unlimited]: [Option<&name::WorkerName>; 2],
+    ) -> bool {
+        let worker = &candidate.upstream.name;
+        matches!(candidate.adapter, AdapterState::Absent { .. })
+            && first_unlimited.is_some()
+            && choice.permit.is_none_or(|(permitted, _)| permitted != worker)
+            && self.limits.is_limited(candidate.upstream)
+    }
+
     /// Returns why no candidate could be chosen, if it is because of what the workers state.
     ///
     /// Workers that were tried count as well: one that rejected the request may have stated for how
@@ -342,14 +393,3 @@
 fn is_eligible(choice: &ChoiceRequest<'_>, candidate: &Candidate<'_>) -> bool {
     !candidate.upstream.is_draining && !choice.excluded.contains(&candidate.upstream.name)
 }
-
-/// Returns the preferred worker of an adapter by rendezvous hashing: daemons that know the same workers
-/// agree on it.
-fn preferred<'a>(
-    choice: &ChoiceRequest<'_>,
-    usable: &[(Candidate<'a>, u64)],
-) -> Option<&'a name::WorkerName> {
-    let adapter = choice.adapter?.as_str();
-    let workers = usable.iter().map(|(candidate, _)| &candidate.upstream.name);
-    workers.max_by_key(|worker| member::rendezvous::score(adapter, worker.as_str()))
-}
--- a/crates/domain/src/request_limit/request_limits.rs
+++ b/crates/domain/src/request_limit/request_limits.rs
@@ -101,6 +101,12 @@
         self.limited(upstream).is_some()
     }
 
+    /// Returns whether any worker has a limit.
+    #[must_use]
+    pub fn has_limited(&self) -> bool {
+        self.limited_count() > 0
+    }
+
     /// Returns the number of workers with a limit.
     #[must_use]
     pub fn limited_count(&self) -> usize {
--- a/crates/domain/tests/dispatch.rs
+++ b/crates/domain/tests/dispatch.rs
@@ -3,6 +3,7 @@
 use jasminetack_domain::dispatch;
 use jasminetack_domain::locality;
 use jasminetack_domain::name;
+use jasminetack_domain::request_limit;
 use jasminetack_domain::upstream;
 use proptest::prelude::*;
 
@@ -33,6 +34,7 @@
     loading_worker: Option<name::WorkerName>,
     size: dispatch::RequestSize,
     host: name::HostName,
+    only_limited: bool,
 }
 
 impl Fixture {
@@ -45,6 +47,7 @@
             loading_worker: None,
             size: GENERATION,
             host: name::HostName::from("edge-0"),
+            only_limited: false,
         }
     }
 
@@ -69,6 +72,7 @@
             excluded: &self.excluded,
             permit: None,
             max_permit_wait_ms: 700,
+            only_limited: self.only_limited,
         };
         let decision = self.chooser.choose(&choice, &candidates, now_ms)?;
         Some(decision.decision.worker.to_string())
@@ -291,3 +295,59 @@
     assert_eq!(reason, Some(dispatch::Unavailability::BackingOff { wait_ms: 700.0 }));
     assert_eq!(fixture.chooser.unavailability(&candidates, 9_000), None);
 }
+
+/// Limits the workers of a fixture before a single daemon, so that each has a permit soon.
+fn limit(fixture: &mut Fixture, workers: std::ops::Range<usize>, now_ms: u64) {
+    let limits = &mut fixture.chooser.limits;
+    limits.set_store_clock(0);
+    let schedule = request_limit::PermitSchedule::new(&fixture.host, [].into_iter());
+    limits.set_schedule(schedule, now_ms);
+    for (upstream, _) in &fixture.workers[workers] {
+        let observation = request_limit::Observation {
+            worker: &upstream.name,
+            started_unix_ms: upstream.started_unix_ms,
+            limit_per_s: Some(5.0),
+            sent_ms: now_ms,
+        };
+        limits.observe(&observation, now_ms);
+    }
+}
+
+#[test]
+fn workers_with_a_limit_are_not_all_asked_to_load_the_adapter_of_any_request() {
+    let names: Vec<_> = (0..20).map(|index| format!("w{index}")).collect();
+    let states: Vec<_> = names.iter().map(|name| (name.as_str(), "here", ABSENT)).collect();
+    let mut fixture = Fixture::new(&states);
+    limit(&mut fixture, 0..16, 1_000);
+    // Many requests share the cost of a load.
+    for _ in 0..40 {
+        fixture.chooser.popularity.record_request(&name::AdapterName::from("m/a1"), 1_000);
+    }
+    let mut chosen = std::collections::BTreeSet::new();
+    for step in 0..200 {
+        // The loads that already wait make the workers without a limit less attractive.
+        let waiting = dispatch::AdapterState::Absent { waiting_loads: step / 10, wait_ms: 0 };
+        for (_, state) in &mut fixture.workers[16..] {
+            *state = waiting;
+        }
+        let now_ms = 1_200 + u64::from(step);
+        let worker = fixture.choose(now_ms).expect("a worker");
+        fixture.chooser.limits.take(&name::WorkerName::from(worker.as_str()), now_ms);
+        chosen.insert(worker);
+    }
+    let limited = chosen.iter().filter(|name| names[..16].contains(name)).count();
+    assert!(limited <= 1, "{chosen:?}");
+}
+
+#[test]
+fn a_worker_with_a_limit_loads_an_adapter_if_no_other_worker_can_serve_the_request() {
+    let mut fixture = Fixture::new(&[("limited", "here", ABSENT), ("full", "here", ABSENT)]);
+    limit(&mut fixture, 0..1, 1_000);
+    fixture.only_limited = true;
+    assert_eq!(fixture.choose(1_200).as_deref(), Some("limited"));
+    fixture.only_limited = false;
+    // Without any other worker it is asked at once.
+    let mut fixture = Fixture::new(&[("a", "here", ABSENT), ("b", "here", ABSENT)]);
+    limit(&mut fixture, 0..2, 1_000);
+    assert!(fixture.choose(1_200).is_some());
+}
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -75,18 +75,16 @@
             self.revision.borrow_and_update();
             self.check_quarantine(now_ms)?;
             let mut wait = VIEW_CHECK_INTERVAL;
-            match self.select_worker(now_ms) {
+            match self.select_admitted(now_ms > started_ms, now_ms)? {
                 Selection::Worker(target) => {
-                    self.check_admission(&target, now_ms > started_ms, now_ms)?;
+                    let permit_wait_ms = self.acquire_permit(&target.upstream, now_ms);
                     if target.state == dispatch::AdapterState::Resident {
-                        let permit_wait_ms = self.acquire_permit(&target.upstream, now_ms);
                         if permit_wait_ms == Some(0) {
                             record.set_load_wait(now_ms.saturating_sub(started_ms));
                             return Ok(*target);
                         }
                         wait = permit_wait_ms.map_or(wait, Duration::from_millis).min(wait);
                     } else {
-                        self.permit = None;
                         adapter_wait_ms = target.estimate.adapter_wait_ms;
                         record.set_loading_worker(&target.decision.worker);
                         self.request_load(&target.decision.worker, false, now_ms);
@@ -122,6 +120,26 @@
         Err(Refusal { retry_after_ms, ..refusal })
     }
 
+    /// Selects the best worker, or one with a limit and a permit if the best one cannot serve the request
+    /// usefully.
+    fn select_admitted(&self, is_admitted: bool, now_ms: u64) -> Result<Selection, Refusal> {
+        let selection = self.select_worker(false, now_ms);
+        let Selection::Worker(target) = &selection else { return Ok(selection) };
+        let Err(refusal) = self.check_admission(target, is_admitted, now_ms) else {
+            return Ok(selection);
+        };
+        if !self.shared.chooser.lock().limits.has_limited() {
+            return Err(refusal);
+        }
+        match self.select_worker(true, now_ms) {
+            Selection::Worker(other) if other.decision.worker != target.decision.worker => {
+                self.check_admission(&other, is_admitted, now_ms)?;
+                Ok(Selection::Worker(other))
+            }
+            _ => Err(refusal),
+        }
+    }
+
     /// Refuses the request if it cannot be served usefully at the predicted load.
     fn check_admission(
         &self,
@@ -177,7 +195,10 @@
     }
 
     /// Selects the best worker in the current view.
-    fn select_worker(&self, now_ms: u64) -> Selection {
+    ///
+    /// With `only_limited`, workers with a limit are considered alone and may load the adapter for this
+    /// request only.
+    fn select_worker(&self, only_limited: bool, now_ms: u64) -> Selection {
         let view = self.shared.view.load();
         let workers = view.workers(&self.service);
         let mut candidates = Vec::with_capacity(workers.len());
@@ -198,6 +219,7 @@
             loading_worker: self.requested_load.as_ref().map(|(worker, _)| worker),
             excluded: &self.excluded,
             permit: permit.as_ref().map(|(worker, wait_ms)| (worker, *wait_ms)),
+            only_limited,
             max_permit_wait_ms: self.time_limits().max_queue_ms() as u64,
         };
         let mut chooser = self.shared.chooser.lock();
