--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -88,6 +88,11 @@
         *self.faults.lock() = faults;
     }
 
+    /// Returns the injected faults.
+    pub fn faults(&self) -> WorkerFaults {
+        *self.faults.lock()
+    }
+
     /// Returns a copy of the log.
     pub fn log(&self) -> WorkerLog {
         self.log.lock().clone()
