Let limited workers load adapters while all others back off

What callers saw: nothing yet; found in reading. A request was refused as if every worker were at its limit while a worker with a limit had a permit and could have loaded its adapter.

Cause: the worker without a limit that should load the adapter instead was found among all workers, also those that want no requests for a time. Two facts that take a worker out of the choice didn't know of each other.

Change: the preferred workers of an adapter are found among those that accept new requests; they became a type of their own.

Result: the test that has one worker back off beside a limited one fails for some names without the change and passes with it.

--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -1,5 +1,6 @@
 //! Choice of a worker by the predicted time to the first part of the answer.
 
+use super::preferred_workers::PreferredWorkers;
 use super::{
     AdapterState, BackOffs, Candidate, Estimate, GenerationTime, Health, Loads, Popularity,
     PromptCacheIndex, PromptSegment, RequestSize, Unavailability,
@@ -123,17 +124,17 @@
         let usable = self.usable(choice, candidates, now_ms);
         let mut considered = Vec::with_capacity(usable.len());
         let mut best: Option<usize> = None;
-        let homes = self.homes(choice, candidates);
+        let preferred = self.preferred_workers(choice, candidates, now_ms);
         for (candidate, wait_ms) in &usable {
             let worker = &candidate.upstream.name;
-            let is_preferred = homes.contains(&Some(worker));
-            let is_excluded = match choice.only_limited {
+            let is_left_out = match choice.only_limited {
                 true => !self.limits.is_limited(candidate.upstream),
-                false => !is_preferred && self.is_load_wasted(choice, candidate, homes),
+                false => self.is_load_wasted(choice, candidate, &preferred),
             };
-            if is_excluded {
+            if is_left_out {
                 continue;
             }
+            let is_preferred = preferred.contains(worker);
             let cost_ms = self.cost_ms(choice, candidate, is_preferred, now_ms) + *wait_ms as f64;
             considered.push((worker.clone(), cost_ms as u64));
             let last = considered.len() - 1;
@@ -163,10 +164,7 @@
     ) -> Vec<(Candidate<'a>, u64)> {
         let mut usable = Vec::with_capacity(candidates.len());
         for candidate in candidates {
-            // Requests that wait for the end of a back-off would all be sent at once.
-            if !is_eligible(choice, candidate)
-                || self.back_offs.wait_ms(candidate.upstream, now_ms) > 0
-            {
+            if !self.is_eligible(choice, candidate.upstream, now_ms) {
                 continue;
             }
             let permit = choice.permit.filter(|(worker, _)| **worker == candidate.upstream.name);
@@ -181,43 +179,50 @@
         usable
     }
 
-    /// Returns the preferred workers of an adapter by rendezvous hashing: the first one of all, and the
-    /// first one without a limit, which serves what the other does not accept.
-    ///
-    /// Daemons that know the same workers and limits agree on them.
-    fn homes<'a>(
+    /// Returns the preferred workers of the request's adapter. Limited workers without a permit count, since
+    /// they get one; workers that back off do not.
+    fn preferred_workers<'a>(
         &self,
         choice: &ChoiceRequest<'_>,
         candidates: &[Candidate<'a>],
-    ) -> [Option<&'a name::WorkerName>; 2] {
-        let Some(adapter) = choice.adapter else { return [None; 2] };
-        let (mut first, mut first_unlimited) = (None, None);
+        now_ms: u64,
+    ) -> PreferredWorkers<'a> {
+        let mut preferred = PreferredWorkers::default();
+        let Some(adapter) = choice.adapter else { return preferred };
         for candidate in candidates {
-            if !is_eligible(choice, candidate) {
-                continue;
-            }
-            let worker = &candidate.upstream.name;
-            let ranked =
-                Some((member::rendezvous::score(adapter.as_str(), worker.as_str()), worker));
-            first = first.max(ranked);
-            if !self.limits.is_limited(candidate.upstream) {
-                first_unlimited = first_unlimited.max(ranked);
+            let upstream = candidate.upstream;
+            if self.is_eligible(choice, upstream, now_ms) {
+                preferred.add(adapter, &upstream.name, self.limits.is_limited(upstream));
             }
         }
-        [first, first_unlimited].map(|home| home.map(|(_, worker)| worker))
+        preferred
     }
 
-    /// Returns whether a load on a worker would serve hardly any request because of the worker's limit,
-    /// while there are workers without one.
+    /// Returns whether a worker accepts new requests from this daemon and was not tried.
+    fn is_eligible(
+        &self,
+        choice: &ChoiceRequest<'_>,
+        upstream: &upstream::Upstream,
+        now_ms: u64,
+    ) -> bool {
+        // Requests that wait for the end of a back-off would all be sent at once.
+        !upstream.is_draining
+            && !choice.excluded.contains(&upstream.name)
+            && self.back_offs.wait_ms(upstream, now_ms) == 0
+    }
+
+    /// Returns whether a worker with a limit would load the adapter for hardly any other request, while
+    /// there are workers without one.
     fn is_load_wasted(
         &self,
         choice: &ChoiceRequest<'_>,
         candidate: &Candidate<'_>,
-        [_, first_unlimited]: [Option<&name::WorkerName>; 2],
+        preferred: &PreferredWorkers<'_>,
     ) -> bool {
         let worker = &candidate.upstream.name;
         matches!(candidate.adapter, AdapterState::Absent { .. })
-            && first_unlimited.is_some()
+            && preferred.has_unlimited()
+            && !preferred.contains(worker)
             && choice.permit.is_none_or(|(permitted, _)| permitted != worker)
             && self.limits.is_limited(candidate.upstream)
     }
@@ -388,8 +393,3 @@
         cost_ms
     }
 }
-
-/// Returns whether a worker takes new requests and was not tried.
-fn is_eligible(choice: &ChoiceRequest<'_>, candidate: &Candidate<'_>) -> bool {
-    !candidate.upstream.is_draining && !choice.excluded.contains(&candidate.upstream.name)
-}
--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod health;
 mod loads;
 mod popularity;
+mod preferred_workers;
 mod prompt_cache_index;
 mod prompt_segment;
 mod reported_load;
--- a/crates/domain/tests/dispatch.rs
+++ b/crates/domain/tests/dispatch.rs
@@ -351,3 +351,15 @@
     limit(&mut fixture, 0..2, 1_000);
     assert!(fixture.choose(1_200).is_some());
 }
+
+#[test]
+fn a_worker_with_a_limit_loads_an_adapter_while_the_others_back_off() {
+    // The worker without a limit comes first for some adapter, whichever way the names hash.
+    for name in ["a", "b", "c", "d"] {
+        let mut fixture = Fixture::new(&[("limited", "here", ABSENT), (name, "here", ABSENT)]);
+        limit(&mut fixture, 0..1, 1_000);
+        let other = fixture.workers[1].0.clone();
+        fixture.chooser.back_offs.record(&other, 5_000, 1_000);
+        assert_eq!(fixture.choose(1_200).as_deref(), Some("limited"));
+    }
+}
