Repeat what workers state to one daemon at a time

Cause: every report to every daemon repeated the limits of all workers, though all daemons had been told of each change at once. 87 limits are 4 KB, and a daemon sends about 80 reports a second there.

Change: a report goes with the limits, and with the workers that are leaving, to one of its receivers at random. That is what a daemon needs that missed a datagram or has just started, and a daemon's cost doesn't grow with the number of daemons.

--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -313,7 +313,7 @@
         let state = self.daemon_state(None, now_ms);
         let served = served.iter().filter_map(|host| self.peers.get(host));
         let receivers = served.map(|peer| peer.address).collect();
-        self.send_state(state, receivers, now_ms);
+        self.send_state(state, receivers);
     }
 
     /// Publishes a view with the changes since the last one.
@@ -355,7 +355,7 @@
         }
         let state = self.daemon_state(None, now_ms);
         let receivers = self.peers.addresses(|_| true);
-        self.send_state(state, receivers, now_ms);
+        self.send_state(state, receivers);
         if !is_written {
             self.confirm_release();
         }
--- a/crates/edge/src/control/datagrams.rs
+++ b/crates/edge/src/control/datagrams.rs
@@ -31,7 +31,7 @@
                 let receivers =
                     self.peers.get(&host).map(|peer| peer.address).into_iter().collect();
                 let state = self.daemon_state(None, now_ms);
-                self.send_state(state, receivers, now_ms);
+                self.send_state(state, receivers);
             }
         }
         self.apply_peer_uses(&datagram, now_ms);
--- a/crates/edge/src/control/reports.rs
+++ b/crates/edge/src/control/reports.rs
@@ -50,10 +50,26 @@
         let receivers = self.peers.addresses(|peer| {
             is_remote_due || *peer.locality.region() == region || holds_used_worker(peer)
         });
-        self.send_state(state, receivers, now_ms);
+        self.send_worker_statements(&receivers, now_ms);
+        self.send_state(state, receivers);
         self.send_uses(uses);
     }
 
+    /// Sends what workers state of themselves to one of the receivers at random.
+    ///
+    /// All daemons are told of changes at once; this is for those that missed a datagram or have just
+    /// started, and costs no more with more daemons.
+    fn send_worker_statements(&mut self, receivers: &[SocketAddr], now_ms: u64) {
+        let (limits, leaving) = (self.worker_limits(now_ms), self.leaving_workers(now_ms));
+        if receivers.is_empty() || limits.is_empty() && leaving.is_empty() {
+            return;
+        }
+        let receivers = vec![receivers[rand::random_range(0..receivers.len())]];
+        let mut datagram = self.next_datagram(None, Vec::new());
+        (datagram.limits, datagram.leaving) = (limits, leaving);
+        self.outputs.queue_datagram(OutgoingDatagram { receivers, datagram });
+    }
+
     fn send_uses(&mut self, uses: Vec<fleet::WorkerUses>) {
         let mut by_holder: IndexMap<SocketAddr, Vec<fleet::WorkerUses>> = IndexMap::new();
         for used in uses {
@@ -153,15 +169,8 @@
         }
     }
 
-    pub(super) fn send_state(
-        &mut self,
-        state: fleet::DaemonState,
-        receivers: Vec<SocketAddr>,
-        now_ms: u64,
-    ) {
-        let mut datagram = self.next_datagram(Some(state), Vec::new());
-        datagram.limits = self.worker_limits(now_ms);
-        datagram.leaving = self.leaving_workers(now_ms);
+    pub(super) fn send_state(&mut self, state: fleet::DaemonState, receivers: Vec<SocketAddr>) {
+        let datagram = self.next_datagram(Some(state), Vec::new());
         self.outputs.queue_datagram(OutgoingDatagram { receivers, datagram });
     }
 
--- a/crates/edge/src/control/store_replies.rs
+++ b/crates/edge/src/control/store_replies.rs
@@ -83,7 +83,7 @@
             // Daemons that know this one send it their states with their next reports.
             let state = self.daemon_state(None, now_ms);
             let receivers = self.peers.addresses(|_| true);
-            self.send_state(state, receivers, now_ms);
+            self.send_state(state, receivers);
         }
     }
 
--- /dev/null
+++ b/crates/edge/tests/support/mod.rs
@@ -0,0 +1,185 @@
+//! Control state of a daemon without threads.
+
+#![allow(dead_code)]
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use hyper::http::{request, response};
+use hyper::{HeaderMap, StatusCode};
+use jasminetack_domain::{dispatch, locality, name, placement, upstream};
+use jasminetack_edge::{control, dialect, metrics, store, view};
+use jasminetack_wire::fleet;
+use parking_lot::Mutex;
+use tokio::sync::{mpsc, watch};
+
+/// Time of all calls unless a test needs another.
+pub const NOW_MS: u64 = 10_000;
+
+/// Codec of entries that state nothing but the name of a worker.
+pub struct NameDialect;
+
+impl dialect::Dialect for NameDialect {
+    fn decode_worker_entry(
+        &self,
+        key: &str,
+        _value: &[u8],
+    ) -> Result<upstream::Upstream, dialect::DecodeError> {
+        Ok(upstream::Upstream {
+            name: name::WorkerName::from(key),
+            service: name::ServiceName::from("llm"),
+            address: ([127, 0, 0, 1], 80).into(),
+            locality: locality(),
+            slots: 4,
+            is_draining: key.starts_with("draining"),
+            started_unix_ms: 1,
+            base_models: Vec::new(),
+            adapters: Vec::new(),
+        })
+    }
+
+    fn decode_request(
+        &self,
+        _head: &request::Parts,
+    ) -> Result<dialect::RequestMetadata, dialect::DecodeError> {
+        unreachable!("the control thread reads no requests")
+    }
+
+    fn set_forward_headers(&self, _target: &mut HeaderMap, _facts: &dialect::ForwardMetadata<'_>) {}
+
+    fn decode_response(
+        &self,
+        _head: &response::Parts,
+        _request_id: &name::RequestId,
+    ) -> dialect::ResponseMetadata {
+        unreachable!("the control thread reads no responses")
+    }
+
+    fn decode_operator_entry(
+        &self,
+        _key: &str,
+        _value: &[u8],
+    ) -> Result<dialect::OperatorEntry, dialect::DecodeError> {
+        Ok(dialect::OperatorEntry::Other)
+    }
+
+    fn encode_order(
+        &self,
+        _order: &placement::Order,
+        _context: &dialect::OrderContext,
+    ) -> (&'static str, Bytes) {
+        ("", Bytes::new())
+    }
+
+    fn decode_order_result(&self, _status: StatusCode) -> placement::OrderResult {
+        placement::OrderResult::Unanswered
+    }
+
+    fn set_target_worker(&self, _target: &mut HeaderMap, _worker: &name::WorkerName) {}
+
+    fn report_path(&self) -> &'static str {
+        ""
+    }
+
+    fn decode_report(&self, _body: &[u8]) -> Result<dialect::WorkerReport, dialect::DecodeError> {
+        Ok(dialect::WorkerReport::default())
+    }
+
+    fn readiness_path(&self) -> &'static str {
+        ""
+    }
+}
+
+pub fn locality() -> locality::Locality {
+    locality::Locality::new(name::RegionName::from("r"), name::FailureDomainName::from("a"))
+}
+
+/// Control state of a daemon with its queues of outgoing datagrams; the other queues are kept open.
+pub struct Daemon {
+    pub state: control::ControlState<NameDialect>,
+    datagrams: mpsc::UnboundedReceiver<control::OutgoingDatagram>,
+    pub view: Arc<ArcSwap<view::View>>,
+    pub chooser: Arc<Mutex<dispatch::Chooser>>,
+}
+
+impl Daemon {
+    /// Creates a daemon that has read a list of workers and knows another daemon.
+    pub fn new(workers: &[&str]) -> Self {
+        let chooser = Arc::default();
+        let view = Arc::new(ArcSwap::from_pointee(view::View::default()));
+        let (worker_jobs, _) = mpsc::unbounded_channel();
+        let (datagrams, outgoing) = mpsc::unbounded_channel();
+        let state = control::ControlState::new(
+            Arc::new(NameDialect),
+            control::Identity {
+                host: name::HostName::from("own"),
+                address: ([127, 0, 0, 1], 7_380).into(),
+                locality: locality(),
+            },
+            control::LeaseTimes { ttl_ms: 12_000, renewal_ms: 6_000, guard_ms: 3_000 },
+            control::Publisher::new(Arc::clone(&view), watch::channel(0).0),
+            control::Outputs {
+                store_jobs: crossbeam_channel::unbounded().0,
+                operator_reads: crossbeam_channel::unbounded().0,
+                workers_reads: crossbeam_channel::unbounded().0,
+                worker_jobs,
+                datagrams,
+            },
+            Arc::clone(&chooser),
+            Arc::new(metrics::Metrics::new()),
+            1,
+        );
+        let mut daemon = Self { state, datagrams: outgoing, view, chooser };
+        let row = |worker: &&str| store::Row {
+            key: (*worker).to_owned(),
+            value: Some(Vec::new()),
+            version: 1,
+        };
+        let rows = workers.iter().map(row).collect();
+        let listing = store::Listing { rows, version: 1, store_ms: NOW_MS };
+        let event = control::FeedEvent::Listed(listing);
+        let read = control::Message::TableRead(store::Table::Workers, event, NOW_MS);
+        daemon.state.receive(vec![read], NOW_MS);
+        daemon.receive_state(fleet::DaemonState::default(), 1);
+        daemon.take_datagrams();
+        daemon
+    }
+
+    /// Receives a state of the other daemon.
+    pub fn receive_state(&mut self, state: fleet::DaemonState, sequence: u64) {
+        self.receive_state_of(1, state, sequence);
+    }
+
+    /// Receives a state of one of several other daemons.
+    pub fn receive_state_of(&mut self, index: u8, state: fleet::DaemonState, sequence: u64) {
+        let state = fleet::DaemonState {
+            address: format!("127.0.1.{index}:7380"),
+            region: "r".to_owned(),
+            failure_domain: "a".to_owned(),
+            ..state
+        };
+        let datagram = fleet::Datagram {
+            host: format!("other-{index}"),
+            started_unix_ms: 1,
+            sequence,
+            state: Some(state),
+            ..fleet::Datagram::default()
+        };
+        self.state.receive(vec![control::Message::Datagram(Box::new(datagram))], NOW_MS);
+    }
+
+    /// Receives a message of another thread.
+    pub fn receive(&mut self, message: control::Message) {
+        self.state.receive(vec![message], NOW_MS);
+    }
+
+    /// Takes the datagrams that were sent since the last call.
+    pub fn take_datagrams(&mut self) -> Vec<control::OutgoingDatagram> {
+        let mut outgoing = Vec::new();
+        while let Ok(datagram) = self.datagrams.try_recv() {
+            outgoing.push(datagram);
+        }
+        outgoing
+    }
+}
