Explain permits and waits in plainer words

Reading the diff as a newcomer: what the bounds of permits are for, and which waits the search of a worker and its log field cover. No change of behaviour.

--- a/crates/domain/src/request_limit/request_limits.rs
+++ b/crates/domain/src/request_limit/request_limits.rs
@@ -114,7 +114,7 @@
     }
 
     /// Returns the time until a new request may be sent to a worker: 0 without a limit, `None` if no
-    /// permit is in sight.
+    /// permit starts soon enough to be taken.
     pub fn wait_ms(&mut self, upstream: &upstream::Upstream, now_ms: u64) -> Option<u64> {
         if self.limited(upstream).is_none() {
             return Some(0);
--- a/crates/domain/src/request_limit/worker_permits.rs
+++ b/crates/domain/src/request_limit/worker_permits.rs
@@ -6,14 +6,15 @@
 
 /// Time from the start of a permit until it expires.
 ///
-/// Permits of `PERMIT_VALID_MS` and a window are used within the window at most, so a worker gets no more
-/// in 4 s than its limit allows in 5.5 s, whichever daemons send.
+/// The requests that a worker receives in some window come from the permits that start in the window or
+/// this long before it.
 const PERMIT_VALID_MS: u64 = 1_500;
 /// Longest time before its start at which a request can take a permit.
 const MAX_ADVANCE_MS: u64 = 2_000;
-/// Limit below which permits are no rarer, so that a response can tell of a limit that has risen.
+/// Lowest rate of permits, also for a worker that accepts nothing: only a response can tell that its limit
+/// has risen.
 const MIN_LIMIT_PER_S: f64 = 0.25;
-/// Limit above which permits are no more frequent; they are checked one by one.
+/// Highest rate of permits, which are looked at one by one.
 const MAX_LIMIT_PER_S: f64 = 10_000.0;
 const MS_PER_S: f64 = 1_000.0;
 
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -1,4 +1,4 @@
-//! Selection of a worker for a request, and the wait for its adapter.
+//! Selection of a worker for a request, and the wait for its adapter or for a permit.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,12 +53,13 @@
 where
     Dialect: dialect::Dialect,
 {
-    /// Selects a worker that has the adapter; otherwise requests its load and waits.
+    /// Selects a worker that has the adapter and accepts the request; otherwise requests the load of the
+    /// adapter or waits for the permit.
     ///
     /// # Errors
     ///
-    /// Fails when the wait or the request's deadline is over, when every worker was excluded, or when
-    /// the prompt has a quarantined segment.
+    /// Fails when the wait or the request's deadline is over, when every worker was excluded or is
+    /// unavailable, when the request cannot be served usefully, or when the prompt has a quarantined segment.
     pub(super) async fn find_worker(
         &mut self,
         record: &mut RequestRecord,
