--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod worker;
 mod worker_faults;
 mod worker_log;
+mod worker_messages;
 
 pub use endless_worker::{EndlessBytes, EndlessWorker};
 pub use row_store::RowStore;
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -21,6 +21,7 @@
 use super::response_stream::{ResponseStream, end_with_connection, framed_response};
 use super::worker_faults::{ResponseFraming, WorkerFaults};
 use super::worker_log::{ReceivedOrder, Run, WorkerLog};
+use super::worker_messages;
 
 /// Exceeds the response timeout of every test.
 const UNRESPONSIVE_DURATION: Duration = Duration::from_secs(600);
@@ -275,7 +276,7 @@
         if faults.rejects_requests {
             self.log.lock().rejections.push(Instant::now());
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            let mut response = not_executed_response(status, response_attempt_id);
+            let mut response = worker_messages::not_executed_response(status, response_attempt_id);
             if let Some(retry_after) = faults.rejection_retry_after {
                 let retry_after = HeaderValue::from_static(retry_after);
                 response.headers_mut().insert(RETRY_AFTER, retry_after);
@@ -284,7 +285,9 @@
         }
         let adapter = match self.admit(&head.headers) {
             Ok(adapter) => adapter,
-            Err(status) => return Some(not_executed_response(status, response_attempt_id)),
+            Err(status) => {
+                return Some(worker_messages::not_executed_response(status, response_attempt_id));
+            }
         };
         let resumed_after = header("Last-Event-Id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let remaining_ms = header("Deadline-Ms").and_then(|text| text.parse().ok());
@@ -302,9 +305,12 @@
                 StatusCode::OK
             };
             let response = framed_response(status, format!("done {attempt_id}"), faults.framing);
-            return Some(with_identity_headers(response, response_attempt_id));
+            return Some(worker_messages::with_identity_headers(response, response_attempt_id));
         }
-        if faults.crashes_on_segment.is_some_and(|id| has_segment(&head.headers, id)) {
+        if faults
+            .crashes_on_segment
+            .is_some_and(|id| worker_messages::has_segment(&head.headers, id))
+        {
             time::sleep(self.config.event_interval).await;
             self.crash.notify_one();
             return None;
@@ -318,7 +324,7 @@
         if faults.framing == ResponseFraming::UntilClose {
             end_with_connection(&mut response);
         }
-        Some(with_identity_headers(response, response_attempt_id))
+        Some(worker_messages::with_identity_headers(response, response_attempt_id))
     }
 
     async fn stream(
@@ -396,26 +402,3 @@
         self.worker.finish_run(self.run);
     }
 }
-
-/// Returns whether a prompt has a segment that other prompts may share.
-fn has_segment(headers: &HeaderMap, id: u64) -> bool {
-    let prefix = headers.get("Prompt-Prefix").and_then(|prefix| prefix.to_str().ok());
-    let shared = prefix.and_then(|prefix| prefix.rsplit_once(',')).map_or("", |(shared, _)| shared);
-    let mut ids = shared.split(',').filter_map(|segment| segment.split_once(':'));
-    ids.any(|(text, _)| u64::from_str_radix(text, 16) == Ok(id))
-}
-
-fn with_identity_headers(mut response: Response<Body>, attempt_id: &str) -> Response<Body> {
-    let headers = response.headers_mut();
-    headers.insert("Attempt-Id", attempt_id.parse().expect("an identifier is visible ASCII"));
-    headers.insert("Server-Signature", "s1.g2".parse().expect("a constant"));
-    response
-}
-
-fn not_executed_response(status: StatusCode, attempt_id: &str) -> Response<Body> {
-    let mut response = http_server::response(status, "");
-    let headers = response.headers_mut();
-    headers.insert("Attempt-Id", attempt_id.parse().expect("an identifier is visible ASCII"));
-    headers.insert("Not-Executed", "1".parse().expect("a constant"));
-    response
-}
