--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod http_server;
 mod response_stream;
 mod row_store;
+mod run_guard;
 mod store;
 mod store_faults;
 mod worker;
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -19,6 +19,7 @@
 
 use super::http_server::{self, Body, Handler};
 use super::response_stream::{ResponseStream, end_with_connection, framed_response};
+use super::run_guard::RunGuard;
 use super::worker_faults::{ResponseFraming, WorkerFaults};
 use super::worker_log::{ReceivedOrder, Run, WorkerLog};
 use super::worker_messages;
@@ -246,7 +247,8 @@
         log.runs.len() - 1
     }
 
-    fn finish_run(&self, run: usize) {
+    /// Records the end of a run.
+    pub(super) fn finish_run(&self, run: usize) {
         self.log.lock().runs[run].ended = Some(Instant::now());
     }
 
@@ -390,15 +392,3 @@
         }
     }
 }
-
-/// Records the end of a run when dropped.
-struct RunGuard {
-    worker: Arc<Worker>,
-    run: usize,
-}
-
-impl Drop for RunGuard {
-    fn drop(&mut self) {
-        self.worker.finish_run(self.run);
-    }
-}
