--- a/review/standins/drafts.rs
+++ b/review/standins/drafts.rs
@@ -75,7 +75,7 @@
         crashes.len(),
         counted.len()
     ));
-    (!crashes.is_empty() && served > 100).then_some(counted.len())
+    (served > 100).then_some(counted.len())
 }
 
 fn request(
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod json;
 mod killed_fleet;
+mod part_bursts;
 mod store;
 mod worker;
 mod zone_crashes;
@@ -36,6 +37,7 @@
         }
         "extra-answer" => extra_answer::run,
         "killed-fleet" => killed_fleet::run,
+        "part-bursts" => part_bursts::run,
         "zone-crashes" => zone_crashes::run,
         _ => exit(2),
     };
