--- a/review/standins/killed_fleet.rs
+++ b/review/standins/killed_fleet.rs
@@ -15,8 +15,8 @@
 const DOWN: Duration = Duration::from_millis(500);
 const DEADLY_EVERY: Duration = Duration::from_millis(6_000);
 
-pub fn run(folder: &str, has_trouble: bool) -> Option<bool> {
-    let mut fleet = Fleet::new(folder);
+pub fn run(record: &str, has_trouble: bool) -> Option<bool> {
+    let mut fleet = Fleet::new(record);
     fleet.store.put("op", "config", drafts::CONFIGURATION);
     fleet.start_workers((1..=WORKERS).map(drafts::plan).collect());
     fleet.start_daemons(2);
--- a/review/standins/late_orders.rs
+++ b/review/standins/late_orders.rs
@@ -22,8 +22,8 @@
 const KILL_AFTER: Duration = Duration::from_millis(200);
 const DOWN: Duration = Duration::from_millis(500);
 
-pub fn run(folder: &str, has_trouble: bool) -> Option<bool> {
-    let mut fleet = Fleet::new(folder);
+pub fn run(record: &str, has_trouble: bool) -> Option<bool> {
+    let mut fleet = Fleet::new(record);
     fleet.store.put("op", "config", drafts::CONFIGURATION);
     let plan = |index: usize| WorkerPlan { deadly_part: String::new(), ..drafts::plan(index) };
     fleet.start_workers((1..=WORKERS).map(plan).collect());
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,6 +1,6 @@
 //! Stand-ins and drivers of the scripted cases.
 //!
-//! `harness CASE FOLDER` runs a case and exits with 1 if the rule was broken, 0 if it held and 2 if the
+//! `harness CASE RECORD` runs a case and exits with 1 if the rule was broken, 0 if it held and 2 if the
 //! case could not run. `harness worker ...` is one worker.
 
 mod drafts;
--- a/review/standins/part_bursts.rs
+++ b/review/standins/part_bursts.rs
@@ -15,8 +15,8 @@
 const BURST_EVERY: Duration = Duration::from_millis(6_000);
 
 /// Without the trouble, the same requests come and no worker crashes on them.
-pub fn run(folder: &str, has_trouble: bool) -> Option<bool> {
-    let mut fleet = Fleet::new(folder);
+pub fn run(record: &str, has_trouble: bool) -> Option<bool> {
+    let mut fleet = Fleet::new(record);
     fleet.store.put("op", "config", drafts::CONFIGURATION);
     let plan = |index: usize| {
         let deadly_part = if has_trouble { drafts::DEADLY_PART.to_owned() } else { String::new() };
--- a/review/standins/zone_crashes.rs
+++ b/review/standins/zone_crashes.rs
@@ -17,8 +17,8 @@
 const ZONE_CRASHES: u32 = 5;
 const DEADLY_EVERY: Duration = Duration::from_millis(5_000);
 
-pub fn run(folder: &str, has_trouble: bool) -> Option<bool> {
-    let mut fleet = Fleet::new(folder);
+pub fn run(record: &str, has_trouble: bool) -> Option<bool> {
+    let mut fleet = Fleet::new(record);
     fleet.store.put("op", "config", drafts::CONFIGURATION);
     fleet.start_workers((1..=WORKERS).map(drafts::plan).collect());
     fleet.start_daemons(2);
