Accept "not executed" only for the request that was sent

A worker in trouble sends a second response to the request before, when the next one is expected. A second 503 with Not-Executed was taken for a refusal of the next request, which was then sent to a second worker although the first one executed it; with no other worker the caller got a 503 for a request that ran.

The response now has to name this request. One that names none counts only on a connection without an earlier exchange.

--- a/crates/edge/src/dialect/mod.rs
+++ b/crates/edge/src/dialect/mod.rs
@@ -16,5 +16,5 @@
 pub use operator_entry::OperatorEntry;
 pub use order_context::OrderContext;
 pub use request_metadata::RequestMetadata;
-pub use response_metadata::ResponseMetadata;
+pub use response_metadata::{ResponseMetadata, StatedRequest};
 pub use worker_report::WorkerReport;
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -17,6 +17,7 @@
 use super::load_guard::LoadGuard;
 use super::pool::Pool;
 use crate::clock;
+use crate::dialect;
 
 /// Pooled connections that may turn out to be closed before a new one is opened.
 const MAX_STALE_CONNECTIONS: usize = 2;
@@ -111,11 +112,21 @@
 
 /// Returns whether a response may be used: it belongs to the request, or the worker reports that the
 /// request was not executed.
+///
+/// Workers may send a second response to an earlier request, which arrives in place of this request's. So
+/// a report that names no request counts only on a connection without an earlier exchange.
 pub fn is_response_accepted(
-    facts: crate::dialect::ResponseMetadata,
+    facts: dialect::ResponseMetadata,
     head: &response::Parts,
+    connection: &Connection,
 ) -> bool {
-    facts.is_for_request || facts.is_not_executed && !head.status.is_success()
+    let is_report_for_request = match facts.stated_request {
+        dialect::StatedRequest::Own => true,
+        dialect::StatedRequest::None => !connection.is_reused,
+        dialect::StatedRequest::Other => false,
+    };
+    facts.is_for_request
+        || is_report_for_request && facts.is_not_executed && !head.status.is_success()
 }
 
 impl Exchange {
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -4,9 +4,11 @@
 
 mod endless_worker;
 mod http_server;
+mod raw_request;
 mod response_stream;
 mod row_store;
 mod run_guard;
+mod second_response_worker;
 mod store;
 mod store_faults;
 mod worker;
@@ -16,6 +18,7 @@
 
 pub use endless_worker::{EndlessBytes, EndlessWorker};
 pub use row_store::RowStore;
+pub use second_response_worker::{SecondResponse, SecondResponseWorker};
 pub use store::Store;
 pub use store_faults::StoreFaults;
 pub use worker::{Worker, WorkerConfig};
