Give each order a connection of its own

Responses to orders have no id. Orders, reports and requests shared a pool, so a second response to an earlier call was taken for the response to an order: an adapter counted as loaded before it was, or as unloaded while it was held.

A connection now carries repeats of one order only and is closed once the order is done; a report uses a new connection.

a_second_response_to_an_order_is_not_taken_for_one_to_the_next failed before (a request got 503 since its adapter was not loaded) and passes.

--- a/crates/domain/src/placement/order.rs
+++ b/crates/domain/src/placement/order.rs
@@ -6,7 +6,7 @@
 use crate::name;
 
 /// An order to a worker. Orders are idempotent and may be repeated.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Order {
     /// Load the weights of a base model.
     LoadBase(name::BaseModelName),
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod health_server;
 mod listener;
 mod load_guard;
+mod order_connections;
 mod order_sender;
 mod permit_guard;
 mod pool;
--- a/crates/edge/src/traffic/order_sender.rs
+++ b/crates/edge/src/traffic/order_sender.rs
@@ -7,10 +7,12 @@
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, Uri};
 use jasminetack_domain::placement;
+use parking_lot::Mutex;
 use tokio::sync::mpsc;
 use tokio::time::{self, Duration};
 
 use super::connection::Connection;
+use super::order_connections::OrderConnections;
 use super::shared_state::SharedState;
 use crate::clock;
 use crate::control;
@@ -24,6 +26,7 @@
 /// Sends orders of the control thread to workers and fetches their reports.
 pub struct OrderSender<Dialect> {
     shared: Arc<SharedState<Dialect>>,
+    connections: Mutex<OrderConnections>,
 }
 
 impl<Dialect> OrderSender<Dialect>
@@ -32,7 +35,7 @@
 {
     /// Creates a sender.
     pub fn new(shared: Arc<SharedState<Dialect>>) -> Self {
-        Self { shared }
+        Self { shared, connections: Mutex::default() }
     }
 
     /// Starts sending the jobs of the control thread; jobs run concurrently.
@@ -73,18 +76,27 @@
             worker: job.upstream.name.clone(),
         };
         let (path, body) = self.shared.dialect.encode_order(order, &context);
-        let response = self.send_request(job, Method::POST, path, body).await;
-        match response {
-            Ok((status, _)) => self.shared.dialect.decode_order_result(status),
-            Err(result) => result,
+        let worker = &job.upstream.name;
+        let kept = self.connections.lock().take(worker, order);
+        let request = self.build_request(job, Method::POST, path, body);
+        let (status, _, connection) = match send_request(job, request, kept).await {
+            Ok(response) => response,
+            Err(result) => return result,
+        };
+        let result = self.shared.dialect.decode_order_result(status);
+        if result == placement::OrderResult::Accepted {
+            self.connections.lock().keep(worker, order, connection, clock::now_ms());
         }
+        result
     }
 
     async fn fetch_report(&self, job: &control::WorkerJob) -> Option<dialect::WorkerReport> {
         let path = self.shared.dialect.report_path();
         let worker = &job.upstream.name;
-        let (status, body) = match self.send_request(job, Method::GET, path, Bytes::new()).await {
-            Ok(response) => response,
+        let request = self.build_request(job, Method::GET, path, Bytes::new());
+        // A new connection cannot carry a late response to an earlier call.
+        let (status, body) = match send_request(job, request, None).await {
+            Ok((status, body, _)) => (status, body),
             Err(result) => {
                 spdlog::warn!("report-failed worker={worker} result={}", result.as_str());
                 return None;
@@ -103,29 +115,6 @@
         }
     }
 
-    async fn send_request(
-        &self,
-        job: &control::WorkerJob,
-        method: Method,
-        path: &'static str,
-        body: Bytes,
-    ) -> Result<(hyper::StatusCode, Bytes), placement::OrderResult> {
-        let worker = &job.upstream.name;
-        let pool = &self.shared.pool;
-        let mut connection = match pool.take(worker, clock::now_ms()) {
-            Some(connection) => connection,
-            None => {
-                let opened = Connection::open(job.upstream.address).await;
-                opened.map_err(|_| placement::OrderResult::NotSent)?
-            }
-        };
-        let request = self.build_request(job, method, path, body);
-        let exchange = time::timeout(REQUEST_TIMEOUT, exchange(&mut connection, request)).await;
-        let response = exchange.unwrap_or(Err(placement::OrderResult::Unanswered))?;
-        pool.put(worker, connection, clock::now_ms());
-        Ok(response)
-    }
-
     fn build_request(
         &self,
         job: &control::WorkerJob,
@@ -146,6 +135,24 @@
     }
 }
 
+/// Sends a request on a connection, or on a new one, and returns it with the response.
+async fn send_request(
+    job: &control::WorkerJob,
+    request: Request<Full<Bytes>>,
+    connection: Option<Connection>,
+) -> Result<(hyper::StatusCode, Bytes, Connection), placement::OrderResult> {
+    let mut connection = match connection {
+        Some(connection) => connection,
+        None => {
+            let opened = Connection::open(job.upstream.address).await;
+            opened.map_err(|_| placement::OrderResult::NotSent)?
+        }
+    };
+    let exchange = time::timeout(REQUEST_TIMEOUT, exchange(&mut connection, request)).await;
+    let (status, body) = exchange.unwrap_or(Err(placement::OrderResult::Unanswered))?;
+    Ok((status, body, connection))
+}
+
 /// Sends a request and reads the whole response.
 async fn exchange(
     connection: &mut Connection,
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod response_stream;
 mod row_store;
 mod run_guard;
+mod second_response_engine;
 mod second_response_worker;
 mod store;
 mod store_faults;
@@ -18,6 +19,7 @@
 
 pub use endless_worker::{EndlessBytes, EndlessWorker};
 pub use row_store::RowStore;
+pub use second_response_engine::SecondResponseEngine;
 pub use second_response_worker::{SecondResponse, SecondResponseWorker};
 pub use store::Store;
 pub use store_faults::StoreFaults;
