End a response at its deadline while its worker sends without pause

The deadline of a relayed response was checked only when no data was waiting, so a worker that sent chunks without end kept its caller past the deadline.

Found by a_request_that_may_not_be_repeated_ends_truthfully_by_its_deadline, which failed once at a load average of 30 (7.74 s for chunks without end, bound 7 s).

--- a/crates/edge/src/traffic/relay.rs
+++ b/crates/edge/src/traffic/relay.rs
@@ -76,11 +76,11 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, IncompleteResponse>>> {
         loop {
-            let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(context) else {
-                ready!(self.deadline.as_mut().poll(context));
+            // Checked first, since a worker can send data without end.
+            if self.deadline.as_mut().poll(context).is_ready() {
                 return Poll::Ready(Some(Err(self.fail("deadline"))));
-            };
-            return Poll::Ready(match frame {
+            }
+            return Poll::Ready(match ready!(Pin::new(&mut self.incoming).poll_frame(context)) {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
                     let now_ms = clock::now_ms();
