Weigh a cached prompt prefix against the wait for each request

A cached segment was taken as held for 20 s whatever the memory of the worker, and a worker without room for a request was chosen like any other.

--- a/crates/domain/examples/dispatch_cost.rs
+++ b/crates/domain/examples/dispatch_cost.rs
@@ -58,6 +58,7 @@
             worker: worker.name.clone(),
             in_flight: 1,
             unread_tokens: 500,
+            memory_tokens: 700,
         });
         let host = name::HostName::from(format!("edge-{daemon}"));
         chooser.loads.apply_report(&host, loads.collect(), 0, 0);
@@ -79,6 +80,7 @@
             adapter: Some(&adapter),
             parts: &[],
             size: dispatch::RequestSize { prompt_tokens: 600, answer_tokens: 70 },
+            memory_capacity_tokens: Some(150_000),
             loading_worker: None,
             excluded: &[],
             permit: None,
@@ -96,6 +98,7 @@
             worker: worker(index).name,
             in_flight: 1,
             unread_tokens: 500,
+            memory_tokens: 700,
         })
         .collect();
     let host = name::HostName::from("edge");
--- a/crates/domain/src/dispatch/chooser.rs
+++ b/crates/domain/src/dispatch/chooser.rs
@@ -3,7 +3,7 @@
 use super::preferred_workers::PreferredWorkers;
 use super::{
     AdapterState, BackOffs, Candidate, Estimate, GenerationTime, Health, Loads, Popularity,
-    PromptCacheIndex, PromptSegment, RequestSize, Unavailability,
+    PrefillRate, PrefixEstimate, PromptCacheIndex, PromptSegment, RequestSize, Unavailability,
 };
 use crate::locality;
 use crate::member;
@@ -17,11 +17,11 @@
 /// Time of a load from the weight store, plus its price expressed as time.
 const STORE_LOAD_COST_MS: f64 = 2000.0;
 /// Minimum cost of a further replica of a popular adapter: the time of its load.
-const MIN_LOAD_COST_MS: f64 = 200.0;
+pub(super) const MIN_LOAD_COST_MS: f64 = 200.0;
 /// Mean remaining time of a load in progress.
-const LOADING_COST_MS: f64 = 130.0;
+pub(super) const LOADING_COST_MS: f64 = 130.0;
 /// Round trip to a lease holder in another region, plus the risk that the adapter was unloaded.
-const CONFIRMATION_COST_MS: f64 = 80.0;
+pub(super) const CONFIRMATION_COST_MS: f64 = 80.0;
 /// Cost of each load that waits on a worker. It is constant, unlike the predicted wait: requests that
 /// follow a changing prediction have the same adapter loaded on several workers.
 const WAITING_LOAD_COST_MS: f64 = 40.0;
@@ -31,8 +31,6 @@
 const CALL_COST_MS: f64 = 4.0;
 /// Queueing time per call above the concurrency of an app service.
 const WAITING_CALL_COST_MS: f64 = 20.0;
-/// Prompt tokens that an engine prefills per millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 19.0;
 /// Round trip between failure domains of one region, plus the price of the traffic.
 const SAME_REGION_COST_MS: f64 = 15.0;
 /// Round trip between regions, plus the price of the traffic, expressed as time.
@@ -63,6 +61,8 @@
     pub popularity: Popularity,
     /// Mean duration of generations.
     pub generation_time: GenerationTime,
+    /// Rate at which the engines of a service read prompts.
+    pub prefill_rate: PrefillRate,
     /// Time to the first part of an answer, compared over the workers of a service.
     pub latencies: route::LatencyTracker,
     /// Rates of requests that workers accept.
@@ -78,6 +78,8 @@
     pub decision: route::Decision,
     /// Predicted times there.
     pub estimate: Estimate,
+    /// What the worker's memory means for the request.
+    pub prefix: PrefixEstimate,
 }
 
 /// Inputs of the choice for one request.
@@ -93,6 +95,8 @@
     pub parts: &'a [PromptSegment],
     /// Size of the request.
     pub size: RequestSize,
+    /// Tokens that fit into the memory of each worker of the service; `None` if it is not known.
+    pub memory_capacity_tokens: Option<u32>,
     /// Worker that was asked to load the adapter for this request.
     pub loading_worker: Option<&'a name::WorkerName>,
     /// Workers that were already tried.
@@ -151,8 +155,9 @@
         let (chosen, wait_ms) =
             usable.iter().find(|(candidate, _)| candidate.upstream.name == worker)?;
         let estimate = self.estimate(choice, chosen, *wait_ms, now_ms);
+        let prefix = self.prefix(choice, chosen.upstream, now_ms);
         let decision = route::Decision { worker, cost_ms, considered, reason };
-        Some(Choice { decision, estimate })
+        Some(Choice { decision, estimate, prefix })
     }
 
     /// Returns the candidates to which the request may be sent, with the time until then.
@@ -255,73 +260,6 @@
         back_off_ms.map(|wait_ms| Unavailability::BackingOff { wait_ms: wait_ms as f64 })
     }
 
-    /// Predicts the times of a request that can be sent to a worker after `wait_ms`.
-    fn estimate(
-        &self,
-        choice: &ChoiceRequest<'_>,
-        candidate: &Candidate<'_>,
-        wait_ms: u64,
-        now_ms: u64,
-    ) -> Estimate {
-        let wait_ms = wait_ms as f64;
-        if !choice.size.is_generation() {
-            return Estimate { queue_ms: wait_ms, ..Estimate::default() };
-        }
-        let adapter_wait_ms = match candidate.adapter {
-            AdapterState::Resident => 0.0,
-            AdapterState::Unconfirmed => CONFIRMATION_COST_MS,
-            AdapterState::Loading => LOADING_COST_MS,
-            AdapterState::Absent { wait_ms, .. } => f64::from(wait_ms) + MIN_LOAD_COST_MS,
-        };
-        Estimate {
-            adapter_wait_ms,
-            // The worker goes on with its queue while the request waits.
-            queue_ms: self.remaining_queue_ms(candidate.upstream, now_ms).max(wait_ms),
-            prefill_ms: self.prefill_ms(choice, &candidate.upstream.name, now_ms),
-            generation_ms: self.generation_time.predict_ms(choice.size.answer_tokens),
-        }
-    }
-
-    /// Predicts how long a worker takes for the load that was reported.
-    fn queue_ms(&self, upstream: &upstream::Upstream) -> f64 {
-        let (requests, unread_tokens) = self.loads.outstanding(&upstream.name);
-        self.time_of_load_ms(f64::from(requests), f64::from(unread_tokens), upstream)
-    }
-
-    /// Predicts how long a worker takes for what is left of that load: a request is not refused
-    /// because of load that has passed since the report.
-    fn remaining_queue_ms(&self, upstream: &upstream::Upstream, now_ms: u64) -> f64 {
-        let request_ms = self.generation_time.mean_ms();
-        let worker = &upstream.name;
-        let (requests, unread_tokens) =
-            self.loads.remaining(worker, PREFILL_TOKENS_PER_MS, request_ms, now_ms);
-        self.time_of_load_ms(requests, unread_tokens, upstream)
-    }
-
-    fn time_of_load_ms(
-        &self,
-        requests: f64,
-        unread_tokens: f64,
-        upstream: &upstream::Upstream,
-    ) -> f64 {
-        // With all slots in use, one becomes free at this interval on average.
-        let slot_ms = self.generation_time.mean_ms() / f64::from(upstream.slots.max(1));
-        let beyond = (requests + 1.0 - f64::from(upstream.slots)).max(0.0);
-        unread_tokens / PREFILL_TOKENS_PER_MS + beyond * slot_ms
-    }
-
-    /// Predicts how long a worker reads the prompt of the request.
-    fn prefill_ms(
-        &self,
-        choice: &ChoiceRequest<'_>,
-        worker: &name::WorkerName,
-        now_ms: u64,
-    ) -> f64 {
-        let cached = self.prompt_cache.cached_tokens(worker, choice.adapter, choice.parts, now_ms);
-        let unread_tokens = choice.size.prompt_tokens.saturating_sub(cached);
-        f64::from(unread_tokens) / PREFILL_TOKENS_PER_MS
-    }
-
     fn cost_ms(
         &mut self,
         choice: &ChoiceRequest<'_>,
@@ -339,7 +277,9 @@
         };
         if choice.size.is_generation() {
             cost_ms += f64::from(requests) * GENERATION_COST_MS;
-            cost_ms += self.queue_ms(upstream) + self.prefill_ms(choice, worker, now_ms);
+            cost_ms += self.queue_ms(upstream) + self.prefill_ms(choice, upstream, now_ms);
+            // A request that does not fit preempts others or waits for their end.
+            cost_ms += self.memory(choice, worker).wait_ms(choice.size.memory_tokens());
             cost_ms += choice.preference_ms(worker);
             let is_loading_worker = choice.loading_worker == Some(worker);
             cost_ms += if is_loading_worker && candidate.adapter != AdapterState::Resident {
--- a/crates/domain/src/dispatch/loads.rs
+++ b/crates/domain/src/dispatch/loads.rs
@@ -11,14 +11,23 @@
 pub struct Loads {
     local: FxHashMap<name::WorkerName, LocalLoad>,
     reports: FxHashMap<name::HostName, Report>,
-    /// Requests and unread prompt tokens of all reports, by worker.
-    remote: FxHashMap<name::WorkerName, (u32, u32)>,
+    /// Sums of all reports by worker.
+    remote: FxHashMap<name::WorkerName, RemoteLoad>,
+}
+
+/// Load of the other daemons on a worker.
+#[derive(Clone, Copy, Debug, Default)]
+struct RemoteLoad {
+    requests: u32,
+    unread_tokens: u32,
+    memory_tokens: u32,
 }
 
 #[derive(Clone, Debug, Default)]
 struct LocalLoad {
     in_flight: u32,
     unread_tokens: u32,
+    memory_tokens: u32,
     adapters: IndexMap<name::AdapterName, AdapterUse, FxBuildHasher>,
     /// Time of the worker's last data, or of the first request sent while none was waiting.
     last_activity_ms: u64,
@@ -49,6 +58,7 @@
         load.in_flight += 1;
         load.unanswered += 1;
         load.unread_tokens = load.unread_tokens.saturating_add(size.prompt_tokens);
+        load.memory_tokens = load.memory_tokens.saturating_add(size.memory_tokens());
         let Some(adapter) = adapter else { return false };
         let used = load.adapters.entry(adapter.clone()).or_default();
         used.in_flight += 1;
@@ -77,9 +87,11 @@
         &mut self,
         worker: &name::WorkerName,
         adapter: Option<&name::AdapterName>,
+        size: RequestSize,
     ) -> bool {
         let Some(load) = self.local.get_mut(worker) else { return false };
         load.in_flight = load.in_flight.saturating_sub(1);
+        load.memory_tokens = load.memory_tokens.saturating_sub(size.memory_tokens());
         let used = adapter.and_then(|adapter| load.adapters.get_mut(adapter));
         let Some(used) = used else { return false };
         used.in_flight = used.in_flight.saturating_sub(1);
@@ -106,9 +118,10 @@
             self.subtract(&earlier);
         }
         for load in &loads {
-            let (requests, tokens) = self.remote.entry(load.worker.clone()).or_default();
-            *requests += load.in_flight;
-            *tokens = tokens.saturating_add(load.unread_tokens);
+            let remote = self.remote.entry(load.worker.clone()).or_default();
+            remote.requests += load.in_flight;
+            remote.unread_tokens = remote.unread_tokens.saturating_add(load.unread_tokens);
+            remote.memory_tokens = remote.memory_tokens.saturating_add(load.memory_tokens);
         }
         self.reports.insert(host.clone(), Report { received_ms: now_ms, until_ms, loads });
     }
@@ -126,10 +139,11 @@
 
     fn subtract(&mut self, report: &Report) {
         for load in &report.loads {
-            let Some((requests, tokens)) = self.remote.get_mut(&load.worker) else { continue };
-            *requests = requests.saturating_sub(load.in_flight);
-            *tokens = tokens.saturating_sub(load.unread_tokens);
-            if *requests == 0 {
+            let Some(remote) = self.remote.get_mut(&load.worker) else { continue };
+            remote.requests = remote.requests.saturating_sub(load.in_flight);
+            remote.unread_tokens = remote.unread_tokens.saturating_sub(load.unread_tokens);
+            remote.memory_tokens = remote.memory_tokens.saturating_sub(load.memory_tokens);
+            if remote.requests == 0 {
                 self.remote.remove(&load.worker);
             }
         }
@@ -138,11 +152,20 @@
     /// Returns the requests and the unread prompt tokens at a worker over all daemons.
     #[must_use]
     pub fn outstanding(&self, worker: &name::WorkerName) -> (u32, u32) {
-        let (requests, tokens) = self.remote.get(worker).copied().unwrap_or_default();
+        let remote = self.remote.get(worker).copied().unwrap_or_default();
+        let (requests, tokens) = (remote.requests, remote.unread_tokens);
         let Some(local) = self.local.get(worker) else { return (requests, tokens) };
         (requests + local.in_flight, tokens.saturating_add(local.unread_tokens))
     }
 
+    /// Returns the tokens that the requests in flight at a worker take of its memory, over all daemons.
+    #[must_use]
+    pub fn memory_tokens(&self, worker: &name::WorkerName) -> u32 {
+        let remote = self.remote.get(worker).map_or(0, |remote| remote.memory_tokens);
+        let local = self.local.get(worker).map_or(0, |local| local.memory_tokens);
+        remote.saturating_add(local)
+    }
+
     /// Returns the requests and the unread prompt tokens at a worker that are left of what is known,
     /// if the worker reads `tokens_per_ms` and a request takes `request_ms`.
     ///
@@ -196,6 +219,7 @@
             worker: worker.clone(),
             in_flight: load.in_flight,
             unread_tokens: load.unread_tokens,
+            memory_tokens: load.memory_tokens,
         });
         reports.collect()
     }
--- a/crates/domain/src/dispatch/prompt_cache_index.rs
+++ b/crates/domain/src/dispatch/prompt_cache_index.rs
@@ -8,8 +8,6 @@
 
 /// Maximum number of entries; the oldest are evicted first.
 const MAX_SEGMENTS: usize = 4_096;
-/// Time after which a worker is assumed to have evicted a segment.
-const LIFETIME_MS: u64 = 20_000;
 
 /// Tracks the prompt prefixes that workers have prefilled for an adapter.
 #[derive(Clone, Debug, Default)]
@@ -37,13 +35,14 @@
         }
     }
 
-    /// Estimates how many tokens of a prompt a worker has cached.
+    /// Estimates how many tokens of a prompt a worker has cached if it holds segments for `retention_ms`.
     #[must_use]
     pub fn cached_tokens(
         &self,
         worker: &name::WorkerName,
         adapter: Option<&name::AdapterName>,
         segments: &[PromptSegment],
+        retention_ms: u64,
         now_ms: u64,
     ) -> u32 {
         let mut chain = seed(adapter);
@@ -51,7 +50,7 @@
         for segment in PromptSegment::shared(segments) {
             chain = extend(chain, segment.id);
             let Some(prefilled_ms) = self.prefilled.get(&(worker.clone(), chain)) else { break };
-            if now_ms.saturating_sub(*prefilled_ms) > LIFETIME_MS {
+            if now_ms.saturating_sub(*prefilled_ms) > retention_ms {
                 break;
             }
             cached += segment.tokens;
--- a/crates/domain/src/dispatch/reported_load.rs
+++ b/crates/domain/src/dispatch/reported_load.rs
@@ -11,4 +11,6 @@
     pub in_flight: u32,
     /// Prompt tokens of those requests that have no answer yet.
     pub unread_tokens: u32,
+    /// Tokens that the requests take of the worker's memory.
+    pub memory_tokens: u32,
 }
--- a/crates/domain/src/dispatch/request_size.rs
+++ b/crates/domain/src/dispatch/request_size.rs
@@ -10,6 +10,12 @@
 }
 
 impl RequestSize {
+    /// Returns the tokens that the request takes of a worker's memory when its answer is complete.
+    #[must_use]
+    pub fn memory_tokens(self) -> u32 {
+        self.prompt_tokens.saturating_add(self.answer_tokens)
+    }
+
     /// Returns whether the request generates tokens.
     #[must_use]
     pub fn is_generation(self) -> bool {
--- a/crates/domain/src/ingress/engine_profile.rs
+++ b/crates/domain/src/ingress/engine_profile.rs
@@ -12,6 +12,8 @@
     pub weights_mb: f64,
     /// Base model loads that may begin in a second, over all engines.
     pub loads_per_s: f64,
+    /// Tokens of prompts and answers that fit into the memory of an engine; `None` if it is not stated.
+    pub memory_capacity_tokens: Option<u32>,
     /// Base models of the service.
     pub base_models: Vec<BaseModel>,
 }
--- a/crates/domain/tests/dispatch.rs
+++ b/crates/domain/tests/dispatch.rs
@@ -35,6 +35,7 @@
     size: dispatch::RequestSize,
     host: name::HostName,
     only_limited: bool,
+    memory_capacity_tokens: Option<u32>,
 }
 
 impl Fixture {
@@ -48,6 +49,7 @@
             size: GENERATION,
             host: name::HostName::from("edge-0"),
             only_limited: false,
+            memory_capacity_tokens: None,
         }
     }
 
@@ -68,6 +70,7 @@
             adapter: Some(&adapter),
             parts: &[],
             size: self.size,
+            memory_capacity_tokens: self.memory_capacity_tokens,
             loading_worker: self.loading_worker.as_ref(),
             excluded: &self.excluded,
             permit: None,
@@ -123,6 +126,7 @@
         worker: name::WorkerName::from("two"),
         in_flight: 9,
         unread_tokens: 4_000,
+        memory_tokens: 6_000,
     };
     fixture.chooser.loads.apply_report(&host, vec![load], 3_000, 0);
     assert_eq!(fixture.choose(0).as_deref(), Some("one"));
@@ -190,6 +194,7 @@
 
 #[test]
 fn cached_tokens_cover_the_shared_prefix_of_a_prompt() {
+    const RETENTION_MS: u64 = 20_000;
     let mut memory = dispatch::PromptCacheIndex::default();
     let parts = [
         dispatch::PromptSegment { id: 1.into(), tokens: 2_500 },
@@ -198,12 +203,12 @@
     ];
     let worker = name::WorkerName::from("w");
     memory.record(&worker, None, &parts, 0);
-    assert_eq!(memory.cached_tokens(&worker, None, &parts, 1), 6_300);
+    assert_eq!(memory.cached_tokens(&worker, None, &parts, RETENTION_MS, 1), 6_300);
     let other = [parts[0], dispatch::PromptSegment { id: 9.into(), tokens: 10 }, parts[2]];
-    assert_eq!(memory.cached_tokens(&worker, None, &other, 1), 2_500);
+    assert_eq!(memory.cached_tokens(&worker, None, &other, RETENTION_MS, 1), 2_500);
     let adapter = name::AdapterName::from("m/a");
-    assert_eq!(memory.cached_tokens(&worker, Some(&adapter), &parts, 1), 0);
-    assert_eq!(memory.cached_tokens(&worker, None, &parts, 60_000), 0);
+    assert_eq!(memory.cached_tokens(&worker, Some(&adapter), &parts, RETENTION_MS, 1), 0);
+    assert_eq!(memory.cached_tokens(&worker, None, &parts, RETENTION_MS, 60_000), 0);
 }
 
 proptest! {
@@ -246,8 +251,12 @@
     let worker = name::WorkerName::from("one");
     let mut loads = dispatch::Loads::default();
     for host in ["a", "b"] {
-        let load =
-            dispatch::ReportedLoad { worker: worker.clone(), in_flight: 4, unread_tokens: 5_000 };
+        let load = dispatch::ReportedLoad {
+            worker: worker.clone(),
+            in_flight: 4,
+            unread_tokens: 5_000,
+            memory_tokens: 6_000,
+        };
         loads.apply_report(&name::HostName::from(host), vec![load], 9_000, 0);
     }
     let remaining = |now_ms| loads.remaining(&worker, TOKENS_PER_MS, REQUEST_MS, now_ms);
--- a/crates/domain/tests/ingress.rs
+++ b/crates/domain/tests/ingress.rs
@@ -61,6 +61,7 @@
     let profile = ingress::EngineProfile {
         adapter_slots: 18,
         weights_mb: 35_700.0,
+        memory_capacity_tokens: None,
         loads_per_s: 3.5,
         base_models: vec![ingress::BaseModel {
             name: model.clone(),
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -31,6 +31,7 @@
     failed_attempts: Family<Label, Counter>,
     orders: Family<Label, Counter>,
     store_calls: Family<StoreCall, Counter>,
+    prompt_tokens: Family<Label, Counter>,
     /// Crashes of workers that this daemon noticed.
     pub worker_crashes: Counter,
     /// Segments whose requests are refused.
@@ -62,6 +63,9 @@
         registry.register("orders", "Orders to workers by result", orders.clone());
         let help = "Calls to the metadata store by kind, table and result";
         registry.register("store_calls", help, store_calls.clone());
+        let prompt_tokens = Family::default();
+        let help = "Prompt tokens sent to workers, by whether the worker is expected to hold them";
+        registry.register("prompt_tokens", help, prompt_tokens.clone());
         let worker_crashes = Counter::default();
         let help = "Crashes of workers that broke off answers to this daemon";
         registry.register("worker_crashes", help, worker_crashes.clone());
@@ -81,6 +85,7 @@
             failed_attempts,
             orders,
             store_calls,
+            prompt_tokens,
             worker_crashes,
             quarantined_segments,
             limited_workers,
@@ -103,6 +108,16 @@
         self.failed_attempts.get_or_create(&[("result", result.to_owned())]).inc();
     }
 
+    /// Records a prompt that is sent to a worker, which is expected to hold some of its tokens.
+    pub fn record_prompt(&self, prompt_tokens: u32, held_tokens: u32) {
+        let unread_tokens = prompt_tokens.saturating_sub(held_tokens);
+        for (state, tokens) in [("held", held_tokens), ("unread", unread_tokens)] {
+            self.prompt_tokens
+                .get_or_create(&[("state", state.to_owned())])
+                .inc_by(u64::from(tokens));
+        }
+    }
+
     /// Records the result of an order.
     pub fn record_order(&self, result: &str) {
         self.orders.get_or_create(&[("result", result.to_owned())]).inc();
--- a/crates/edge/src/traffic/load_guard.rs
+++ b/crates/edge/src/traffic/load_guard.rs
@@ -7,6 +7,7 @@
 use jasminetack_domain::name;
 use parking_lot::Mutex;
 
+use super::sent_request::SentRequest;
 use crate::clock;
 use crate::control;
 
@@ -16,9 +17,12 @@
     chooser: Arc<Mutex<dispatch::Chooser>>,
     control: Sender<control::Message>,
     worker: name::WorkerName,
-    service: name::BaseModelName,
+    service: name::ServiceName,
+    latency_group: name::BaseModelName,
     adapter: Option<name::AdapterName>,
     work: dispatch::RequestSize,
+    /// Prompt tokens that the worker has to read, if the time to the first part shows its rate.
+    measured_tokens: Option<u32>,
     sent_ms: u64,
     first_data_ms: Option<u64>,
 }
@@ -28,21 +32,27 @@
     pub fn new(
         chooser: &Arc<Mutex<dispatch::Chooser>>,
         control: &Sender<control::Message>,
-        worker: &name::WorkerName,
-        service: &name::ServiceName,
-        adapter: Option<&name::AdapterName>,
-        work: dispatch::RequestSize,
+        request: &SentRequest<'_>,
         now_ms: u64,
     ) -> Self {
-        let is_first = chooser.lock().loads.record_sent(worker, adapter, work, now_ms);
+        let SentRequest { worker, service, adapter, size: work, unread_tokens } = *request;
+        let mut locked = chooser.lock();
+        let (_, waiting_tokens) = locked.loads.outstanding(worker);
+        // Behind longer prompts of others, the time says little of this one.
+        let measured_tokens =
+            (work.is_generation() && waiting_tokens <= unread_tokens).then_some(unread_tokens);
+        let is_first = locked.loads.record_sent(worker, adapter, work, now_ms);
+        drop(locked);
         let guard = Self {
             chooser: Arc::clone(chooser),
             control: control.clone(),
             worker: worker.clone(),
+            service: service.clone(),
             // Latencies are compared between the workers of one service.
-            service: name::BaseModelName::from(service.as_str()),
+            latency_group: name::BaseModelName::from(service.as_str()),
             adapter: adapter.cloned(),
             work,
+            measured_tokens,
             sent_ms: now_ms,
             first_data_ms: None,
         };
@@ -76,8 +86,12 @@
         self.first_data_ms = Some(now_ms);
         chooser.loads.record_first_part(&self.worker, self.work, now_ms);
         chooser.health.record_success(&self.worker, now_ms);
-        let elapsed_ms = now_ms.saturating_sub(self.sent_ms) as f64;
-        chooser.latencies.record_first_token(&self.worker, &self.service, elapsed_ms, now_ms);
+        let elapsed_ms = now_ms.saturating_sub(self.sent_ms);
+        if let Some(tokens) = self.measured_tokens {
+            chooser.prefill_rate.record(&self.service, tokens, elapsed_ms);
+        }
+        let elapsed_ms = elapsed_ms as f64;
+        chooser.latencies.record_first_token(&self.worker, &self.latency_group, elapsed_ms, now_ms);
     }
 
     /// Records that the request failed at the worker.
@@ -97,7 +111,7 @@
             }
             Some(_) => {}
         }
-        let is_last = chooser.loads.record_end(&self.worker, self.adapter.as_ref());
+        let is_last = chooser.loads.record_end(&self.worker, self.adapter.as_ref(), self.work);
         drop(chooser);
         if is_last {
             self.report_adapter_use(false);
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -23,6 +23,7 @@
 mod request_record;
 mod response_body;
 mod retry_decision;
+mod sent_request;
 mod server;
 mod shared_state;
 mod stream_relay;
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -26,6 +26,7 @@
 use super::request_record::RequestRecord;
 use super::response_body::ResponseBody;
 use super::retry_decision::RetryDecision;
+use super::sent_request::SentRequest;
 use super::shared_state::SharedState;
 use super::stream_relay::StreamRelay;
 use super::worker_request;
@@ -207,13 +208,22 @@
         if let Some(permit) = self.permit.take() {
             permit.consume();
         }
-        record.record_attempt(&target.decision);
+        record.record_attempt(&target.decision, target.prefix);
         let request = self.worker_request(target, last_event_id, now_ms);
         let (adapter, work) = (self.facts.adapter.as_ref(), self.facts.size);
         let chooser = &self.shared.chooser;
         let control = &self.shared.control;
-        let load = LoadGuard::new(chooser, control, worker, &self.service, adapter, work, now_ms);
+        let sent = SentRequest {
+            worker,
+            service: &self.service,
+            adapter,
+            size: work,
+            unread_tokens: target.prefix.unread_tokens,
+        };
+        let load = LoadGuard::new(chooser, control, &sent, now_ms);
         if work.is_generation() {
+            let held_tokens = target.prefix.held_tokens;
+            self.shared.metrics.record_prompt(work.prompt_tokens, held_tokens);
             let parts = &self.facts.prompt_segments;
             chooser.lock().prompt_cache.record(worker, adapter, parts, now_ms);
         }
--- a/crates/edge/src/traffic/request_record.rs
+++ b/crates/edge/src/traffic/request_record.rs
@@ -32,6 +32,8 @@
     loading_worker: Option<name::WorkerName>,
     /// Predicted time at the selected worker, and those of the next best ones.
     predictions: String,
+    /// What the memory of the selected worker means for the request.
+    prefix: dispatch::PrefixEstimate,
     first_byte_ms: Option<u64>,
     /// Limit that the worker stated in its last response.
     limit_per_s: Option<f64>,
@@ -62,6 +64,7 @@
             prompt_segments: Arc::default(),
             loading_worker: None,
             predictions: String::new(),
+            prefix: dispatch::PrefixEstimate::default(),
             first_byte_ms: None,
             limit_per_s: None,
             parts: ForwardedParts::default(),
@@ -107,7 +110,8 @@
     }
 
     /// Records an attempt at the selected worker; every attempt after the first is logged.
-    pub fn record_attempt(&mut self, decision: &route::Decision) {
+    pub fn record_attempt(&mut self, decision: &route::Decision, prefix: dispatch::PrefixEstimate) {
+        self.prefix = prefix;
         self.attempts += 1;
         self.limit_per_s = None;
         self.worker = Some(decision.worker.clone());
@@ -167,9 +171,13 @@
         let ForwardedParts { count: parts, longest_gap_ms, longest_gap_at_ms, .. } = self.parts;
         let timeout_ms = self.timeout_ms;
         let limit_per_s = format_limit(self.limit_per_s);
+        let prefix_tokens = self.prefix.held_tokens;
+        let saved_ms = self.prefix.saved_ms as u64;
+        let room_tokens = self.prefix.room_tokens;
+        let room_tokens = room_tokens.map_or_else(|| "none".to_owned(), |room| room.to_string());
         let predictions = if self.predictions.is_empty() { "none" } else { &self.predictions };
         spdlog::info!(
-            "request request={id} outcome={outcome:?} status={status} route={route} kind={kind} adapter={adapter} worker={worker} predicted_ms={predictions} attempts={attempts} asked={asked} load_wait_ms={load_wait_ms} first_ms={first_ms} parts={parts} longest_gap_ms={longest_gap_ms} longest_gap_at_ms={longest_gap_at_ms} total_ms={total_ms} limit_per_s={limit_per_s} timeout_ms={timeout_ms} configuration={version}"
+            "request request={id} outcome={outcome:?} status={status} route={route} kind={kind} adapter={adapter} worker={worker} predicted_ms={predictions} prefix_tokens={prefix_tokens} saved_ms={saved_ms} room_tokens={room_tokens} attempts={attempts} asked={asked} load_wait_ms={load_wait_ms} first_ms={first_ms} parts={parts} longest_gap_ms={longest_gap_ms} longest_gap_at_ms={longest_gap_at_ms} total_ms={total_ms} limit_per_s={limit_per_s} timeout_ms={timeout_ms} configuration={version}"
         );
     }
 }
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -39,6 +39,7 @@
     pub(super) decision: route::Decision,
     pub(super) state: dispatch::AdapterState,
     pub(super) estimate: dispatch::Estimate,
+    pub(super) prefix: dispatch::PrefixEstimate,
 }
 
 /// Result of selecting a worker.
@@ -217,6 +218,7 @@
             adapter: self.facts.adapter.as_ref(),
             parts: &self.facts.prompt_segments,
             size: self.facts.size,
+            memory_capacity_tokens: view.memory_capacity_tokens(&self.service),
             loading_worker: self.requested_load.as_ref().map(|(worker, _)| worker),
             excluded: &self.excluded,
             permit: permit.as_ref().map(|(worker, wait_ms)| (worker, *wait_ms)),
@@ -229,12 +231,12 @@
             return reason.map_or(Selection::NoWorker, Selection::Unavailable);
         };
         drop(chooser);
-        let dispatch::Choice { decision, estimate } = choice;
+        let dispatch::Choice { decision, estimate, prefix } = choice;
         let chosen = candidates.iter().find(|known| known.upstream.name == decision.worker);
         let upstream = workers.iter().find(|worker| worker.upstream.name == decision.worker);
         let Some((chosen, upstream)) = chosen.zip(upstream) else { return Selection::NoWorker };
         let (state, upstream) = (chosen.adapter, Arc::clone(&upstream.upstream));
-        Selection::Worker(Box::new(Target { upstream, decision, state, estimate }))
+        Selection::Worker(Box::new(Target { upstream, decision, state, estimate, prefix }))
     }
 
     /// Returns the state of the adapter on a worker, or `None` when the worker cannot serve the request.
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -61,6 +61,13 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the tokens that fit into the memory of each engine of a service, if it is known.
+    #[must_use]
+    pub fn memory_capacity_tokens(&self, service: &name::ServiceName) -> Option<u32> {
+        let profile = self.ingress.as_ref()?.service(service)?;
+        profile.engine.as_ref()?.memory_capacity_tokens
+    }
+
     /// Returns the time until which requests with a prompt are refused because of one of its segments.
     #[must_use]
     pub fn quarantined_until_ms(
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -172,6 +172,9 @@
     /// Prompt tokens of requests whose response has not started.
     #[prost(uint32, tag = "3")]
     pub pending_prompt_tokens: u32,
+    /// Tokens that the requests take of the worker's memory.
+    #[prost(uint32, tag = "4")]
+    pub memory_tokens: u32,
 }
 
 /// The sender's use of one adapter.
@@ -289,6 +292,7 @@
             worker: load.worker.to_string(),
             in_flight: load.in_flight,
             pending_prompt_tokens: load.unread_tokens,
+            memory_tokens: load.memory_tokens,
         }
     }
 }
@@ -299,6 +303,7 @@
             worker: name::WorkerName::from(load.worker.as_str()),
             in_flight: load.in_flight,
             unread_tokens: load.pending_prompt_tokens,
+            memory_tokens: load.memory_tokens,
         }
     }
 }
