--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -75,6 +75,7 @@
                 return Err(self.give_up("deadline"));
             }
             self.revision.borrow_and_update();
+            self.check_key(record, now_ms)?;
             self.check_quarantine(now_ms)?;
             let mut wait = VIEW_CHECK_INTERVAL;
             match self.select_admitted(now_ms > started_ms, now_ms)? {
@@ -217,7 +218,7 @@
             from: &self.shared.host.locality,
             adapter: self.facts.adapter.as_ref(),
             parts: &self.facts.prompt_segments,
-            size: self.facts.size,
+            size: self.facts.size_or_default(),
             memory_capacity_tokens: view.memory_capacity_tokens(&self.service),
             loading_worker: self.requested_load.as_ref().map(|(worker, _)| worker),
             excluded: &self.excluded,
