Add the broker of slot credits

Daemons choose almost blindly among the workers of an app service, because their reports of load are 1 to 8 s old. The new aggregate slot_credit assigns calls to the workers of one service and region and keeps the requests that wait in order of urgency, return after a refusal, fairness by team and deadline. Nothing uses it yet.

--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod request_limit;
 pub mod route;
 pub mod service;
+pub mod slot_credit;
 pub mod table;
 pub mod upstream;
 pub mod worker;
--- /dev/null
+++ b/crates/domain/src/slot_credit/worker_slots.rs
@@ -0,0 +1,144 @@
+//! Slots of one worker as a broker knows them.
+
+use indexmap::IndexMap;
+
+use super::CallEnd;
+use crate::name;
+
+/// Assumed duration of a call before one has been measured.
+const INITIAL_CALL_MS: f64 = 60.0;
+/// Weight of a new measurement in the moving average of durations.
+const CALL_TIME_WEIGHT: f64 = 0.1;
+/// Shortest and longest time for which a rejection makes a worker count as full.
+const MIN_FULL_MS: f64 = 20.0;
+const MAX_FULL_MS: f64 = 1_000.0;
+/// First time for which a worker gets no call after a failed one; it doubles with each further failure.
+const FAILED_MS: f64 = 250.0;
+const MAX_FAILED_MS: f64 = 2_000.0;
+/// Limit of the exponent of both times.
+const MAX_DOUBLINGS: i32 = 6;
+
+/// Slots of one worker as a broker knows them.
+#[derive(Clone, Debug)]
+pub(super) struct WorkerSlots {
+    slots: u32,
+    /// Start of the worker's process; a new one has no calls and no history.
+    started_unix_ms: u64,
+    credits: u32,
+    /// Calls without a credit of this broker by asking daemon, with the time until which they count.
+    foreign_calls: IndexMap<name::HostName, (u32, u64)>,
+    /// Slots that count as in use until a time, because the worker rejected a call.
+    hidden: (u32, u64),
+    rejections: i32,
+    failures: i32,
+    /// Time until which the worker gets no call after a failure.
+    failed_until_ms: u64,
+    call_ms: Option<f64>,
+}
+
+impl WorkerSlots {
+    /// Creates an idle worker.
+    pub(super) fn new(slots: u32, started_unix_ms: u64) -> Self {
+        Self {
+            slots,
+            started_unix_ms,
+            credits: 0,
+            foreign_calls: IndexMap::new(),
+            hidden: (0, 0),
+            rejections: 0,
+            failures: 0,
+            failed_until_ms: 0,
+            call_ms: None,
+        }
+    }
+
+    /// Applies the entry of the worker.
+    pub(super) fn update(&mut self, slots: u32, started_unix_ms: u64) {
+        self.slots = slots;
+        if self.started_unix_ms != started_unix_ms {
+            let credits = self.credits;
+            *self = Self { credits, ..Self::new(slots, started_unix_ms) };
+        }
+    }
+
+    /// Returns the number of slots.
+    pub(super) fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns the slots that are free as far as is known.
+    pub(super) fn free(&self, now_ms: u64) -> u32 {
+        if now_ms < self.failed_until_ms {
+            return 0;
+        }
+        let foreign = self.foreign_calls.values().filter(|(_, until_ms)| now_ms < *until_ms);
+        let foreign: u32 = foreign.map(|(calls, _)| *calls).sum();
+        let (hidden, hidden_until_ms) = self.hidden;
+        let hidden = if now_ms < hidden_until_ms { hidden } else { 0 };
+        // A rejection is caused by calls that the broker does not know; those that it has been told of
+        // since are the same ones.
+        self.slots.saturating_sub(self.credits + foreign.max(hidden))
+    }
+
+    /// Returns the mean duration of a call.
+    pub(super) fn call_ms(&self) -> f64 {
+        self.call_ms.unwrap_or(INITIAL_CALL_MS)
+    }
+
+    /// Counts a granted credit.
+    pub(super) fn add_credit(&mut self) {
+        self.credits += 1;
+    }
+
+    /// Removes a credit that has expired.
+    pub(super) fn remove_credit(&mut self) {
+        self.credits = self.credits.saturating_sub(1);
+    }
+
+    /// Removes a credit and learns from the end of its call.
+    pub(super) fn finish(&mut self, end: CallEnd, now_ms: u64) {
+        self.remove_credit();
+        self.learn(end, now_ms);
+    }
+
+    /// Learns from the end of a call.
+    pub(super) fn learn(&mut self, end: CallEnd, now_ms: u64) {
+        match end {
+            CallEnd::Done { took_ms } => {
+                let took_ms = took_ms as f64;
+                let mean_ms = self.call_ms.unwrap_or(took_ms);
+                self.call_ms = Some(mean_ms + (took_ms - mean_ms) * CALL_TIME_WEIGHT);
+                self.rejections = 0;
+                self.failures = 0;
+            }
+            CallEnd::Full => {
+                // One of the calls that fill the worker ends after about the mean duration. A worker
+                // that goes on rejecting has less capacity than it states.
+                let full_ms = self.call_ms() * 2_f64.powi(self.rejections.min(MAX_DOUBLINGS));
+                let until_ms = now_ms + full_ms.clamp(MIN_FULL_MS, MAX_FULL_MS) as u64;
+                self.hidden = (self.slots.saturating_sub(self.credits), until_ms);
+                self.rejections += 1;
+            }
+            CallEnd::Failed => {
+                let failed_ms = FAILED_MS * 2_f64.powi(self.failures.min(MAX_DOUBLINGS));
+                self.failed_until_ms = now_ms + failed_ms.min(MAX_FAILED_MS) as u64;
+                self.failures += 1;
+            }
+            CallEnd::Unused => {}
+        }
+    }
+
+    /// Replaces the calls that a daemon has sent without a credit of this broker.
+    pub(super) fn set_foreign_calls(&mut self, host: &name::HostName, calls: u32, until_ms: u64) {
+        if calls == 0 {
+            self.foreign_calls.swap_remove(host);
+        } else {
+            self.foreign_calls.insert(host.clone(), (calls, until_ms));
+        }
+    }
+
+    /// Removes calls without a credit whose end was not reported.
+    pub(super) fn expire(&mut self, now_ms: u64) {
+        self.foreign_calls.retain(|_, (_, until_ms)| now_ms < *until_ms);
+    }
+}
--- /dev/null
+++ b/crates/domain/tests/slot_credit.rs
@@ -0,0 +1,322 @@
+//! Tests of the broker of slots, the order of waiting requests and the choice of the broker.
+
+use jasminetack_domain::name;
+use jasminetack_domain::slot_credit::{
+    Answer, BrokerDirectory, CallEnd, Conclusion, CreditLedger, CreditRequest, Decision,
+    HeldCredit, PoolKey, RegionSearch, RequestKey, SlotBroker, WorkerCapacity,
+};
+
+const NOW_MS: u64 = 10_000;
+
+fn worker(index: usize) -> name::WorkerName {
+    name::WorkerName::from(format!("w{index}"))
+}
+
+fn key(host: &str, number: u64) -> RequestKey {
+    RequestKey { host: name::HostName::from(host), started_unix_ms: 1, number }
+}
+
+fn request(number: u64) -> CreditRequest {
+    CreditRequest {
+        key: key("d1", number),
+        team: None,
+        urgency: 1,
+        caller_hash: number,
+        wait_until_ms: NOW_MS + 10_000,
+        excluded: Vec::new(),
+    }
+}
+
+fn team_request(number: u64, team: &str) -> CreditRequest {
+    CreditRequest { team: Some(name::TeamName::from(team)), ..request(number) }
+}
+
+fn set_workers(broker: &mut SlotBroker, workers: usize, slots: u32) -> Vec<Answer> {
+    let names: Vec<_> = (0..workers).map(worker).collect();
+    let capacities =
+        names.iter().map(|worker| WorkerCapacity { worker, slots, started_unix_ms: 1 });
+    broker.set_workers(capacities, NOW_MS)
+}
+
+fn broker(workers: usize, slots: u32) -> SlotBroker {
+    let mut broker = SlotBroker::default();
+    set_workers(&mut broker, workers, slots);
+    broker
+}
+
+/// Returns the numbers of the requests that got a credit.
+fn granted(answers: &[Answer]) -> Vec<u64> {
+    let granted = answers.iter().filter(|answer| matches!(answer.decision, Decision::Granted(_)));
+    granted.map(|answer| answer.key.number).collect()
+}
+
+fn granted_worker(answers: &[Answer]) -> Option<&name::WorkerName> {
+    match &answers.first()?.decision {
+        Decision::Granted(worker) => Some(worker),
+        _ => None,
+    }
+}
+
+/// Requests slots until none is free.
+fn fill(broker: &mut SlotBroker, credits: u64) {
+    for number in 1_000..1_000 + credits {
+        assert_eq!(granted(&broker.request(request(number), NOW_MS)), [number]);
+    }
+}
+
+/// Frees slots one by one and returns the order in which waiting requests get them.
+fn drain(broker: &mut SlotBroker, slots: u64) -> Vec<u64> {
+    let mut order = Vec::new();
+    for number in 1_000..1_000 + slots {
+        let end = CallEnd::Done { took_ms: 30 };
+        order.extend(granted(&broker.finish(&key("d1", number), end, NOW_MS)));
+    }
+    order
+}
+
+/// Guards against two calls for the last slot of a worker while another worker is idle.
+#[test]
+fn calls_go_to_the_worker_with_the_most_free_slots() {
+    let mut broker = broker(3, 2);
+    let mut uses = [0; 3];
+    for number in 0..6 {
+        let answers = broker.request(request(number), NOW_MS);
+        let granted = granted_worker(&answers).expect("a free slot").clone();
+        uses[(0..3).find(|index| worker(*index) == granted).expect("a known worker")] += 1;
+        let most = uses.iter().max().unwrap() - uses.iter().min().unwrap();
+        assert!(most <= 1, "{uses:?}");
+    }
+    let answers = broker.request(request(6), NOW_MS);
+    assert!(matches!(answers[0].decision, Decision::Queued { .. }), "{answers:?}");
+}
+
+/// Guards against a retry at the worker that was already tried.
+#[test]
+fn an_excluded_worker_is_not_granted() {
+    let mut broker = broker(2, 1);
+    let excluded = CreditRequest { excluded: vec![worker(0)], ..request(1) };
+    assert_eq!(granted_worker(&broker.request(excluded.clone(), NOW_MS)), Some(&worker(1)));
+    let second = CreditRequest { key: key("d1", 2), ..excluded };
+    assert!(granted(&broker.request(second, NOW_MS)).is_empty());
+    // The slot of the excluded worker does not go to the waiting request, but to the next one.
+    assert_eq!(granted_worker(&broker.request(request(3), NOW_MS)), Some(&worker(0)));
+}
+
+/// Guards against bulk work that is served before urgent work.
+#[test]
+fn the_most_urgent_request_is_first_and_then_the_earliest_deadline() {
+    let mut broker = broker(1, 4);
+    fill(&mut broker, 4);
+    for (number, urgency, wait_ms) in [(1, 2, 9_000), (2, 1, 9_000), (3, 1, 8_000), (4, 0, 9_500)] {
+        let wait_until_ms = NOW_MS + wait_ms;
+        broker.request(CreditRequest { urgency, wait_until_ms, ..request(number) }, NOW_MS);
+    }
+    assert_eq!(drain(&mut broker, 4), [4, 3, 2, 1]);
+}
+
+/// Guards against a team with many callers that starves the others of the same urgency.
+#[test]
+fn a_team_with_many_requests_does_not_starve_another_one() {
+    let mut broker = broker(1, 4);
+    for number in 1_000..1_004 {
+        broker.request(team_request(number, "hot"), NOW_MS);
+    }
+    for number in 1..=40 {
+        let hot = CreditRequest { wait_until_ms: NOW_MS + 5_000, ..team_request(number, "hot") };
+        broker.request(hot, NOW_MS);
+    }
+    for number in [101, 102] {
+        broker.request(team_request(number, "calm"), NOW_MS);
+    }
+    assert_eq!(drain(&mut broker, 2), [101, 102], "although the others have earlier deadlines");
+}
+
+/// Guards against waiting requests of a low urgency that never get an answer.
+#[test]
+fn a_request_that_is_overtaken_until_its_time_is_over_is_told_so() {
+    let mut broker = broker(1, 1);
+    fill(&mut broker, 1);
+    let late = CreditRequest { urgency: 9, wait_until_ms: NOW_MS + 200, ..request(1) };
+    broker.request(late, NOW_MS);
+    for number in 2..10 {
+        broker.request(CreditRequest { urgency: 0, ..request(number) }, NOW_MS);
+    }
+    let answers = broker.expire(NOW_MS + 200);
+    assert!(
+        matches!(&answers[..], [Answer { key, decision: Decision::NoSlot { wait_ms: Some(_) } }]
+            if key.number == 1),
+        "{answers:?}"
+    );
+}
+
+/// Guards against a wait that ends after the caller has given up.
+#[test]
+fn a_request_that_cannot_be_served_in_time_is_told_the_predicted_wait_at_once() {
+    let mut broker = broker(2, 3);
+    fill(&mut broker, 6);
+    // One slot of six becomes free every 10 ms at calls of 60 ms.
+    for number in 0..4 {
+        broker.request(request(number), NOW_MS);
+    }
+    let hurried = CreditRequest { wait_until_ms: NOW_MS + 45, ..request(5) };
+    let answers = broker.request(hurried, NOW_MS);
+    assert_eq!(answers[0].decision, Decision::NoSlot { wait_ms: Some(50) });
+    let urgent = CreditRequest { urgency: 0, wait_until_ms: NOW_MS + 45, ..request(6) };
+    let answers = broker.request(urgent, NOW_MS);
+    assert_eq!(answers[0].decision, Decision::Queued { wait_ms: 10 });
+}
+
+/// Guards against callers that are refused again and again while new ones are served.
+#[test]
+fn a_caller_that_returns_goes_ahead_of_new_ones() {
+    let mut broker = broker(1, 2);
+    fill(&mut broker, 2);
+    let refused = CreditRequest { wait_until_ms: NOW_MS, caller_hash: 77, ..request(1) };
+    let answers = broker.request(refused, NOW_MS);
+    assert!(matches!(answers[0].decision, Decision::NoSlot { .. }));
+    broker.request(request(2), NOW_MS);
+    // The caller reaches another daemon.
+    let returned = CreditRequest { key: key("d2", 1), caller_hash: 77, ..request(0) };
+    broker.request(returned, NOW_MS);
+    assert_eq!(drain(&mut broker, 2), [1, 2]);
+}
+
+/// Guards against slots that stay lost after a daemon was killed.
+#[test]
+fn a_credit_that_is_not_returned_expires() {
+    let mut broker = broker(1, 1);
+    fill(&mut broker, 1);
+    broker.request(request(1), NOW_MS);
+    assert!(broker.expire(NOW_MS + 400).is_empty(), "calls may stall for some hundred ms");
+    assert_eq!(granted(&broker.expire(NOW_MS + 700)), [1]);
+    assert_eq!(broker.take_counts().expired, 1);
+}
+
+/// Guards against two credits for one call after a duplicated datagram.
+#[test]
+fn a_repeated_request_gets_the_same_credit() {
+    let mut broker = broker(2, 1);
+    let first = broker.request(request(1), NOW_MS);
+    assert_eq!(broker.request(request(1), NOW_MS), first);
+    assert_eq!(broker.credit_count(), 1);
+    // A repeated return frees one slot only.
+    broker.request(request(2), NOW_MS);
+    broker.finish(&key("d1", 1), CallEnd::Done { took_ms: 30 }, NOW_MS);
+    broker.finish(&key("d1", 1), CallEnd::Done { took_ms: 30 }, NOW_MS);
+    assert_eq!(broker.credit_count(), 1);
+    assert_eq!(granted(&broker.request(request(3), NOW_MS)), [3]);
+    assert!(granted(&broker.request(request(4), NOW_MS)).is_empty());
+}
+
+/// Guards against credits for a worker that has just rejected a call.
+#[test]
+fn a_rejection_makes_a_worker_count_as_full_for_a_short_while() {
+    let mut broker = broker(2, 6);
+    let granted = granted_worker(&broker.request(request(1), NOW_MS)).unwrap().clone();
+    broker.finish(&key("d1", 1), CallEnd::Full, NOW_MS);
+    for number in 2..8 {
+        let answers = broker.request(request(number), NOW_MS);
+        assert_ne!(granted_worker(&answers), Some(&granted));
+    }
+    let later = broker.request(request(8), NOW_MS + 100);
+    assert_eq!(granted_worker(&later), Some(&granted));
+}
+
+/// Guards against a worker that fails every call at once and therefore always has free slots.
+#[test]
+fn a_failing_worker_gets_no_calls_for_a_while() {
+    let mut broker = broker(2, 6);
+    let failing = granted_worker(&broker.request(request(1), NOW_MS)).unwrap().clone();
+    broker.finish(&key("d1", 1), CallEnd::Failed, NOW_MS);
+    for number in 2..20 {
+        assert_ne!(granted_worker(&broker.request(request(number), NOW_MS)), Some(&failing));
+    }
+}
+
+/// Guards against credits for workers that are no longer listed.
+#[test]
+fn a_worker_that_leaves_gets_no_calls_and_its_credits_do_not_count() {
+    let mut broker = broker(2, 1);
+    fill(&mut broker, 2);
+    broker.request(request(1), NOW_MS);
+    let answers = set_workers(&mut broker, 1, 1);
+    assert!(answers.is_empty(), "the worker that stays is still full");
+    let mut answers = Vec::new();
+    for number in 1_000..1_002 {
+        let end = CallEnd::Done { took_ms: 30 };
+        answers.extend(broker.finish(&key("d1", number), end, NOW_MS));
+    }
+    assert_eq!(answers.len(), 1);
+    assert_eq!(granted_worker(&answers), Some(&worker(0)));
+    let none = broker.set_workers([], NOW_MS);
+    assert!(none.is_empty());
+    let answers = broker.request(request(2), NOW_MS);
+    assert_eq!(answers[0].decision, Decision::NoSlot { wait_ms: None });
+}
+
+/// Guards against a new broker that assigns the slots of its predecessor's calls a second time.
+#[test]
+fn a_new_broker_learns_the_calls_in_flight_from_the_daemons() {
+    let (pool, old) = (pool(), name::HostName::from("b1"));
+    let mut ledger = CreditLedger::<()>::default();
+    for number in 0..4 {
+        let broker = Some((old.clone(), 1));
+        ledger.hold(number, HeldCredit { pool: pool.clone(), worker: worker(0), broker });
+    }
+    ledger.record_broker(&old, 1);
+    assert!(ledger.foreign_calls(&pool, &old).is_empty(), "the old broker knows them");
+    let successor = name::HostName::from("b2");
+    let calls = ledger.foreign_calls(&pool, &successor);
+    assert_eq!(calls, [(worker(0), 4)]);
+    let mut broker = broker(2, 4);
+    broker.set_foreign_calls(&name::HostName::from("d1"), &calls, NOW_MS);
+    for number in 0..4 {
+        assert_eq!(granted_worker(&broker.request(request(number), NOW_MS)), Some(&worker(1)));
+    }
+    assert!(granted(&broker.request(request(4), NOW_MS)).is_empty());
+    // A daemon that is killed reports no end of its calls.
+    assert_eq!(granted(&broker.expire(NOW_MS + 700)), [4], "and then its calls are over");
+    // A restarted broker knows nothing either.
+    ledger.record_broker(&old, 2);
+    assert_eq!(ledger.foreign_calls(&pool, &old), [(worker(0), 4)]);
+}
+
+fn pool() -> PoolKey {
+    PoolKey { service: name::ServiceName::from("app"), region: name::RegionName::from("r") }
+}
+
+/// Guards against every call waiting in vain for a broker that was killed, until its death is known.
+#[test]
+fn a_broker_that_does_not_answer_is_passed_over_for_a_time() {
+    let hosts: Vec<_> = (0..5).map(|index| name::HostName::from(format!("d{index}"))).collect();
+    let mut directory = BrokerDirectory::default();
+    let choose = |directory: &BrokerDirectory, now_ms| {
+        directory.choose("app/r", &hosts, now_ms).cloned().expect("a broker")
+    };
+    let first = choose(&directory, NOW_MS);
+    directory.record_unanswered(&first, NOW_MS);
+    directory.record_unanswered(&first, NOW_MS);
+    directory.record_answer(&first);
+    for _ in 0..2 {
+        assert!(!directory.record_unanswered(&first, NOW_MS));
+        assert_eq!(choose(&directory, NOW_MS), first, "single losses do not move the broker");
+    }
+    assert!(directory.record_unanswered(&first, NOW_MS));
+    assert_ne!(choose(&directory, NOW_MS), first);
+    assert_eq!(choose(&directory, NOW_MS + 4_000), first);
+}
+
+/// Guards against a refusal although a region could not be asked.
+#[test]
+fn a_call_is_refused_only_if_every_region_is_full() {
+    let mut search = RegionSearch::default();
+    assert_eq!(search.conclude(), Conclusion::ChooseAlone);
+    search.record_no_slot(Some(300));
+    search.record_no_slot(Some(200));
+    assert_eq!(search.conclude(), Conclusion::Refuse { wait_ms: 200 });
+    let mut unknown = search;
+    unknown.record_no_slot(None);
+    assert_eq!(unknown.conclude(), Conclusion::ChooseAlone);
+    search.record_no_answer();
+    assert_eq!(search.conclude(), Conclusion::ChooseAlone);
+}
