Ask a broker for a slot before a call to a service with few slots

A daemon knows the load that others put on a worker from reports that are 1 to 8 s old, so calls meet full workers while others are idle.

--- a/crates/domain/src/dispatch/mod.rs
+++ b/crates/domain/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod back_offs;
 mod candidate;
 mod chooser;
+mod credit_eligibility;
 mod estimate;
 mod generation_time;
 mod health;
--- a/crates/domain/src/slot_credit/call_end.rs
+++ b/crates/domain/src/slot_credit/call_end.rs
@@ -12,6 +12,6 @@
     Full,
     /// The worker could not be reached or broke off the call.
     Failed,
-    /// The call was not sent.
+    /// The call was not sent, or its caller left: it teaches nothing of the worker.
     Unused,
 }
--- a/crates/domain/src/slot_credit/worker_slots.rs
+++ b/crates/domain/src/slot_credit/worker_slots.rs
@@ -13,7 +13,7 @@
 const MIN_FULL_MS: f64 = 20.0;
 const MAX_FULL_MS: f64 = 1_000.0;
 /// First time for which a worker gets no call after a failed one; it doubles with each further failure.
-const FAILED_MS: f64 = 250.0;
+const FAILED_MS: f64 = 100.0;
 const MAX_FAILED_MS: f64 = 2_000.0;
 /// Limit of the exponent of both times.
 const MAX_DOUBLINGS: i32 = 6;
@@ -112,6 +112,11 @@
                 self.failures = 0;
             }
             CallEnd::Full => {
+                let (_, hidden_until_ms) = self.hidden;
+                if now_ms < hidden_until_ms {
+                    // Calls that were sent at the same time say the same.
+                    return;
+                }
                 // One of the calls that fill the worker ends after about the mean duration. A worker
                 // that goes on rejecting has less capacity than it states.
                 let full_ms = self.call_ms() * 2_f64.powi(self.rejections.min(MAX_DOUBLINGS));
@@ -119,6 +124,7 @@
                 self.hidden = (self.slots.saturating_sub(self.credits), until_ms);
                 self.rejections += 1;
             }
+            CallEnd::Failed if now_ms < self.failed_until_ms => {}
             CallEnd::Failed => {
                 let failed_ms = FAILED_MS * 2_f64.powi(self.failures.min(MAX_DOUBLINGS));
                 self.failed_until_ms = now_ms + failed_ms.min(MAX_FAILED_MS) as u64;
--- a/crates/domain/tests/slot_credit.rs
+++ b/crates/domain/tests/slot_credit.rs
@@ -222,6 +222,17 @@
     assert_eq!(granted_worker(&later), Some(&granted));
 }
 
+/// Guards against a worker that is left idle for a second because a burst of calls met it full.
+#[test]
+fn rejections_of_calls_that_were_sent_together_count_once() {
+    let mut broker = broker(1, 6);
+    fill(&mut broker, 6);
+    for number in 1_000..1_006 {
+        broker.finish(&key("d1", number), CallEnd::Full, NOW_MS);
+    }
+    assert_eq!(granted(&broker.request(request(1), NOW_MS + 100)), [1]);
+}
+
 /// Guards against a worker that fails every call at once and therefore always has free slots.
 #[test]
 fn a_failing_worker_gets_no_calls_for_a_while() {
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -21,6 +21,7 @@
 use super::peers::Peers;
 use super::publisher::Publisher;
 use super::removed_workers::RemovedWorkers;
+use super::slot_state::SlotState;
 use crate::clock;
 use crate::dialect;
 use crate::metrics;
@@ -45,6 +46,7 @@
     pub(super) local_copies: placement::LocalCopies,
     pub(super) removed_workers: RemovedWorkers,
     pub(super) quarantine: quarantine::Quarantine,
+    pub(super) slots: SlotState,
     pub(super) peers: Peers,
     pub(super) lease_manager: LeaseManager,
     pub(super) operator: Freshness,
@@ -93,6 +95,7 @@
             local_copies: placement::LocalCopies::default(),
             removed_workers: RemovedWorkers::default(),
             quarantine: quarantine::Quarantine::default(),
+            slots: SlotState::new(&identity.host, started_unix_ms),
             peers: Peers::default(),
             lease_manager: LeaseManager::new(identity, times, clock::now_ms()),
             operator,
@@ -119,6 +122,7 @@
         for message in messages {
             self.handle(message, now_ms);
         }
+        self.send_slot_messages();
         self.send_orders(now_ms);
         self.publish_changes(now_ms);
     }
@@ -153,6 +157,8 @@
         }
         self.update_quarantine(now_ms);
         self.update_permit_schedule(now_ms);
+        self.update_slot_brokers(now_ms);
+        self.send_slot_messages();
         self.send_orders(now_ms);
         self.publish_changes(now_ms);
     }
@@ -219,6 +225,14 @@
                 );
                 self.changed_workers.insert(worker);
             }
+            Message::SlotAsked(ask) => self.handle_slot_ask(*ask, now_ms),
+            Message::SlotUnanswered(number) => self.handle_unanswered_slot_ask(number, now_ms),
+            Message::SlotCallStarted { number, pool, worker } => {
+                self.handle_slot_call_start(number, pool, worker, now_ms);
+            }
+            Message::SlotCallEnded { number, end } => {
+                self.handle_slot_call_end(number, end, now_ms);
+            }
             Message::Shutdown => self.begin_shutdown(),
             Message::ReleaseLease(done) => self.release_lease(done, now_ms),
         }
--- a/crates/edge/src/control/datagrams.rs
+++ b/crates/edge/src/control/datagrams.rs
@@ -17,6 +17,7 @@
         if datagram.host == self.lease_manager.host().as_str() {
             return;
         }
+        self.apply_slot_messages(&datagram, now_ms);
         self.apply_shared_rows(&mut datagram, now_ms);
         for request in &datagram.load_requests {
             let worker = name::WorkerName::from(request.worker.as_str());
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -5,10 +5,12 @@
 use jasminetack_domain::placement;
 use jasminetack_domain::quarantine;
 use jasminetack_domain::request_limit;
+use jasminetack_domain::slot_credit;
 use jasminetack_wire::fleet;
 use tokio::sync::oneshot;
 
 use super::feed::FeedEvent;
+use super::slot_ask::SlotAsk;
 use super::store_job::StoreReply;
 use crate::dialect;
 use crate::store;
@@ -80,6 +82,26 @@
         /// The report; `None` if the worker sent no valid one.
         report: Option<dialect::WorkerReport>,
     },
+    /// A call needs a slot.
+    SlotAsked(Box<SlotAsk>),
+    /// The broker did not answer the request with this number in time.
+    SlotUnanswered(u64),
+    /// A call is sent to a worker that this daemon chose by itself.
+    SlotCallStarted {
+        /// Number of the call.
+        number: u64,
+        /// Service and region of the worker.
+        pool: slot_credit::PoolKey,
+        /// The worker.
+        worker: name::WorkerName,
+    },
+    /// A call ended, or a request for a slot was given up.
+    SlotCallEnded {
+        /// Number of the call.
+        number: u64,
+        /// How it ended.
+        end: slot_credit::CallEnd,
+    },
     /// The process received a termination signal.
     Shutdown,
     /// The last request has been answered: release the lease and notify the sender.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -20,6 +20,9 @@
 mod quarantined_segments;
 mod removed_workers;
 mod reports;
+mod slot_ask;
+mod slot_credits;
+mod slot_state;
 mod store_job;
 mod store_replies;
 mod table_reads;
@@ -41,6 +44,7 @@
 pub use outputs::{OutgoingDatagram, Outputs, WorkerCall, WorkerJob};
 pub use peers::Peers;
 pub use publisher::Publisher;
+pub use slot_ask::{SlotAsk, SlotReply};
 pub use store_job::{StoreJob, StoreReply};
 pub use writer::Writer;
 
--- a/crates/edge/src/control/reports.rs
+++ b/crates/edge/src/control/reports.rs
@@ -186,13 +186,7 @@
             sequence: self.sequence,
             state,
             load_requests,
-            operator_rows: Vec::new(),
-            workers_rows: Vec::new(),
-            use_changes: Vec::new(),
-            uses: Vec::new(),
-            crashes: Vec::new(),
-            limits: Vec::new(),
-            leaving: Vec::new(),
+            ..fleet::Datagram::default()
         }
     }
 }
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -92,7 +92,8 @@
         "start program=jasminetack-edge version={version} host={name} region={region} failure_domain={domain}"
     );
     let dialect = Arc::new(dialect);
-    let host = Arc::new(host);
+    let uses_slot_credits = host.uses_slot_credits || settings.slot_credits;
+    let host = Arc::new(host::Host { uses_slot_credits, ..host });
     let (control_sender, control_receiver) = crossbeam_channel::unbounded();
     let view = Arc::new(ArcSwap::from_pointee(view::View::default()));
     let (revision_sender, revision) = watch::channel(0);
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -22,6 +22,8 @@
     pub peers_address: SocketAddr,
     /// Limits within which the daemon operates.
     pub limits: OperatingLimits,
+    /// Whether the slots of app services are assigned by brokers.
+    pub uses_slot_credits: bool,
 }
 
 /// Result of reading the settings file again while the process runs.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! Label values come from fixed sets; adapters, requests and hosts are never labels.
 
+use jasminetack_domain::slot_credit;
 use parking_lot::Mutex;
 use prometheus_client::encoding;
 use prometheus_client::metrics::counter::Counter;
@@ -37,6 +38,10 @@
     pub quarantined_segments: Gauge,
     /// Workers that state a limit of requests.
     pub limited_workers: Gauge,
+    slot_decisions: Family<Label, Counter>,
+    slot_calls: Family<Label, Counter>,
+    /// Requests that wait for a slot at this daemon as their broker.
+    pub waiting_slot_requests: Gauge,
 }
 
 impl Metrics {
@@ -71,6 +76,15 @@
         let limited_workers = Gauge::default();
         let help = "Workers that accept a limited number of requests";
         registry.register("limited_workers", help, limited_workers.clone());
+        let slot_decisions = Family::default();
+        let help = "Decisions of this daemon as a broker of slots";
+        registry.register("slot_decisions", help, slot_decisions.clone());
+        let slot_calls = Family::default();
+        let help = "Calls to services with few slots by how their worker was found";
+        registry.register("slot_calls", help, slot_calls.clone());
+        let waiting_slot_requests = Gauge::default();
+        let help = "Requests that wait for a slot at this daemon as their broker";
+        registry.register("waiting_slot_requests", help, waiting_slot_requests.clone());
         let registry = Mutex::new(registry);
         Self {
             registry,
@@ -84,6 +98,9 @@
             worker_crashes,
             quarantined_segments,
             limited_workers,
+            slot_decisions,
+            slot_calls,
+            waiting_slot_requests,
         }
     }
 
@@ -115,6 +132,24 @@
         self.store_calls.get_or_create(&labels).inc();
     }
 
+    /// Records decisions of this daemon as a broker of slots.
+    pub fn record_slot_decisions(&self, counts: slot_credit::BrokerCounts) {
+        let slot_credit::BrokerCounts { granted, queued, refused, expired } = counts;
+        let counts =
+            [("granted", granted), ("queued", queued), ("no-slot", refused), ("expired", expired)];
+        for (decision, count) in counts {
+            if count > 0 {
+                let label = [("decision", decision.to_owned())];
+                self.slot_decisions.get_or_create(&label).inc_by(count);
+            }
+        }
+    }
+
+    /// Records how the worker of a call to a service with few slots was found.
+    pub fn record_slot_call(&self, choice: &str) {
+        self.slot_calls.get_or_create(&[("choice", choice.to_owned())]).inc();
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     #[must_use]
     pub fn encode(&self) -> String {
--- a/crates/edge/src/settings/flags.rs
+++ b/crates/edge/src/settings/flags.rs
@@ -19,6 +19,9 @@
         optional --lease-ttl-ms milliseconds: String
         /// Interval of lease renewals.
         optional --lease-renewal-ms milliseconds: String
+        /// Whether brokers assign the slots of app services: on or off. The platform's settings may turn
+        /// this on as well.
+        optional --slot-credits value: String
         /// Print the effective settings and exit.
         optional --check
         /// Print the version and exit.
@@ -34,6 +37,7 @@
     pub metrics_port: Option<String>,
     pub lease_ttl_ms: Option<String>,
     pub lease_renewal_ms: Option<String>,
+    pub slot_credits: Option<String>,
     pub check: bool,
     pub version: bool,
 }
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -19,6 +19,8 @@
     pub lease_ttl_ms: u64,
     /// Interval of lease renewals.
     pub lease_renewal_ms: u64,
+    /// Whether the slots of app services are assigned by brokers, whatever the platform asks for.
+    pub slot_credits: bool,
     /// Whether to print the effective settings and exit.
     pub check_only: bool,
     /// The effective settings, one per line.
@@ -62,12 +64,24 @@
         if lease_ttl_ms < lease_renewal_ms * MIN_RENEWALS_PER_TTL {
             reader.add_invalid("--lease-ttl-ms", Some(lease_ttl_ms.to_string()), ttl);
         }
+        let switch = "on or off";
+        let slot_credits =
+            reader.value("--slot-credits", flags.slot_credits, "off".to_owned(), switch);
+        let slot_credits = match slot_credits.as_str() {
+            "on" => true,
+            "off" => false,
+            _ => {
+                reader.add_invalid("--slot-credits", Some(slot_credits), switch);
+                false
+            }
+        };
         reader.finish()?;
         Ok(Self {
             log_level,
             metrics_port,
             lease_ttl_ms,
             lease_renewal_ms,
+            slot_credits,
             check_only: flags.check,
             description: reader.describe(),
         })
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -65,7 +65,7 @@
             if stale < MAX_STALE_CONNECTIONS { pool.take(worker, clock::now_ms()) } else { None };
         let mut connection = match idle {
             Some(connection) => connection,
-            None => open(pool, upstream, &load).await?,
+            None => open(pool, upstream, &mut load).await?,
         };
         let elapsed = Duration::from_millis(clock::now_ms().saturating_sub(started_ms));
         let sent = connection.send(request);
@@ -97,7 +97,7 @@
 async fn open(
     pool: &Arc<Pool>,
     upstream: &upstream::Upstream,
-    load: &LoadGuard,
+    load: &mut LoadGuard,
 ) -> Result<Connection, AttemptError> {
     Connection::open(upstream.address).await.map_err(|error| {
         let now_ms = clock::now_ms();
--- a/crates/edge/src/traffic/load_guard.rs
+++ b/crates/edge/src/traffic/load_guard.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use crossbeam_channel::Sender;
+use hyper::StatusCode;
 use jasminetack_domain::dispatch;
 use jasminetack_domain::name;
 use parking_lot::Mutex;
 
+use super::credit_guard::CreditGuard;
 use crate::clock;
 use crate::control;
 
@@ -21,6 +23,8 @@
     work: dispatch::RequestSize,
     sent_ms: u64,
     first_data_ms: Option<u64>,
+    /// Slot that the request uses at a service with few slots.
+    pub(super) credit: Option<CreditGuard>,
 }
 
 impl LoadGuard {
@@ -45,6 +49,7 @@
             work,
             sent_ms: now_ms,
             first_data_ms: None,
+            credit: None,
         };
         if is_first {
             guard.report_adapter_use(true);
@@ -74,6 +79,9 @@
             return;
         }
         self.first_data_ms = Some(now_ms);
+        if let Some(credit) = &mut self.credit {
+            credit.record_response();
+        }
         chooser.loads.record_first_part(&self.worker, self.work, now_ms);
         chooser.health.record_success(&self.worker, now_ms);
         let elapsed_ms = now_ms.saturating_sub(self.sent_ms) as f64;
@@ -81,9 +89,21 @@
     }
 
     /// Records that the request failed at the worker.
-    pub fn record_failure(&self, now_ms: u64) {
+    pub fn record_failure(&mut self, now_ms: u64) {
+        if let Some(credit) = &mut self.credit {
+            credit.record_failure();
+        }
         self.chooser.lock().health.record_failure(&self.worker, now_ms);
     }
+
+    /// Records that the worker did not execute the request; with 503 its slots are in use.
+    pub(super) fn record_rejection(&mut self, status: StatusCode) {
+        if let Some(credit) = &mut self.credit
+            && status == StatusCode::SERVICE_UNAVAILABLE
+        {
+            credit.record_full();
+        }
+    }
 }
 
 impl Drop for LoadGuard {
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -19,6 +19,7 @@
 
 use super::answer_watch::AnswerWatch;
 use super::attempt::{self, Exchange};
+use super::credit_guard::CreditGuard;
 use super::load_guard::LoadGuard;
 use super::permit_guard::PermitGuard;
 use super::refusal::{RETRY_AFTER_MS, Refusal};
@@ -70,6 +71,8 @@
     pub(super) requested_load: Option<(name::WorkerName, u64)>,
     /// Permit for the selected worker if it has a limit.
     pub(super) permit: Option<PermitGuard>,
+    /// Credit for a slot of the selected worker.
+    pub(super) credit: Option<CreditGuard>,
 }
 
 /// Proxies a request to a worker, or responds with a refusal when it cannot be served.
@@ -171,6 +174,7 @@
             revision,
             requested_load: None,
             permit: None,
+            credit: None,
         })
     }
 
@@ -209,10 +213,13 @@
         }
         record.record_attempt(&target.decision);
         let request = self.worker_request(target, last_event_id, now_ms);
+        let credit = self.start_slot_call(target, now_ms);
         let (adapter, work) = (self.facts.adapter.as_ref(), self.facts.size);
         let chooser = &self.shared.chooser;
         let control = &self.shared.control;
-        let load = LoadGuard::new(chooser, control, worker, &self.service, adapter, work, now_ms);
+        let mut load =
+            LoadGuard::new(chooser, control, worker, &self.service, adapter, work, now_ms);
+        load.credit = credit;
         if work.is_generation() {
             let parts = &self.facts.prompt_segments;
             chooser.lock().prompt_cache.record(worker, adapter, parts, now_ms);
@@ -236,6 +243,7 @@
         }
         self.observe_worker(upstream, facts, head.status, now_ms);
         if facts.is_not_executed {
+            exchange.load.record_rejection(head.status);
             return Err(self.not_executed(worker, facts, &head, record));
         }
         self.possible_executions += 1;
--- a/crates/edge/src/traffic/shared_state.rs
+++ b/crates/edge/src/traffic/shared_state.rs
@@ -1,6 +1,7 @@
 //! State that all requests of the daemon share.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
 use crossbeam_channel::Sender;
@@ -41,6 +42,9 @@
     pub control: Sender<control::Message>,
     /// Metrics of the daemon.
     pub metrics: Arc<metrics::Metrics>,
+    /// Number of the next request for a slot. The first one is random, so that a late answer to an earlier
+    /// process of this daemon is not taken for one to this process.
+    next_slot_number: AtomicU64,
     /// One retry budget per service.
     retry_budgets: Mutex<FxHashMap<name::ServiceName, dispatch::RetryBudget>>,
 }
@@ -67,10 +71,16 @@
             crash_watch,
             control,
             metrics,
+            next_slot_number: AtomicU64::new(u64::from(rand::random::<u32>())),
             retry_budgets: Mutex::default(),
         }
     }
 
+    /// Returns the number of a new request for a slot.
+    pub fn next_slot_number(&self) -> u64 {
+        self.next_slot_number.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Counts a caller's request, which adds to the retry budget of its service.
     pub fn count_request(&self, service: &name::ServiceName, now_ms: u64) {
         self.with_retry_budget(service, |budget| budget.record_request(now_ms));
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -64,6 +64,9 @@
         &mut self,
         record: &mut RequestRecord,
     ) -> Result<Target, Refusal> {
+        if let Some(target) = self.find_slot().await? {
+            return Ok(target);
+        }
         let started_ms = clock::now_ms();
         let wait_ms = (self.deadline_ms.saturating_sub(self.received_ms)) as f64 * LOAD_WAIT_SHARE;
         let wait_until_ms = started_ms + (wait_ms as u64).min(MAX_LOAD_WAIT_MS);
@@ -180,14 +183,19 @@
     }
 
     /// Builds the refusal of a request that can be served after `wait_ms` at the earliest.
-    fn refuse_after_wait(&self, reason: &'static str, wait_ms: f64, now_ms: u64) -> Refusal {
+    pub(super) fn refuse_after_wait(
+        &self,
+        reason: &'static str,
+        wait_ms: f64,
+        now_ms: u64,
+    ) -> Refusal {
         let refusal = self.give_up(reason);
         let retry_after_ms =
             admission::retry_after_ms(self.time_limits(), wait_ms, rand::random(), now_ms);
         Refusal { retry_after_ms: refusal.retry_after_ms.and(Some(retry_after_ms)), ..refusal }
     }
 
-    fn time_limits(&self) -> dispatch::TimeLimits {
+    pub(super) fn time_limits(&self) -> dispatch::TimeLimits {
         dispatch::TimeLimits {
             target_ms: self.received_ms + self.route.first_byte_target_ms,
             deadline_ms: self.deadline_ms,
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -252,6 +252,12 @@
         self.log.lock().runs[run].ended = Some(Instant::now());
     }
 
+    fn is_full(&self, max_runs: Option<usize>) -> bool {
+        let Some(max_runs) = max_runs else { return false };
+        let log = self.log.lock();
+        log.runs.iter().filter(|run| run.ended.is_none()).count() >= max_runs
+    }
+
     async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         let faults = *self.faults.lock();
         let mut response = self.respond(request, faults).await?;
@@ -275,7 +281,7 @@
         let attempt_id = header("Attempt-Id").unwrap_or_default().to_owned();
         let response_attempt_id =
             if faults.mismatches_attempt_ids { "another" } else { &attempt_id };
-        if faults.rejects_requests {
+        if faults.rejects_requests || self.is_full(faults.max_runs) {
             self.log.lock().rejections.push(Instant::now());
             let status = StatusCode::SERVICE_UNAVAILABLE;
             let mut response = worker_messages::not_executed_response(status, response_attempt_id);
--- a/crates/standins/src/fleet/worker_faults.rs
+++ b/crates/standins/src/fleet/worker_faults.rs
@@ -23,6 +23,8 @@
     pub rejects_requests: bool,
     /// Seconds for which rejections ask for no further requests.
     pub rejection_retry_after: Option<&'static str>,
+    /// Number of running requests beyond which requests are rejected with status 503 and `Not-Executed`.
+    pub max_runs: Option<usize>,
     /// Requests are executed, but the connection is closed before the response.
     pub drops_responses: bool,
     /// Number of events after which streams are aborted in the middle of an event.
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -8,6 +8,7 @@
 mod leaving_worker;
 mod quarantined_segment;
 mod rows;
+mod slot_credits;
 mod suspect_segment;
 mod table_state;
 mod worker_crash;
@@ -28,6 +29,7 @@
 pub use leaving_worker::LeavingWorker;
 pub use quarantined_segment::QuarantinedSegment;
 pub use rows::{Lease, UnansweredOrders, WorkerHolder};
+pub use slot_credits::{ForeignCalls, SlotAnswer, SlotReport, SlotRequest, SlotReturn, SlotUse};
 pub use suspect_segment::SuspectSegment;
 pub use table_state::TableState;
 pub use worker_crash::WorkerCrash;
@@ -72,6 +74,15 @@
     /// Workers that stated lately that they are leaving.
     #[prost(message, repeated, tag = "12")]
     pub leaving: Vec<LeavingWorker>,
+    /// Requests for slots that the receiver assigns.
+    #[prost(message, repeated, tag = "16")]
+    pub slot_requests: Vec<SlotRequest>,
+    /// Answers to requests for slots of the receiver's process.
+    #[prost(message, repeated, tag = "17")]
+    pub slot_answers: Vec<SlotAnswer>,
+    /// What the sender knows of the slots that the receiver assigns.
+    #[prost(message, repeated, tag = "18")]
+    pub slot_reports: Vec<SlotReport>,
 }
 
 /// Adapters that the sender uses on one worker.
