--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -119,10 +119,15 @@
 
     /// Handles messages from other threads.
     pub fn receive(&mut self, messages: Vec<Message>, now_ms: u64) {
+        let has_others = messages.iter().any(|message| !message.concerns_slots());
         for message in messages {
             self.handle(message, now_ms);
         }
         self.send_slot_messages();
+        if !has_others {
+            // Slots change neither orders nor the view, and there are several messages per call.
+            return;
+        }
         self.send_orders(now_ms);
         self.publish_changes(now_ms);
     }
--- a/crates/edge/src/control/datagrams.rs
+++ b/crates/edge/src/control/datagrams.rs
@@ -17,7 +17,10 @@
         if datagram.host == self.lease_manager.host().as_str() {
             return;
         }
-        self.apply_slot_messages(&datagram, now_ms);
+        if datagram.concerns_slots() {
+            self.apply_slot_messages(&datagram, now_ms);
+            return;
+        }
         self.apply_shared_rows(&mut datagram, now_ms);
         for request in &datagram.load_requests {
             let worker = name::WorkerName::from(request.worker.as_str());
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -107,3 +107,18 @@
     /// The last request has been answered: release the lease and notify the sender.
     ReleaseLease(oneshot::Sender<()>),
 }
+
+impl Message {
+    /// Returns whether the message is about nothing but slots of services; datagrams with messages of
+    /// brokers contain nothing else.
+    pub(super) fn concerns_slots(&self) -> bool {
+        match self {
+            Self::SlotAsked(_)
+            | Self::SlotUnanswered(_)
+            | Self::SlotCallStarted { .. }
+            | Self::SlotCallEnded { .. } => true,
+            Self::Datagram(datagram) => datagram.concerns_slots(),
+            _ => false,
+        }
+    }
+}
--- a/crates/edge/src/traffic/request_record.rs
+++ b/crates/edge/src/traffic/request_record.rs
@@ -101,7 +101,7 @@
         self.loading_worker = Some(worker.clone());
     }
 
-    /// Sets how long the request waited for its adapter to be loaded or for a permit.
+    /// Sets how long the request waited for its adapter to be loaded, for a permit or for a slot.
     pub fn set_load_wait(&mut self, wait_ms: u64) {
         self.load_wait_ms = wait_ms;
     }
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -64,7 +64,9 @@
         &mut self,
         record: &mut RequestRecord,
     ) -> Result<Target, Refusal> {
+        let asked_ms = clock::now_ms();
         if let Some(target) = self.find_slot().await? {
+            record.set_load_wait(clock::now_ms().saturating_sub(asked_ms));
             return Ok(target);
         }
         let started_ms = clock::now_ms();
--- a/crates/wire/src/fleet/slot_credits.rs
+++ b/crates/wire/src/fleet/slot_credits.rs
@@ -110,6 +110,16 @@
     pub calls: u32,
 }
 
+impl super::Datagram {
+    /// Returns whether the datagram carries messages about slots, and therefore nothing else.
+    #[must_use]
+    pub fn concerns_slots(&self) -> bool {
+        !self.slot_requests.is_empty()
+            || !self.slot_answers.is_empty()
+            || !self.slot_reports.is_empty()
+    }
+}
+
 impl SlotRequest {
     /// Encodes a request that may wait until `request.wait_until_ms`.
     #[must_use]
