Count requests that time out together once

A machine with a small share of a core is halted for up to 100 ms; all requests for slots that wait meanwhile time out together, and three of them made the daemon pass the broker over for 4 s. Unanswered requests count now when they are 100 ms apart.

--- a/crates/domain/src/slot_credit/broker_directory.rs
+++ b/crates/domain/src/slot_credit/broker_directory.rs
@@ -8,6 +8,9 @@
 /// Unanswered requests in succession after which a daemon is passed over as a broker. A lost datagram
 /// or a short stall must not move the broker.
 const MAX_UNANSWERED: u32 = 3;
+/// Time within which further unanswered requests do not count. A machine with a small share of a core is
+/// halted for up to 100 ms, and all requests that wait meanwhile time out together.
+const MIN_INTERVAL_MS: u64 = 100;
 /// Time for which such a daemon is passed over; by its end, a daemon that was killed is known to be gone.
 const PASSED_OVER_MS: u64 = 4_000;
 
@@ -20,6 +23,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Silence {
     unanswered: u32,
+    counted_ms: u64,
     until_ms: u64,
 }
 
@@ -44,6 +48,10 @@
     /// now on.
     pub fn record_unanswered(&mut self, host: &name::HostName, now_ms: u64) -> bool {
         let silence = self.silent.entry(host.clone()).or_default();
+        if silence.unanswered > 0 && now_ms.saturating_sub(silence.counted_ms) < MIN_INTERVAL_MS {
+            return false;
+        }
+        silence.counted_ms = now_ms;
         silence.unanswered += 1;
         let is_passed_over = silence.unanswered >= MAX_UNANSWERED && silence.until_ms <= now_ms;
         if is_passed_over {
