--- a/crates/domain/tests/slot_credit_replay/asking.rs
+++ b/crates/domain/tests/slot_credit_replay/asking.rs
@@ -69,12 +69,13 @@
             self.brokers[broker] = Some(state);
             self.add(now_ms + BROKER_TICK_MS, Event::Tick { broker });
         }
+        let is_first_region = self.calls[call].regions_asked == 1;
         let request = CreditRequest {
             key: self.key(call, ask),
             team: None,
             urgency: 0,
             caller_hash: call as u64,
-            wait_until_ms: now_ms + MAX_WAIT_MS,
+            wait_until_ms: if is_first_region { now_ms + MAX_WAIT_MS } else { now_ms },
             excluded: self.calls[call].excluded.clone(),
         };
         let Some(state) = &mut self.brokers[broker] else { return };
--- a/crates/domain/tests/slot_credit_replay/simulation.rs
+++ b/crates/domain/tests/slot_credit_replay/simulation.rs
@@ -16,10 +16,8 @@
 /// Requests for a credit that one call may make, over all attempts.
 pub const MAX_ASKS: u64 = 64;
 pub const RUN_MS: u64 = 20_000;
-/// Calls of one burst, and the mean time between bursts: 0.4 calls per ms of 45 ms each use half of
-/// the slots.
+/// Calls of one burst.
 pub const BURST: usize = 18;
-pub const BURST_INTERVAL_MS: f64 = 45.0;
 pub const REPORT_INTERVAL_MS: u64 = 1_000;
 /// One-way delays within a region and between two.
 pub const LINK_MS: u64 = 1;
@@ -146,10 +144,11 @@
     pub directories: Vec<BrokerDirectory>,
     pub calls: Vec<Call>,
     pub has_credits: bool,
+    pub burst_interval_ms: f64,
 }
 
 impl Replay {
-    pub fn new(has_credits: bool, seed: u64) -> Self {
+    pub fn new(has_credits: bool, burst_interval_ms: f64, seed: u64) -> Self {
         let upstreams = (0..WORKERS).map(|index| upstream::Upstream {
             name: name::WorkerName::from(format!("w{index}")),
             service: name::ServiceName::from("app"),
@@ -175,6 +174,7 @@
             directories: vec![BrokerDirectory::default(); DAEMONS],
             calls: Vec::new(),
             has_credits,
+            burst_interval_ms,
         };
         replay.add(0, Event::Burst);
         for daemon in 0..DAEMONS {
@@ -304,7 +304,7 @@
             });
             self.add(now_ms, Event::Start { call });
         }
-        let gap_ms = -BURST_INTERVAL_MS * (1.0 - self.load.random::<f64>()).ln();
+        let gap_ms = -self.burst_interval_ms * (1.0 - self.load.random::<f64>()).ln();
         if now_ms < RUN_MS {
             self.add(now_ms + gap_ms as u64 + 1, Event::Burst);
         }
--- a/crates/edge/src/traffic/slot_search.rs
+++ b/crates/edge/src/traffic/slot_search.rs
@@ -26,8 +26,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
 /// Time within which a broker of another region answers, about four times the round trip.
 const REMOTE_ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
-/// Shortest time that a call may wait for a slot, also past its target: the round trips to another region
-/// take as long.
+/// Shortest time that a call may wait for a slot, also past its target: an attempt at another region takes
+/// as long.
 const MIN_WAIT_MS: u64 = 80;
 
 /// Answer of one broker.
@@ -57,8 +57,12 @@
         let mut search = slot_credit::RegionSearch::default();
         let mut has_asked = false;
         for (region, excluded) in self.slot_regions(now_ms) {
+            // Calls from other regions hold a slot for the round trips as well, so they get only slots that
+            // are free at once. With queues in both regions, they would take the slots from each other's
+            // callers and use less than two thirds of them.
+            let may_wait = !has_asked;
             has_asked = true;
-            match self.ask_broker(region, excluded).await {
+            match self.ask_broker(region, excluded, may_wait).await {
                 BrokerAnswer::Granted(worker, credit) => {
                     let Some(target) = self.granted_target(&worker) else {
                         self.shared.metrics.record_slot_call("unusable");
@@ -158,6 +162,7 @@
         &self,
         region: name::RegionName,
         excluded: Vec<name::WorkerName>,
+        may_wait: bool,
     ) -> BrokerAnswer {
         let now_ms = clock::now_ms();
         let timeout = if region == *self.shared.host.locality.region() {
@@ -167,6 +172,7 @@
         };
         let wait_until_ms = self.received_ms + self.time_limits().max_queue_ms() as u64;
         let wait_until_ms = wait_until_ms.max(now_ms + MIN_WAIT_MS).min(self.deadline_ms);
+        let wait_until_ms = if may_wait { wait_until_ms } else { now_ms };
         let number = self.shared.next_slot_number();
         let (reply, answer) = oneshot::channel();
         let ask = control::SlotAsk {
