--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -19,6 +19,7 @@
 use super::answer_watch::AnswerWatch;
 use super::attempt::{self, Exchange};
 use super::caller::{Caller, Destination, KEY_REVOKED};
+use super::credit_guard::CreditGuard;
 use super::load_guard::LoadGuard;
 use super::permit_guard::PermitGuard;
 use super::refusal::{RETRY_AFTER_MS, Refusal};
@@ -75,6 +76,8 @@
     pub(super) requested_load: Option<(name::WorkerName, u64)>,
     /// Permit for the selected worker if it has a limit.
     pub(super) permit: Option<PermitGuard>,
+    /// Credit for a slot of the selected worker.
+    pub(super) credit: Option<CreditGuard>,
 }
 
 /// Proxies a request to a worker, or responds with a refusal when it cannot be served.
@@ -173,6 +176,7 @@
             revision,
             requested_load: None,
             permit: None,
+            credit: None,
         })
     }
 
@@ -211,6 +215,7 @@
         }
         record.record_attempt(&target.decision, target.prefix);
         let request = self.worker_request(target, last_event_id, now_ms);
+        let credit = self.start_slot_call(target, now_ms);
         let (adapter, work) = (self.facts.adapter.as_ref(), self.facts.size_or_default());
         let chooser = &self.shared.chooser;
         let control = &self.shared.control;
@@ -221,7 +226,8 @@
             size: work,
             unread_tokens: target.prefix.unread_tokens,
         };
-        let load = LoadGuard::new(chooser, control, &sent, now_ms);
+        let mut load = LoadGuard::new(chooser, control, &sent, now_ms);
+        load.credit = credit;
         if work.is_generation() {
             let held_tokens = target.prefix.held_tokens;
             self.shared.metrics.record_prompt(work.prompt_tokens, held_tokens);
@@ -253,6 +259,7 @@
         }
         self.observe_worker(upstream, facts, head.status, now_ms);
         if facts.is_not_executed {
+            exchange.load.record_rejection(head.status);
             return Err(self.not_executed(worker, facts, &head, record));
         }
         self.possible_executions += 1;
