Let brokers learn how many calls a worker accepts beyond its slots

A credit is held longer than its call occupies a slot, and workers queue a few calls, so credits alone left capacity unused at overload. A worker that ended enough calls while it was as full as it may be gets one more at once, up to half of its slots; a rejection takes one back.

--- a/crates/domain/src/slot_credit/worker_slots.rs
+++ b/crates/domain/src/slot_credit/worker_slots.rs
@@ -15,6 +15,13 @@
 /// First time for which a worker gets no call after a failed one; it doubles with each further failure.
 const FAILED_MS: f64 = 100.0;
 const MAX_FAILED_MS: f64 = 2_000.0;
+/// Calls that end while the worker is as full as it may be, after which it may get one more at once. A
+/// worker queues a few calls beyond its slots; a credit is held longer than the call occupies its slot.
+const CALLS_PER_INCREASE: u32 = 8;
+/// The same once the worker has rejected a call, so that hardly one in a hundred calls finds the limit.
+const CALLS_PER_LATER_INCREASE: u32 = 96;
+/// Most calls beyond the slots, as a share of the slots: the last one waits for half of a call.
+const MAX_QUEUED_SHARE: f64 = 0.5;
 /// Limit of the exponent of both times.
 const MAX_DOUBLINGS: i32 = 6;
 
@@ -22,6 +29,11 @@
 #[derive(Clone, Debug)]
 pub(super) struct WorkerSlots {
     slots: u32,
+    /// Calls beyond the slots that the worker accepts into its own queue, as learned from rejections.
+    queued: u32,
+    /// Calls that have ended while the worker was as full as it may be, since the last change of `queued`.
+    calls_when_full: u32,
+    has_rejected: bool,
     /// Start of the worker's process; a new one has no calls and no history.
     started_unix_ms: u64,
     credits: u32,
@@ -41,6 +53,9 @@
     pub(super) fn new(slots: u32, started_unix_ms: u64) -> Self {
         Self {
             slots,
+            queued: 0,
+            calls_when_full: 0,
+            has_rejected: false,
             started_unix_ms,
             credits: 0,
             foreign_calls: IndexMap::new(),
@@ -77,7 +92,12 @@
         let hidden = if now_ms < hidden_until_ms { hidden } else { 0 };
         // A rejection is caused by calls that the broker does not know; those that it has been told of
         // since are the same ones.
-        self.slots.saturating_sub(self.credits + foreign.max(hidden))
+        self.allowed().saturating_sub(self.credits + foreign.max(hidden))
+    }
+
+    /// Returns the number of calls that the worker may have at once.
+    fn allowed(&self) -> u32 {
+        self.slots + self.queued
     }
 
     /// Returns the mean duration of a call.
@@ -97,8 +117,24 @@
 
     /// Removes a credit and learns from the end of its call.
     pub(super) fn finish(&mut self, end: CallEnd, now_ms: u64) {
+        let was_full = self.credits >= self.allowed();
         self.remove_credit();
         self.learn(end, now_ms);
+        if was_full && matches!(end, CallEnd::Done { .. }) {
+            self.record_call_when_full();
+        }
+    }
+
+    /// Allows one more call at once after enough calls that no rejection has answered.
+    fn record_call_when_full(&mut self) {
+        self.calls_when_full += 1;
+        let needed =
+            if self.has_rejected { CALLS_PER_LATER_INCREASE } else { CALLS_PER_INCREASE };
+        let most = (f64::from(self.slots) * MAX_QUEUED_SHARE) as u32;
+        if self.calls_when_full >= needed && self.queued < most {
+            self.queued += 1;
+            self.calls_when_full = 0;
+        }
     }
 
     /// Learns from the end of a call.
@@ -121,7 +157,10 @@
                 // that goes on rejecting has less capacity than it states.
                 let full_ms = self.call_ms() * 2_f64.powi(self.rejections.min(MAX_DOUBLINGS));
                 let until_ms = now_ms + full_ms.clamp(MIN_FULL_MS, MAX_FULL_MS) as u64;
-                self.hidden = (self.slots.saturating_sub(self.credits), until_ms);
+                self.hidden = (self.allowed().saturating_sub(self.credits), until_ms);
+                self.has_rejected = true;
+                self.queued = self.queued.saturating_sub(1);
+                self.calls_when_full = 0;
                 self.rejections += 1;
             }
             CallEnd::Failed if now_ms < self.failed_until_ms => {}
