--- a/crates/domain/examples/dispatch_cost.rs
+++ b/crates/domain/examples/dispatch_cost.rs
@@ -108,13 +108,19 @@
     let held: Vec<_> = (0..slots)
         .map(|index| adapter::AdapterRef::new(name::AdapterName::from(format!("m/h{index}")), 1))
         .collect();
-    let mut placement = placement::Placement::new(limits, true, &held, 0, 0);
+    let reported = placement::WorkerState {
+        has_base_model: true,
+        resident: held,
+        ..placement::WorkerState::default()
+    };
+    let unrecorded = placement::UnrecordedOrders::default();
+    let mut placement = placement::Placement::new(limits, &reported, unrecorded, 0);
     measure(ROUNDS, |round| {
         let now_ms = 10_000 + u64::from(round);
         let adapter = name::AdapterName::from(format!("m/w{}", round % 16));
         placement.add_demand(&adapter::AdapterRef::new(adapter, 0), true, now_ms);
-        for order in placement.plan(FLEET, MIN_IDLE_MS, now_ms) {
-            placement.apply_order_result(&order, placement::OrderResult::Applied, now_ms);
+        while let Some(planned) = placement.plan(FLEET, MIN_IDLE_MS, now_ms) {
+            placement.apply_order_result(&planned.order, placement::OrderResult::Applied, now_ms);
         }
     })
 }
--- a/crates/domain/src/order_lease/mod.rs
+++ b/crates/domain/src/order_lease/mod.rs
@@ -10,10 +10,8 @@
 mod lease;
 mod lease_row;
 mod store_clock;
-mod unanswered_orders_row;
 
 pub use holder_row::HolderRow;
 pub use lease::Lease;
 pub use lease_row::LeaseRow;
 pub use store_clock::StoreClock;
-pub use unanswered_orders_row::UnansweredOrdersRow;
--- a/crates/domain/src/placement/adapter_slot.rs
+++ b/crates/domain/src/placement/adapter_slot.rs
@@ -37,7 +37,9 @@
     pub(super) awaits_answer: bool,
     pub(super) next_order_ms: u64,
     /// Whether the worker is, or may be, executing the order of this state.
-    is_executing: bool,
+    pub(super) is_executing: bool,
+    /// Whether the worker accepted the order of this state and has not finished it.
+    pub(super) is_accepted: bool,
     /// When the worker accepted the load; start of the measured load time.
     pub(super) accepted_ms: Option<u64>,
     /// Loads in flight over all workers when this one started, itself included.
@@ -59,6 +61,7 @@
             awaits_answer: false,
             next_order_ms: now_ms,
             is_executing: false,
+            is_accepted: false,
             accepted_ms: None,
             concurrent_loads: 0,
             late_until_ms: 0,
@@ -70,14 +73,40 @@
         }
     }
 
+    /// Creates the slot of a load that the worker reports to be in progress.
+    pub(super) fn new_accepted_load(version: u32, now_ms: u64) -> Self {
+        let mut slot = Self::new(version, SlotState::Loading, now_ms);
+        slot.mark_accepted_load();
+        slot
+    }
+
+    /// Records that the worker is executing the load; when it accepted it is not known.
+    pub(super) fn mark_accepted_load(&mut self) {
+        self.awaits_answer = false;
+        self.is_executing = true;
+        self.is_accepted = true;
+    }
+
     pub(super) fn enter(&mut self, state: SlotState, now_ms: u64) {
         self.state = state;
         self.state_since_ms = now_ms;
         self.next_order_ms = now_ms;
         self.is_executing = false;
+        self.is_accepted = false;
         self.accepted_ms = None;
     }
 
+    /// Returns whether the worker accepted to unload the adapter and waits for its requests to end.
+    pub(super) fn is_blocking(&self) -> bool {
+        self.state == SlotState::Unloading && self.is_accepted
+    }
+
+    /// Records that the worker does not execute the order of this state, which can be sent anew.
+    pub(super) fn mark_unordered(&mut self, now_ms: u64) {
+        self.awaits_answer = false;
+        self.enter(self.state, now_ms);
+    }
+
     /// Keeps an adapter that came into use before the worker accepted the order to unload it.
     pub(super) fn cancel_unload_if_used(&mut self, now_ms: u64) {
         let is_dropped = self.awaits_answer || self.is_executing;
@@ -103,6 +132,7 @@
         self.awaits_answer = false;
         if result == OrderResult::Accepted {
             self.accepted_ms.get_or_insert(now_ms);
+            self.is_accepted = true;
         }
         self.is_executing |= matches!(result, OrderResult::Accepted | OrderResult::Unanswered);
         self.next_order_ms = now_ms
@@ -113,6 +143,7 @@
                 _ => DEFAULT_RETRY_MS,
             };
         if result == OrderResult::Unanswered {
+            // Workers that check preconditions get here only with an answer.
             self.late_until_ms = now_ms + LATE_ORDER_WINDOW_MS;
         }
     }
--- a/crates/domain/src/placement/answers.rs
+++ b/crates/domain/src/placement/answers.rs
@@ -1,6 +1,9 @@
 //! State changes of a placement caused by order results.
 
-use super::{FinishedLoad, Order, OrderResult, Placement, SlotState};
+use super::order_purpose::OrderPurpose;
+use super::sent_order::SentOrder;
+use super::sequence_effect::SequenceEffect;
+use super::{FinishedLoad, Order, OrderResult, Placement, PreconditionSupport, SlotState};
 use crate::adapter;
 use crate::name;
 
@@ -12,15 +15,31 @@
 const MAX_LOCAL_COPIES: usize = 100;
 /// Interval between polls of a base model load.
 const BASE_POLL_MS: u64 = 150;
+/// Time for which a worker that refuses orders is taken to wait for the requests of an adapter that it
+/// unloads; after that, a report tells whether it still does.
+const MAX_UNCHECKED_UNLOAD_MS: u64 = 1_000;
 
 impl Placement {
     /// Applies the result of an order; returns the adapter load that it completed, if any.
+    ///
+    /// An order without an answer is repeated before any other order is sent, if the worker checks
+    /// preconditions.
     pub fn apply_order_result(
         &mut self,
         order: &Order,
         result: OrderResult,
         now_ms: u64,
     ) -> Option<FinishedLoad> {
+        let Some(sent) = self.sequence.receive(order, result, now_ms) else {
+            self.record_unanswered(order);
+            return None;
+        };
+        if matches!(sent.purpose, OrderPurpose::Probe | OrderPurpose::ProbeControl) {
+            self.apply_probe_result(sent.purpose, result, now_ms);
+            return None;
+        }
+        let effect = self.effect(&sent, result, now_ms);
+        self.sequence.apply(effect, now_ms);
         match order {
             Order::LoadBase(_) => self.apply_base_load_result(result, now_ms),
             Order::Load(adapter) => return self.apply_load_result(adapter, result, now_ms),
@@ -29,11 +48,60 @@
         None
     }
 
+    /// Marks the slot of an order that must be repeated: the worker may be executing it.
+    fn record_unanswered(&mut self, order: &Order) {
+        let adapter = match order {
+            Order::LoadBase(_) => return,
+            Order::Load(adapter) => adapter.name(),
+            Order::Unload(adapter) => adapter,
+        };
+        if let Some(slot) = self.slots.get_mut(adapter) {
+            slot.is_executing = true;
+        }
+    }
+
+    fn apply_probe_result(&mut self, purpose: OrderPurpose, result: OrderResult, now_ms: u64) {
+        self.sequence.apply_probe_result(purpose, result, now_ms);
+        if self.precondition_support() != PreconditionSupport::Checked {
+            return;
+        }
+        // What is executed late was decided on at the present number, when the slots were the same.
+        self.has_unreported = false;
+        for slot in self.slots.values_mut() {
+            slot.late_until_ms = 0;
+        }
+    }
+
+    /// Returns the effect of an answer on the number of orders that the worker accepted.
+    fn effect(&self, sent: &SentOrder, result: OrderResult, now_ms: u64) -> SequenceEffect {
+        let is_unload = matches!(sent.order, Order::Unload(_));
+        match result {
+            // A poll was accepted when its order was.
+            OrderResult::Accepted | OrderResult::Applied if sent.purpose == OrderPurpose::Poll => {
+                SequenceEffect::Unchanged
+            }
+            OrderResult::Accepted => SequenceEffect::Advanced,
+            OrderResult::Applied if is_unload => SequenceEffect::Advanced,
+            // The worker held the adapter already.
+            OrderResult::Applied => SequenceEffect::Unchanged,
+            OrderResult::Busy => {
+                let is_blocked = self.blocking_unload().is_some_and(|since_ms| {
+                    now_ms.saturating_sub(since_ms) < MAX_UNCHECKED_UNLOAD_MS
+                });
+                if is_blocked { SequenceEffect::Unchanged } else { SequenceEffect::Unknown }
+            }
+            // An earlier copy may have been accepted.
+            OrderResult::Refused if sent.was_unanswered || is_unload => SequenceEffect::Unknown,
+            OrderResult::Refused | OrderResult::NotSent => SequenceEffect::Unchanged,
+            OrderResult::Misdirected | OrderResult::Unanswered => SequenceEffect::Unknown,
+        }
+    }
+
     fn apply_base_load_result(&mut self, result: OrderResult, now_ms: u64) {
-        self.base_awaits_answer = false;
         self.base_order_ms = now_ms + BASE_POLL_MS;
         match result {
             OrderResult::Applied => self.has_base_model = true,
+            OrderResult::Accepted => self.is_base_accepted = true,
             OrderResult::Refused | OrderResult::NotSent => self.base_ordered_ms = None,
             _ => {}
         }
--- a/crates/domain/src/placement/order.rs
+++ b/crates/domain/src/placement/order.rs
@@ -16,6 +16,18 @@
     Unload(name::AdapterName),
 }
 
+impl Order {
+    /// Returns the adapter that is loaded or unloaded.
+    #[must_use]
+    pub fn adapter(&self) -> Option<&name::AdapterName> {
+        match self {
+            Self::LoadBase(_) => None,
+            Self::Load(adapter) => Some(adapter.name()),
+            Self::Unload(adapter) => Some(adapter),
+        }
+    }
+}
+
 impl fmt::Display for Order {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- /dev/null
+++ b/crates/domain/src/placement/order_sequence.rs
@@ -0,0 +1,205 @@
+//! Number of orders that a worker has accepted, and the order that awaits its answer.
+
+use super::order_purpose::OrderPurpose;
+use super::report_age::ReportAge;
+use super::sent_order::SentOrder;
+use super::sequence_effect::SequenceEffect;
+use super::{Order, OrderResult, PlannedOrder, PreconditionSupport};
+
+/// Delay before an unanswered order is repeated.
+const UNANSWERED_RETRY_MS: u64 = 30;
+/// Delay before an unanswered order whose repeat could not be sent is repeated again.
+const NOT_SENT_RETRY_MS: u64 = 250;
+/// Precondition of the order that tells whether a worker checks preconditions: more orders than any
+/// worker accepts in its life, and within the range of a 32-bit integer.
+const IMPOSSIBLE_PRECONDITION: u64 = 2_000_000_000;
+/// Age beyond which a report no longer lags behind: reports are some hundred milliseconds old.
+const MAX_REPORT_AGE_MS: u64 = 2_000;
+
+/// What the holder knows of the number of orders that a worker accepted.
+///
+/// The slots of a placement describe the worker at this number. An order with this number as its
+/// precondition is therefore executed in the state in which it was decided, or not at all, however late
+/// it is. At most one order awaits an answer, and an unanswered one is repeated with the same
+/// precondition, so that all its copies together take effect once.
+#[derive(Clone, Debug)]
+pub(super) struct OrderSequence {
+    support: PreconditionSupport,
+    /// Number of accepted orders; `None` while it is unknown.
+    count: Option<u64>,
+    /// Last known number; the worker's number is not below it unless the worker restarted.
+    confirmed: u64,
+    confirmed_ms: u64,
+    is_probed: bool,
+    next_probe_ms: u64,
+    sent: Option<SentOrder>,
+}
+
+impl OrderSequence {
+    /// Creates the knowledge from a worker's report; a worker that states no number is taken for one
+    /// that does not check preconditions.
+    pub fn new(reported: Option<u64>, now_ms: u64) -> Self {
+        let support = match reported {
+            Some(_) => PreconditionSupport::Unknown,
+            None => PreconditionSupport::Ignored,
+        };
+        Self {
+            support,
+            count: reported,
+            confirmed: reported.unwrap_or(0),
+            confirmed_ms: now_ms,
+            is_probed: false,
+            next_probe_ms: now_ms,
+            sent: None,
+        }
+    }
+
+    pub fn support(&self) -> PreconditionSupport {
+        self.support
+    }
+
+    /// Returns whether orders carry preconditions.
+    pub fn is_tracked(&self) -> bool {
+        self.support != PreconditionSupport::Ignored
+    }
+
+    /// Returns whether the worker must report before it gets further orders.
+    pub fn needs_report(&self) -> bool {
+        self.is_tracked() && self.count.is_none()
+    }
+
+    /// Returns whether an order was sent of which it is not known whether it was accepted.
+    pub fn is_occupied(&self) -> bool {
+        self.sent.is_some()
+    }
+
+    /// Returns the order that awaits its answer or must be repeated.
+    pub fn sent_order(&self) -> Option<&Order> {
+        self.sent.as_ref().map(|sent| &sent.order)
+    }
+
+    /// Returns the purpose of the probe's next order, if it is due.
+    pub fn next_probe(&self, now_ms: u64) -> Option<OrderPurpose> {
+        let purpose = if self.is_probed { OrderPurpose::ProbeControl } else { OrderPurpose::Probe };
+        (self.next_probe_ms <= now_ms).then_some(purpose)
+    }
+
+    /// Records that an order is sent.
+    pub fn send(&mut self, order: Order, purpose: OrderPurpose, now_ms: u64) -> PlannedOrder {
+        let precondition = match purpose {
+            OrderPurpose::Probe => Some(IMPOSSIBLE_PRECONDITION),
+            _ if self.is_tracked() => self.count,
+            _ => None,
+        };
+        self.sent = Some(SentOrder {
+            order: order.clone(),
+            purpose,
+            precondition,
+            awaits_answer: true,
+            was_unanswered: false,
+            next_ms: now_ms,
+        });
+        PlannedOrder { order, precondition }
+    }
+
+    /// Returns the unanswered order if it must be repeated now.
+    pub fn repeat(&mut self, now_ms: u64) -> Option<PlannedOrder> {
+        let sent = self.sent.as_mut()?;
+        if sent.awaits_answer || sent.next_ms > now_ms {
+            return None;
+        }
+        sent.awaits_answer = true;
+        Some(PlannedOrder { order: sent.order.clone(), precondition: sent.precondition })
+    }
+
+    /// Records a result; returns the order if it is answered, and `None` if it must be repeated or was
+    /// not awaited.
+    pub fn receive(
+        &mut self,
+        order: &Order,
+        result: OrderResult,
+        now_ms: u64,
+    ) -> Option<SentOrder> {
+        let is_tracked = self.is_tracked();
+        let sent = self.sent.as_mut().filter(|sent| sent.awaits_answer && sent.order == *order)?;
+        sent.awaits_answer = false;
+        if result == OrderResult::Unanswered && is_tracked {
+            sent.was_unanswered = true;
+            sent.next_ms = now_ms + UNANSWERED_RETRY_MS;
+            return None;
+        }
+        if result == OrderResult::NotSent && sent.was_unanswered {
+            sent.next_ms = now_ms + NOT_SENT_RETRY_MS;
+            return None;
+        }
+        self.sent.take()
+    }
+
+    /// Applies the effect of an answer to the number of accepted orders.
+    pub fn apply(&mut self, effect: SequenceEffect, now_ms: u64) {
+        let Some(count) = self.count else { return };
+        match effect {
+            SequenceEffect::Unchanged => {}
+            SequenceEffect::Advanced => self.set_count(count + 1, now_ms),
+            SequenceEffect::Unknown => self.count = None,
+        }
+    }
+
+    /// Applies the answer to a probe.
+    pub fn apply_probe_result(&mut self, purpose: OrderPurpose, result: OrderResult, now_ms: u64) {
+        match (purpose, result) {
+            (_, OrderResult::NotSent) => self.next_probe_ms = now_ms + NOT_SENT_RETRY_MS,
+            (OrderPurpose::Probe, OrderResult::Busy) => self.is_probed = true,
+            // A worker that does not know preconditions may also refuse an order that has one.
+            (
+                OrderPurpose::Probe,
+                OrderResult::Applied | OrderResult::Accepted | OrderResult::Refused,
+            ) => self.support = PreconditionSupport::Ignored,
+            (_, OrderResult::Applied) => self.support = PreconditionSupport::Checked,
+            _ => {
+                self.is_probed = false;
+                self.count = None;
+            }
+        }
+    }
+
+    /// Returns what a reported number says of the worker.
+    pub fn compare(&self, reported: u64, now_ms: u64) -> ReportAge {
+        match (reported < self.confirmed, self.is_settled(now_ms)) {
+            (false, _) => ReportAge::Current,
+            (true, false) => ReportAge::Outdated,
+            (true, true) => ReportAge::Restarted,
+        }
+    }
+
+    /// Returns whether a new report cannot be older than the last change of the number.
+    pub fn is_settled(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.confirmed_ms) >= MAX_REPORT_AGE_MS
+    }
+
+    /// Adopts a reported number; an unanswered order with a lower precondition can no longer take
+    /// effect and is given up.
+    pub fn adopt(&mut self, reported: u64, now_ms: u64) {
+        self.set_count(reported, now_ms);
+        let is_over = |sent: &SentOrder| {
+            sent.purpose != OrderPurpose::Probe
+                && sent.precondition.is_some_and(|precondition| precondition < reported)
+        };
+        self.sent.take_if(|sent| is_over(sent));
+    }
+
+    /// Stops to rely on preconditions, as the worker no longer states how many orders it accepted.
+    pub fn stop_tracking(&mut self) {
+        self.support = PreconditionSupport::Ignored;
+        self.sent = None;
+    }
+
+    fn set_count(&mut self, count: u64, now_ms: u64) {
+        // The number becomes outdated in reports only when it changes.
+        if self.confirmed != count {
+            self.confirmed_ms = now_ms;
+        }
+        self.confirmed = count;
+        self.count = Some(count);
+    }
+}
--- /dev/null
+++ b/crates/domain/src/placement/reports.rs
@@ -0,0 +1,168 @@
+//! Reports of a worker to its holder.
+
+use super::report_age::ReportAge;
+use super::{AdapterSlot, Placement, SlotState, UnrecordedOrders, WorkerState};
+use crate::adapter;
+
+/// What became of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportOutcome {
+    /// The slots agree with it.
+    Adopted,
+    /// It is older than the last answer of the worker and was ignored.
+    Outdated,
+    /// The worker restarted, and its placement begins anew.
+    Restarted,
+}
+
+impl ReportOutcome {
+    /// Returns the name used in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Adopted => "adopted",
+            Self::Outdated => "outdated",
+            Self::Restarted => "restarted",
+        }
+    }
+}
+
+impl Placement {
+    /// Adds slots for the adapters of the first report.
+    pub(super) fn add_reported(&mut self, reported: &WorkerState, late_until_ms: u64, now_ms: u64) {
+        for adapter in &reported.resident {
+            let mut slot = AdapterSlot::new(adapter.version(), SlotState::Resident, now_ms);
+            // A load that arrives late would restore an adapter that was unloaded meanwhile.
+            slot.late_until_ms = late_until_ms;
+            self.slots.insert(adapter.name().clone(), slot);
+        }
+        for adapter in &reported.loading {
+            let mut slot = AdapterSlot::new_accepted_load(adapter.version(), now_ms);
+            slot.late_until_ms = late_until_ms;
+            self.slots.insert(adapter.name().clone(), slot);
+        }
+    }
+
+    /// Returns whether the worker must report before it gets further orders, or because orders without
+    /// a record can no longer be executed and what they loaded is not known.
+    #[must_use]
+    pub fn needs_report(&self, now_ms: u64) -> bool {
+        let is_window_over = self.has_unreported && self.unrecorded.until_ms <= now_ms;
+        self.sequence.needs_report() || is_window_over
+    }
+
+    /// Applies a report that was needed.
+    pub fn apply_report(&mut self, reported: &WorkerState, now_ms: u64) -> ReportOutcome {
+        if !self.sequence.needs_report() {
+            if self.has_unreported && self.unrecorded.until_ms <= now_ms {
+                self.has_unreported = false;
+                self.add_unknown(reported, now_ms);
+            }
+            return ReportOutcome::Adopted;
+        }
+        let Some(sequence) = reported.sequence else {
+            self.sequence.stop_tracking();
+            self.unrecorded = UnrecordedOrders::after_restart(now_ms);
+            self.has_unreported = true;
+            for slot in self.slots.values_mut() {
+                slot.late_until_ms = self.unrecorded.until_ms;
+            }
+            return ReportOutcome::Adopted;
+        };
+        let has_lost_model = self.has_base_model && !reported.has_base_model;
+        let age = match self.sequence.compare(sequence, now_ms) {
+            ReportAge::Current if has_lost_model && self.sequence.is_settled(now_ms) => {
+                ReportAge::Restarted
+            }
+            ReportAge::Current if has_lost_model => ReportAge::Outdated,
+            age => age,
+        };
+        match age {
+            ReportAge::Outdated => ReportOutcome::Outdated,
+            ReportAge::Restarted => {
+                let unrecorded = UnrecordedOrders::after_restart(now_ms);
+                *self = Self::new(self.limits.clone(), reported, unrecorded, now_ms);
+                ReportOutcome::Restarted
+            }
+            ReportAge::Current => {
+                self.sequence.adopt(sequence, now_ms);
+                self.has_base_model |= reported.has_base_model;
+                self.drop_unlisted(reported, now_ms);
+                self.merge_listed(reported, now_ms);
+                ReportOutcome::Adopted
+            }
+        }
+    }
+
+    /// Adds the adapters that no slot accounts for.
+    fn add_unknown(&mut self, reported: &WorkerState, now_ms: u64) {
+        for adapter in &reported.resident {
+            let slot = || AdapterSlot::new(adapter.version(), SlotState::Resident, now_ms);
+            self.slots.entry(adapter.name().clone()).or_insert_with(slot);
+        }
+        for adapter in &reported.loading {
+            let slot = || AdapterSlot::new_accepted_load(adapter.version(), now_ms);
+            self.slots.entry(adapter.name().clone()).or_insert_with(slot);
+        }
+    }
+
+    /// Removes the slots of adapters that the worker neither holds nor loads; loads that it did not
+    /// accept become demands again, except one that must be repeated.
+    fn drop_unlisted(&mut self, reported: &WorkerState, now_ms: u64) {
+        let repeated = self.sequence.sent_order().and_then(|order| order.adapter()).cloned();
+        let mut unordered = Vec::new();
+        self.slots.retain(|name, slot| {
+            let mut listed = reported.resident.iter().chain(&reported.loading);
+            if repeated.as_ref() == Some(name) || listed.any(|adapter| adapter.name() == name) {
+                return true;
+            }
+            if slot.state == SlotState::Loading {
+                unordered.push(adapter::AdapterRef::new(name.clone(), slot.version));
+            }
+            false
+        });
+        for adapter in &unordered {
+            self.add_demand(adapter, true, now_ms);
+        }
+    }
+
+    /// Brings the slots of the adapters that the worker holds or loads in line with the report.
+    fn merge_listed(&mut self, reported: &WorkerState, now_ms: u64) {
+        self.add_unknown(reported, now_ms);
+        let repeated = self.sequence.sent_order().and_then(|order| order.adapter()).cloned();
+        let mut superseded = Vec::new();
+        let resident = reported.resident.iter().map(|adapter| (adapter, true));
+        let listed = resident.chain(reported.loading.iter().map(|adapter| (adapter, false)));
+        for (adapter, is_resident) in listed {
+            let Some(slot) = self.slots.get_mut(adapter.name()) else { continue };
+            if repeated.as_ref() == Some(adapter.name()) {
+                continue;
+            }
+            match slot.state {
+                SlotState::Resident => {}
+                SlotState::Unloading => {
+                    slot.mark_unordered(now_ms);
+                    slot.cancel_unload_if_used(now_ms);
+                }
+                SlotState::Loading => {
+                    let wanted = slot.version;
+                    let is_wanted = wanted == 0 || wanted == adapter.version();
+                    if !is_wanted {
+                        superseded.push(adapter::AdapterRef::new(adapter.name().clone(), wanted));
+                    }
+                    if is_resident {
+                        slot.awaits_answer = false;
+                        slot.version = adapter.version();
+                        slot.enter(SlotState::Resident, now_ms);
+                    } else {
+                        slot.version = adapter.version();
+                        slot.mark_accepted_load();
+                    }
+                }
+            }
+        }
+        for adapter in &superseded {
+            self.add_demand(adapter, true, now_ms);
+        }
+    }
+}
--- a/crates/edge/src/control/assignment.rs
+++ b/crates/edge/src/control/assignment.rs
@@ -9,9 +9,6 @@
 use jasminetack_domain::placement;
 use jasminetack_domain::upstream;
 
-/// Time by which the stored deadline of unanswered orders exceeds the actual one.
-const LATE_WRITE_MARGIN_MS: u64 = 4_000;
-
 /// Worker assigned to this daemon.
 #[derive(Clone, Debug)]
 pub struct Assignment {
@@ -23,11 +20,8 @@
     pub placement: Option<placement::Placement>,
     /// Time at which a report was last requested from the worker.
     pub report_requested_ms: u64,
-    /// Time until which the worker may still execute orders of an earlier holder or from before its
-    /// restart.
-    late_until_ms: u64,
-    /// Time until which the worker may execute unanswered orders, as recorded in the store.
-    stored_late_until_ms: u64,
+    /// Times until which the worker may execute orders of which this daemon has no record.
+    pub unrecorded: placement::UnrecordedOrders,
     /// Requests started since adapter uses were last applied, by adapter.
     pub started_requests: IndexMap<name::AdapterName, u32>,
     /// State for routing as last published.
@@ -38,14 +32,17 @@
 
 impl Assignment {
     /// Creates the assignment of a worker that has not reported yet.
-    pub fn new(upstream: Arc<upstream::Upstream>, fencing_token: u64, late_until_ms: u64) -> Self {
+    pub fn new(
+        upstream: Arc<upstream::Upstream>,
+        fencing_token: u64,
+        unrecorded: placement::UnrecordedOrders,
+    ) -> Self {
         Self {
             upstream,
             fencing_token,
             placement: None,
             report_requested_ms: 0,
-            late_until_ms,
-            stored_late_until_ms: late_until_ms,
+            unrecorded,
             started_requests: IndexMap::new(),
             published: placement::Summary::default(),
             waiting_peers: IndexMap::new(),
@@ -58,36 +55,12 @@
     }
 
     /// Resets the state of a worker that restarted; it may still execute orders sent before.
-    pub fn reset(&mut self) {
-        self.late_until_ms = self.late_until_ms();
+    pub fn reset(&mut self, now_ms: u64) {
+        self.unrecorded = placement::UnrecordedOrders::after_restart(now_ms);
         self.placement = None;
         self.report_requested_ms = 0;
     }
 
-    /// Returns the time until which unanswered orders may be executed if the store must be updated.
-    ///
-    /// The time includes a margin, so that a series of unanswered orders causes few writes.
-    pub fn take_late_update(&mut self) -> Option<u64> {
-        let late_until_ms = self.placement.as_ref()?.late_until_ms();
-        if late_until_ms <= self.stored_late_until_ms {
-            return None;
-        }
-        self.stored_late_until_ms = late_until_ms + LATE_WRITE_MARGIN_MS;
-        Some(self.stored_late_until_ms)
-    }
-
-    /// Records that the store was not updated, so that the next order result causes another write.
-    pub fn record_late_write_failure(&mut self) {
-        self.stored_late_until_ms = self.late_until_ms;
-    }
-
-    /// Returns the time until which the worker may execute unanswered orders of any holder.
-    pub fn late_until_ms(&self) -> u64 {
-        let placement = self.placement.as_ref();
-        let own_ms = placement.map_or(0, placement::Placement::late_until_ms);
-        own_ms.max(self.late_until_ms)
-    }
-
     /// Registers a daemon that waits for an adapter, unless the adapter is usable already; returns
     /// whether it is.
     pub fn add_waiting_peer(
--- a/crates/edge/src/control/assignments.rs
+++ b/crates/edge/src/control/assignments.rs
@@ -54,14 +54,15 @@
         &mut self,
         upstream: Arc<upstream::Upstream>,
         fencing_token: u64,
-        late_until_ms: u64,
+        unrecorded: placement::UnrecordedOrders,
     ) {
         let worker = &upstream.name;
+        let placement::UnrecordedOrders { until_ms, restart_until_ms } = unrecorded;
         spdlog::info!(
-            "hold-begins worker={worker} fence={fencing_token} late_until_ms={late_until_ms}"
+            "hold-begins worker={worker} fence={fencing_token} late_until_ms={until_ms} restart_until_ms={restart_until_ms}"
         );
         self.assignments
-            .insert(worker.clone(), Assignment::new(upstream, fencing_token, late_until_ms));
+            .insert(worker.clone(), Assignment::new(upstream, fencing_token, unrecorded));
     }
 
     /// Removes the assignment of a worker.
@@ -73,11 +74,16 @@
     }
 
     /// Applies a changed entry of a worker; `is_restarted` means that the worker lost its state.
-    pub fn apply_entry(&mut self, upstream: &Arc<upstream::Upstream>, is_restarted: bool) {
+    pub fn apply_entry(
+        &mut self,
+        upstream: &Arc<upstream::Upstream>,
+        is_restarted: bool,
+        now_ms: u64,
+    ) {
         let Some(assignment) = self.assignments.get_mut(&upstream.name) else { return };
         assignment.upstream = Arc::clone(upstream);
         if is_restarted {
-            assignment.reset();
+            assignment.reset(now_ms);
             return;
         }
         if let Some(placement) = &mut assignment.placement
@@ -100,8 +106,13 @@
         let Some(report) = report.filter(|_| assignment.fencing_token == fencing_token) else {
             return;
         };
+        let state = placement::WorkerState::from(&report);
+        let sequence = state.sequence.unwrap_or(0);
         if let Some(placement) = &mut assignment.placement {
-            placement.apply_report(&report.adapters, now_ms);
+            let outcome = placement.apply_report(&state, now_ms).as_str();
+            spdlog::info!(
+                "worker-reported-again worker={worker} fence={fencing_token} sequence={sequence} outcome={outcome}"
+            );
             return;
         }
         let profile = ingress.and_then(|ingress| ingress.service(&assignment.upstream.service));
@@ -110,18 +121,13 @@
         let base_model = report.base_models.first().unwrap_or(&first.name).clone();
         let capacity = engine.adapter_capacity(std::slice::from_ref(&base_model));
         let limits = placement::Limits { adapter_capacity: capacity, base_model };
-        let has_base = !report.base_models.is_empty();
-        let (held, late_until_ms) = (report.adapters.len(), assignment.late_until_ms());
+        let has_base = state.has_base_model;
+        let (held, loading) = (state.resident.len(), state.loading.len());
         spdlog::info!(
-            "worker-reported worker={worker} fence={fencing_token} has_base={has_base} adapters={held} capacity={capacity} late_until_ms={late_until_ms}"
+            "worker-reported worker={worker} fence={fencing_token} has_base={has_base} adapters={held} loading={loading} capacity={capacity} sequence={sequence}"
         );
-        assignment.placement = Some(placement::Placement::new(
-            limits,
-            has_base,
-            &report.adapters,
-            late_until_ms,
-            now_ms,
-        ));
+        let placement = placement::Placement::new(limits, &state, assignment.unrecorded, now_ms);
+        assignment.placement = Some(placement);
     }
 
     /// Applies the result of an order; returns the start of the base model load that it completed, if
@@ -140,6 +146,7 @@
             .filter(|assignment| assignment.fencing_token == fencing_token)?;
         let placement = assignment.placement.as_mut()?;
         let base_load = placement.base_load();
+        let support = placement.precondition_support();
         if let Some(load) = placement.apply_order_result(order, result, now_ms) {
             self.load_limit.record(load);
             let (took_ms, in_transit) = (load.took_ms, load.concurrent_loads);
@@ -149,6 +156,10 @@
             );
         }
         let base_load = base_load.filter(|_| placement.has_base_model());
+        if placement.precondition_support() != support {
+            let support = placement.precondition_support().as_str();
+            spdlog::info!("preconditions worker={worker} fence={fencing_token} support={support}");
+        }
         let text = result.as_str();
         // A load is polled until it finishes; intermediate results are logged at debug level only.
         if result == placement::OrderResult::Accepted {
@@ -250,7 +261,7 @@
                 may_load_base_model,
                 other_base_loads,
             };
-            for order in placement.plan(fleet, min_idle_ms, now_ms) {
+            if let Some(order) = placement.plan(fleet, min_idle_ms, now_ms) {
                 jobs.push(job(WorkerCall::Order(order)));
             }
         }
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -206,7 +206,6 @@
                 if let Some((started_ms, others)) = base_load {
                     self.record_base_load(&worker, started_ms, others, now_ms);
                 }
-                self.store_unanswered_orders(&worker, now_ms);
             }
             Message::WorkerReport { worker, fencing_token, report } => {
                 let ingress = self.catalog.ingress().cloned();
@@ -234,14 +233,14 @@
                         "worker-joined worker={worker} service={service} address={address}"
                     );
                     self.local_copies.record(upstream);
-                    self.assignments.apply_entry(upstream, true);
+                    self.assignments.apply_entry(upstream, true, now_ms);
                 }
                 upstream::Change::Updated(upstream) => {
                     if upstream.is_draining {
                         spdlog::info!("worker-draining worker={}", upstream.name);
                     }
                     self.local_copies.record(upstream);
-                    self.assignments.apply_entry(upstream, false);
+                    self.assignments.apply_entry(upstream, false, now_ms);
                 }
                 upstream::Change::Left(worker) => self.handle_worker_removal(worker, now_ms),
             }
@@ -260,14 +259,7 @@
         chooser.latencies.remove(worker);
         drop(chooser);
         let Some(assignment) = self.assignments.remove(worker, "worker-left") else { return };
-        let late_until_ms = assignment.late_until_ms();
-        if late_until_ms <= now_ms {
-            self.outputs
-                .queue_store_job(self.lease_manager.removal_job(worker, assignment.fencing_token));
-            return;
-        }
-        // The worker may still be running and execute these orders: only its entry has expired.
-        self.removed_workers.insert(worker.clone(), assignment.fencing_token, late_until_ms);
+        self.removed_workers.insert(worker.clone(), assignment.fencing_token, now_ms);
     }
 
     fn claim_workers(&mut self, now_ms: u64) {
--- a/crates/edge/src/control/lease_manager.rs
+++ b/crates/edge/src/control/lease_manager.rs
@@ -18,8 +18,8 @@
 /// Delay before a failed call is retried.
 const RETRY_DELAY_MS: u64 = 1_000;
 
-/// Key prefix of rows that record unanswered orders; the worker name follows.
-const UNANSWERED_ORDERS_PREFIX: &str = "late/";
+/// Key prefix of rows about unanswered orders, which earlier versions of the daemon wrote.
+const FORMER_ROWS_PREFIX: &str = "late/";
 
 /// Timing of the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,7 +61,6 @@
     pub(super) regained_ms: u64,
     pub(super) leases: IndexMap<name::HostName, (order_lease::LeaseRow, u64)>,
     pub(super) holders: IndexMap<name::WorkerName, (order_lease::HolderRow, u64)>,
-    pub(super) unanswered_orders: IndexMap<name::WorkerName, order_lease::UnansweredOrdersRow>,
     pub(super) rows_store_ms: u64,
     pub(super) rows_read_ms: Option<u64>,
     pub(super) next_read_ms: u64,
@@ -87,7 +86,6 @@
             regained_ms: 0,
             leases: IndexMap::new(),
             holders: IndexMap::new(),
-            unanswered_orders: IndexMap::new(),
             rows_store_ms: 0,
             rows_read_ms: None,
             next_read_ms: 0,
@@ -201,7 +199,6 @@
             }
         }
         self.holders.clear();
-        self.unanswered_orders.clear();
         for row in holders.rows {
             let Some(value) = &row.value else { continue };
             if let Err(error) = self.apply_holder_row(&row.key, value, row.version) {
@@ -231,11 +228,7 @@
         value: &[u8],
         version: u64,
     ) -> Result<(), fleet::MessageError> {
-        if let Some(worker) = key.strip_prefix(UNANSWERED_ORDERS_PREFIX) {
-            self.unanswered_orders.insert(
-                name::WorkerName::from(worker),
-                fleet::UnansweredOrders::decode_row(value)?,
-            );
+        if key.starts_with(FORMER_ROWS_PREFIX) {
             return Ok(());
         }
         let holder = fleet::WorkerHolder::decode_row(value)?;
@@ -287,44 +280,21 @@
         }
     }
 
-    /// Returns the time until which a worker may execute unanswered orders of earlier holders.
-    pub fn late_until_ms(&self, worker: &name::WorkerName) -> u64 {
-        let row = self.unanswered_orders.get(worker);
-        row.and_then(|row| self.clock.boot_ms_when_passed(row.until_store_ms)).unwrap_or(0)
+    /// Returns the time of day, which is read only at the start of the process, `started_unix_ms`.
+    pub fn unix_ms(&self, started_unix_ms: u64, now_ms: u64) -> u64 {
+        started_unix_ms + now_ms.saturating_sub(self.started_ms)
     }
 
-    /// Returns the write that records until when a worker may execute unanswered orders; `None`
-    /// while the store's clock is unknown.
-    pub fn unanswered_orders_job(
-        &self,
-        worker: &name::WorkerName,
-        late_until_ms: u64,
-        now_ms: u64,
-    ) -> Option<StoreJob> {
-        let left_ms = late_until_ms.saturating_sub(now_ms);
-        let row = order_lease::UnansweredOrdersRow {
-            until_store_ms: self.clock.upper_bound_ms(now_ms)? + left_ms,
-        };
-        let write = store::Write {
-            table: store::Table::Holders,
-            key: format!("{UNANSWERED_ORDERS_PREFIX}{worker}"),
-            value: Some(fleet::UnansweredOrders::from(&row).encode_to_vec()),
-        };
-        let transaction = store::Transaction { conditions: Vec::new(), writes: vec![write] };
-        Some(StoreJob::WriteUnansweredOrders(worker.clone(), transaction))
-    }
-
-    /// Returns the write that deletes the rows of a worker that has left.
+    /// Returns the write that deletes the holder row of a worker that has left.
     pub fn removal_job(&self, worker: &name::WorkerName, fencing_token: u64) -> StoreJob {
         let condition = store::Condition {
             table: store::Table::Holders,
             key: worker.to_string(),
             version: fencing_token,
         };
-        let keys = [worker.to_string(), format!("{UNANSWERED_ORDERS_PREFIX}{worker}")];
-        let table = store::Table::Holders;
-        let writes = keys.map(|key| store::Write { table, key, value: None });
-        StoreJob::Write(store::Transaction { conditions: vec![condition], writes: writes.into() })
+        let (table, key) = (store::Table::Holders, worker.to_string());
+        let writes = vec![store::Write { table, key, value: None }];
+        StoreJob::Write(store::Transaction { conditions: vec![condition], writes })
     }
 
     pub(super) fn read_rows_job(&mut self) -> Option<StoreJob> {
--- a/crates/edge/src/control/outputs.rs
+++ b/crates/edge/src/control/outputs.rs
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug)]
 pub enum WorkerCall {
     /// Execute an order.
-    Order(placement::Order),
+    Order(placement::PlannedOrder),
     /// Report the loaded adapters and base models.
     Report,
 }
--- a/crates/edge/src/control/store_job.rs
+++ b/crates/edge/src/control/store_job.rs
@@ -13,8 +13,6 @@
     Renew(store::Transaction),
     /// Claims a worker for this daemon.
     Claim(name::WorkerName, store::Transaction),
-    /// Records until when a worker may execute unanswered orders.
-    WriteUnansweredOrders(name::WorkerName, store::Transaction),
     /// Deletes the rows of a worker that left, or releases the lease.
     Write(store::Transaction),
 }
@@ -35,8 +33,6 @@
     Renewed(Result<store::Outcome, store::StoreError>, u64),
     /// Result of the claim of a worker.
     Claimed(name::WorkerName, Result<store::Outcome, store::StoreError>),
-    /// Result of recording a worker's unanswered orders.
-    UnansweredOrdersWritten(name::WorkerName, Result<store::Outcome, store::StoreError>),
     /// Result of a write.
     Written(Result<store::Outcome, store::StoreError>),
 }
--- a/crates/edge/src/control/store_replies.rs
+++ b/crates/edge/src/control/store_replies.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use jasminetack_domain::name;
+use jasminetack_domain::placement;
 
 use super::StoreReply;
 use super::control_state::ControlState;
@@ -35,18 +35,15 @@
                     return;
                 };
                 let Some(upstream) = self.catalog.directory().get(&worker) else { return };
-                let remembered_ms = self.removed_workers.take(&worker).unwrap_or(0);
-                let late_until_ms = self.lease_manager.late_until_ms(&worker).max(remembered_ms);
-                self.assignments.add(Arc::clone(upstream), fencing_token, late_until_ms);
+                self.removed_workers.remove(&worker);
+                let unrecorded = placement::UnrecordedOrders::after_claim(
+                    upstream.started_unix_ms,
+                    self.lease_manager.unix_ms(self.started_unix_ms, now_ms),
+                    now_ms,
+                );
+                self.assignments.add(Arc::clone(upstream), fencing_token, unrecorded);
                 self.changed_workers.insert(worker);
             }
-            StoreReply::UnansweredOrdersWritten(worker, result) => {
-                let Err(error) = result else { return };
-                spdlog::warn!("late-note-failed worker={worker} error={error:?}");
-                if let Some(assignment) = self.assignments.get_mut(&worker) {
-                    assignment.record_late_write_failure();
-                }
-            }
             StoreReply::Written(result) => {
                 if let Err(error) = result {
                     spdlog::warn!("write-failed error={error:?}");
@@ -56,17 +53,6 @@
         }
     }
 
-    /// Records in the store until when a worker may execute unanswered orders, for its next holder.
-    pub(super) fn store_unanswered_orders(&mut self, worker: &name::WorkerName, now_ms: u64) {
-        let Some(assignment) = self.assignments.get_mut(worker) else { return };
-        let Some(late_until_ms) = assignment.take_late_update() else { return };
-        match self.lease_manager.unanswered_orders_job(worker, late_until_ms, now_ms) {
-            Some(job) => self.outputs.queue_store_job(job),
-            // The time cannot be expressed before the store's clock has been observed.
-            None => assignment.record_late_write_failure(),
-        }
-    }
-
     pub(super) fn update_peers(&mut self, now_ms: u64) {
         let own = self.lease_manager.host().clone();
         let mut listed = Vec::new();
--- a/crates/edge/src/control/writer.rs
+++ b/crates/edge/src/control/writer.rs
@@ -57,9 +57,6 @@
             StoreJob::Claim(worker, transaction) => {
                 StoreReply::Claimed(worker, self.store.transact(&transaction))
             }
-            StoreJob::WriteUnansweredOrders(worker, transaction) => {
-                StoreReply::UnansweredOrdersWritten(worker, self.store.transact(&transaction))
-            }
             StoreJob::Write(transaction) => StoreReply::Written(self.store.transact(&transaction)),
         }
     }
--- a/crates/edge/src/dialect/order_context.rs
+++ b/crates/edge/src/dialect/order_context.rs
@@ -1,8 +1,8 @@
-//! Sender and receiver of an order.
+//! Sender, receiver and precondition of an order.
 
 use jasminetack_domain::name;
 
-/// Sender, fencing token and receiver of an order.
+/// Sender, fencing token, receiver and precondition of an order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OrderContext {
     /// Daemon that sends the order.
@@ -11,4 +11,7 @@
     pub fencing_token: u64,
     /// Worker that receives the order.
     pub worker: name::WorkerName,
+    /// Number of accepted orders at which the worker may execute the order; `None` for a worker that
+    /// does not check preconditions.
+    pub precondition: Option<u64>,
 }
--- a/crates/edge/src/store/table.rs
+++ b/crates/edge/src/store/table.rs
@@ -9,7 +9,7 @@
     Workers,
     /// Leases; each daemon writes its own.
     Leases,
-    /// Holders of workers, and deadlines of unanswered orders.
+    /// Holders of workers.
     Holders,
 }
 
--- a/crates/edge/src/traffic/order_sender.rs
+++ b/crates/edge/src/traffic/order_sender.rs
@@ -49,8 +49,9 @@
     async fn execute(&self, job: control::WorkerJob) {
         let (worker, fencing_token) = (job.upstream.name.clone(), job.fencing_token);
         let message = match job.call.clone() {
-            control::WorkerCall::Order(order) => {
-                let result = self.send_order(&job, &order).await;
+            control::WorkerCall::Order(planned) => {
+                let result = self.send_order(&job, &planned).await;
+                let order = planned.order;
                 control::Message::OrderResult { worker, fencing_token, order, result }
             }
             control::WorkerCall::Report => {
@@ -65,14 +66,15 @@
     async fn send_order(
         &self,
         job: &control::WorkerJob,
-        order: &placement::Order,
+        planned: &placement::PlannedOrder,
     ) -> placement::OrderResult {
         let context = dialect::OrderContext {
             holder: self.shared.host.name.clone(),
             fencing_token: job.fencing_token,
             worker: job.upstream.name.clone(),
+            precondition: planned.precondition,
         };
-        let (path, body) = self.shared.dialect.encode_order(order, &context);
+        let (path, body) = self.shared.dialect.encode_order(&planned.order, &context);
         let response = self.send_request(job, Method::POST, path, body).await;
         match response {
             Ok((status, _)) => self.shared.dialect.decode_order_result(status),
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 
 mod endless_worker;
 mod http_server;
+mod order_executor;
 mod response_stream;
 mod row_store;
 mod run_guard;
@@ -13,6 +14,7 @@
 mod worker_faults;
 mod worker_log;
 mod worker_messages;
+mod worker_orders;
 
 pub use endless_worker::{EndlessBytes, EndlessWorker};
 pub use row_store::RowStore;
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -18,10 +18,11 @@
 use tokio::time;
 
 use super::http_server::{self, Body, Handler};
+use super::order_executor::OrderExecutor;
 use super::response_stream::{ResponseStream, end_with_connection, framed_response};
 use super::run_guard::RunGuard;
 use super::worker_faults::{ResponseFraming, WorkerFaults};
-use super::worker_log::{ReceivedOrder, Run, WorkerLog};
+use super::worker_log::{Run, WorkerLog};
 use super::worker_messages;
 
 /// Exceeds the response timeout of every test.
@@ -54,12 +55,11 @@
 /// Stand-in for a worker.
 #[derive(Debug)]
 pub struct Worker {
-    config: WorkerConfig,
-    faults: Mutex<WorkerFaults>,
-    /// Loaded and loading adapters: version, and the time at which loading finishes.
-    adapters: Mutex<BTreeMap<String, (u64, Instant)>>,
-    published_versions: Mutex<BTreeMap<String, u64>>,
-    log: Mutex<WorkerLog>,
+    pub(super) config: WorkerConfig,
+    pub(super) faults: Mutex<WorkerFaults>,
+    pub(super) orders: Mutex<OrderExecutor>,
+    pub(super) published_versions: Mutex<BTreeMap<String, u64>>,
+    pub(super) log: Mutex<WorkerLog>,
     /// Notified when the worker crashes.
     crash: Notify,
     crashes: AtomicU64,
@@ -73,9 +73,9 @@
     /// Returns an error if no port is available or the thread cannot be spawned.
     pub fn start(config: WorkerConfig) -> io::Result<(Arc<Self>, SocketAddr)> {
         let worker = Arc::new(Self {
+            orders: Mutex::new(OrderExecutor::new(config.load_time)),
             config,
             faults: Mutex::default(),
-            adapters: Mutex::default(),
             published_versions: Mutex::default(),
             log: Mutex::default(),
             crash: Notify::new(),
@@ -112,7 +112,7 @@
 
     /// Drops all adapters, as a restart would.
     pub fn unload_all(&self) {
-        self.adapters.lock().clear();
+        self.orders.lock().restart();
     }
 
     /// Returns the entry that the worker writes to the store.
@@ -126,79 +126,30 @@
             "State": state,
             "ColdLeftMs": 0,
             "Models": self.models(),
-            "Sequence": 0,
+            "Sequence": self.orders.lock().sequence(),
             "born": born,
         })
     }
 
     fn models(&self) -> Value {
         let Some(model) = &self.config.model else { return json!([]) };
-        let adapters = self.adapters.lock();
-        let adapters = adapters.iter().map(|(name, (version, _))| format!("{name}@{version}"));
-        json!([{"Name": model, "Version": 1, "Adapters": adapters.collect::<Vec<_>>()}])
+        let adapters = self.orders.lock().listed(true, "", Instant::now());
+        json!([{"Name": model, "Version": 1, "Adapters": adapters}])
     }
 
-    fn record_violation(&self, violation: String) {
-        self.log.lock().violations.push(violation);
-    }
-
-    fn order(&self, body: &[u8]) -> Response<Body> {
-        let order: Value = serde_json::from_slice(body).unwrap_or_default();
-        let text = |field: &str| order[field].as_str().unwrap_or_default().to_owned();
-        let (operation, adapter) = (text("Operation"), text("Adapter"));
-        let fence = order["FencingToken"].as_u64().unwrap_or(0);
-        let received = ReceivedOrder {
-            holder: text("Holder"),
-            fence,
-            order: format!("{operation} {adapter}"),
-            at: Instant::now(),
-        };
-        self.check_order_sequence(&received);
-        self.log.lock().orders.push(received);
-        let mut adapters = self.adapters.lock();
-        if operation == "unload" {
-            if let Some((version, _)) = adapters.remove(&adapter) {
-                let label = format!("{adapter}@{version}");
-                let mut log = self.log.lock();
-                let in_use = log.runs.iter().any(|run| {
-                    run.ended.is_none() && run.adapter.as_ref().is_some_and(|used| *used == label)
-                });
-                log.unloads_in_use += usize::from(in_use);
-            }
-            return http_server::response(StatusCode::OK, "");
-        }
-        let latest = self.published_versions.lock().get(&adapter).copied().unwrap_or(1);
-        let version = order["Version"].as_u64().unwrap_or(latest);
-        if let Some((loaded, ready)) = adapters.get(&adapter)
-            && *loaded == version
-        {
-            let is_ready = *ready <= Instant::now();
-            let status = if is_ready { StatusCode::OK } else { StatusCode::ACCEPTED };
-            return http_server::response(status, "");
-        }
-        adapters.insert(adapter, (version, Instant::now() + self.config.load_time));
-        if adapters.len() > self.config.adapter_slots {
-            let loaded = adapters.len();
-            drop(adapters);
-            self.record_violation(format!("{loaded} adapters loaded or loading"));
-        }
-        http_server::response(StatusCode::ACCEPTED, "")
+    fn report(&self) -> Value {
+        let orders = self.orders.lock().clone();
+        let prefix = format!("{}/", self.config.model.as_deref().unwrap_or_default());
+        json!({
+            "Phase": "colocated",
+            "Models": self.models(),
+            "Pending": orders.listed(false, &prefix, Instant::now()),
+            "Sequence": orders.sequence(),
+        })
     }
 
-    fn check_order_sequence(&self, order: &ReceivedOrder) {
-        let mut violations = Vec::new();
-        let mut log = self.log.lock();
-        if let Some(last) = log.orders.last() {
-            if order.fence < last.fence {
-                violations.push(format!("fencing token {} after {}", order.fence, last.fence));
-            }
-            let holder_changed = order.holder != last.holder;
-            if holder_changed && order.at.duration_since(last.at) < self.config.lease {
-                violations
-                    .push(format!("order of {} within the lease of {}", order.holder, last.holder));
-            }
-        }
-        log.violations.extend(violations);
+    pub(super) fn record_violation(&self, violation: String) {
+        self.log.lock().violations.push(violation);
     }
 
     /// Returns the adapter version that runs a request, or the status with which it is rejected.
@@ -217,8 +168,8 @@
         let Some((_, adapter)) = header("Model").and_then(|model| model.split_once('/')) else {
             return Ok(None);
         };
-        let adapters = self.adapters.lock();
-        let loaded = adapters.get(adapter).filter(|(_, ready)| *ready <= Instant::now());
+        let orders = self.orders.lock();
+        let loaded = orders.adapters().get(adapter).filter(|(_, ready)| *ready <= Instant::now());
         let (version, _) = loaded.ok_or(StatusCode::MISDIRECTED_REQUEST)?;
         let expected = header("Expected-Version").and_then(|version| version.parse().ok());
         if expected.is_some_and(|expected: u64| expected != *version) {
@@ -379,14 +330,14 @@
             "/v1/order" => {
                 let body = request.into_body().collect().await.ok()?.to_bytes();
                 let response = self.order(&body);
-                if faults.withholds_order_responses {
+                if faults.withholds_order_responses || response.is_none() {
                     time::sleep(UNRESPONSIVE_DURATION).await;
                 }
-                Some(response)
+                response
             }
             "/v1/report" => {
-                let body = json!({"Phase": "colocated", "Models": self.models(), "Pending": []});
-                Some(http_server::json_response(StatusCode::OK, &body))
+                self.log.lock().reports += 1;
+                Some(http_server::json_response(StatusCode::OK, &self.report()))
             }
             _ => self.serve(request).await,
         }
--- a/crates/standins/src/fleet/worker_faults.rs
+++ b/crates/standins/src/fleet/worker_faults.rs
@@ -1,5 +1,7 @@
 //! Injected faults of a worker.
 
+use std::time::Duration;
+
 /// Framing of responses.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ResponseFraming {
@@ -33,6 +35,10 @@
     pub mismatches_attempt_ids: bool,
     /// Orders are executed, but get no response.
     pub withholds_order_responses: bool,
+    /// Orders get no response and are executed after this time.
+    pub order_delay: Option<Duration>,
+    /// Orders are executed whatever their preconditions.
+    pub ignores_preconditions: bool,
     /// Requests to a plain service are executed and return status 500.
     pub returns_errors: bool,
     /// Segment of a prompt on which the worker crashes when it starts to answer.
--- a/crates/standins/src/fleet/worker_log.rs
+++ b/crates/standins/src/fleet/worker_log.rs
@@ -43,6 +43,10 @@
     pub rejections: Vec<Instant>,
     /// Received orders.
     pub orders: Vec<ReceivedOrder>,
+    /// Number of orders that were executed late.
+    pub late_orders: usize,
+    /// Number of reports that were requested.
+    pub reports: usize,
     /// Number of unload orders for adapters that a running request was using.
     pub unloads_in_use: usize,
     /// Descriptions of protocol violations.
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -27,7 +27,7 @@
 pub use cleared_segment::ClearedSegment;
 pub use leaving_worker::LeavingWorker;
 pub use quarantined_segment::QuarantinedSegment;
-pub use rows::{Lease, UnansweredOrders, WorkerHolder};
+pub use rows::{Lease, WorkerHolder};
 pub use suspect_segment::SuspectSegment;
 pub use table_state::TableState;
 pub use worker_crash::WorkerCrash;
--- a/crates/wire/src/fleet/rows.rs
+++ b/crates/wire/src/fleet/rows.rs
@@ -32,14 +32,6 @@
     pub host: String,
 }
 
-/// Deadline of a worker's orders that were sent but not yet answered.
-#[derive(Clone, Copy, PartialEq, Message)]
-pub struct UnansweredOrders {
-    /// Store clock time after which the worker executes none of these orders.
-    #[prost(uint64, tag = "1")]
-    pub expires_store_ms: u64,
-}
-
 impl From<&order_lease::LeaseRow> for Lease {
     fn from(row: &order_lease::LeaseRow) -> Self {
         Self {
@@ -85,21 +77,3 @@
         Ok(order_lease::HolderRow { host: name::HostName::from(row.host) })
     }
 }
-
-impl From<&order_lease::UnansweredOrdersRow> for UnansweredOrders {
-    fn from(row: &order_lease::UnansweredOrdersRow) -> Self {
-        Self { expires_store_ms: row.until_store_ms }
-    }
-}
-
-impl UnansweredOrders {
-    /// Decodes the row of a worker's unanswered orders.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the bytes are not a row of unanswered orders.
-    pub fn decode_row(bytes: &[u8]) -> Result<order_lease::UnansweredOrdersRow, MessageError> {
-        let row = Self::decode(bytes).context(DecodeSnafu)?;
-        Ok(order_lease::UnansweredOrdersRow { until_store_ms: row.expires_store_ms })
-    }
-}
