--- a/crates/domain/src/placement/answers.rs
+++ b/crates/domain/src/placement/answers.rs
@@ -39,7 +39,7 @@
             return None;
         }
         let effect = self.effect(&sent, result, now_ms);
-        self.sequence.apply(effect, now_ms);
+        self.sequence.apply(order, effect, now_ms);
         match order {
             Order::LoadBase(_) => self.apply_base_load_result(result, now_ms),
             Order::Load(adapter) => return self.apply_load_result(adapter, result, now_ms),
--- a/crates/domain/src/placement/order_sequence.rs
+++ b/crates/domain/src/placement/order_sequence.rs
@@ -33,6 +33,8 @@
     is_probed: bool,
     next_probe_ms: u64,
     sent: Option<SentOrder>,
+    /// Order whose answer does not tell whether it was executed.
+    unexplained: Option<Order>,
 }
 
 impl OrderSequence {
@@ -51,6 +53,7 @@
             is_probed: false,
             next_probe_ms: now_ms,
             sent: None,
+            unexplained: None,
         }
     }
 
@@ -135,13 +138,16 @@
         self.sent.take()
     }
 
-    /// Applies the effect of an answer to the number of accepted orders.
-    pub fn apply(&mut self, effect: SequenceEffect, now_ms: u64) {
+    /// Applies the effect of the answer to an order to the number of accepted orders.
+    pub fn apply(&mut self, order: &Order, effect: SequenceEffect, now_ms: u64) {
         let Some(count) = self.count else { return };
         match effect {
             SequenceEffect::Unchanged => {}
             SequenceEffect::Advanced => self.set_count(count + 1, now_ms),
-            SequenceEffect::Unknown => self.count = None,
+            SequenceEffect::Unknown => {
+                self.count = None;
+                self.unexplained = Some(order.clone());
+            }
         }
     }
 
@@ -177,15 +183,16 @@
         now_ms.saturating_sub(self.confirmed_ms) >= MAX_REPORT_AGE_MS
     }
 
-    /// Adopts a reported number; an unanswered order with a lower precondition can no longer take
-    /// effect and is given up.
-    pub fn adopt(&mut self, reported: u64, now_ms: u64) {
+    /// Adopts a reported number; returns the order that the report explains: one whose answer did not
+    /// tell, or one without an answer that can no longer take effect, as its precondition is lower.
+    pub fn adopt(&mut self, reported: u64, now_ms: u64) -> Option<Order> {
         self.set_count(reported, now_ms);
         let is_over = |sent: &SentOrder| {
             sent.purpose != OrderPurpose::Probe
                 && sent.precondition.is_some_and(|precondition| precondition < reported)
         };
-        self.sent.take_if(|sent| is_over(sent));
+        let over = self.sent.take_if(|sent| is_over(sent));
+        self.unexplained.take().or(over.map(|sent| sent.order))
     }
 
     /// Stops to rely on preconditions, as the worker no longer states how many orders it accepted.
--- a/crates/domain/src/placement/reports.rs
+++ b/crates/domain/src/placement/reports.rs
@@ -1,14 +1,21 @@
 //! Reports of a worker to its holder.
 
 use super::report_age::ReportAge;
-use super::{AdapterSlot, Placement, SlotState, UnrecordedOrders, WorkerState};
+use super::{AdapterSlot, Order, Placement, SlotState, UnrecordedOrders, WorkerState};
 use crate::adapter;
 
 /// What became of a report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReportOutcome {
     /// The slots agree with it.
     Adopted,
+    /// The slots agree with it, and it explains what became of an order.
+    Settled {
+        /// The order.
+        order: Order,
+        /// Whether the worker is in the ordered state, or about to be.
+        is_executed: bool,
+    },
     /// It is older than the last answer of the worker and was ignored.
     Outdated,
     /// The worker restarted, and its placement begins anew.
@@ -18,9 +25,9 @@
 impl ReportOutcome {
     /// Returns the name used in logs.
     #[must_use]
-    pub fn as_str(self) -> &'static str {
+    pub fn as_str(&self) -> &'static str {
         match self {
-            Self::Adopted => "adopted",
+            Self::Adopted | Self::Settled { .. } => "adopted",
             Self::Outdated => "outdated",
             Self::Restarted => "restarted",
         }
@@ -85,11 +92,14 @@
                 ReportOutcome::Restarted
             }
             ReportAge::Current => {
-                self.sequence.adopt(sequence, now_ms);
+                let settled = self.sequence.adopt(sequence, now_ms);
                 self.has_base_model |= reported.has_base_model;
                 self.drop_unlisted(reported, now_ms);
                 self.merge_listed(reported, now_ms);
-                ReportOutcome::Adopted
+                settled.map_or(ReportOutcome::Adopted, |order| ReportOutcome::Settled {
+                    is_executed: reported.is_as_ordered(&order),
+                    order,
+                })
             }
         }
     }
--- a/crates/domain/tests/late_orders/rules.rs
+++ b/crates/domain/tests/late_orders/rules.rs
@@ -95,8 +95,12 @@
     let result = worker.execute(&again, now_ms);
     assert_eq!(result, placement::OrderResult::Busy, "the load ended, and the count advanced");
     holder.apply(&again, result, now_ms);
+    assert!(holder.placement.needs_report(now_ms));
+    assert_eq!(holder.placement.summary().held.len(), 1);
+    let outcome = holder.placement.apply_report(&worker.report(now_ms), now_ms);
+    let settled = placement::ReportOutcome::Settled { order: again.order, is_executed: true };
+    assert_eq!(outcome, settled);
     assert_eq!(holder.run(&mut worker, now_ms), []);
-    assert_eq!(holder.reports, 2);
     assert_eq!(holder.placement.counts().resident, 1);
 }
 
--- a/crates/edge/src/control/assignments.rs
+++ b/crates/edge/src/control/assignments.rs
@@ -109,10 +109,17 @@
         let state = placement::WorkerState::from(&report);
         let sequence = state.sequence.unwrap_or(0);
         if let Some(placement) = &mut assignment.placement {
-            let outcome = placement.apply_report(&state, now_ms).as_str();
+            let outcome = placement.apply_report(&state, now_ms);
+            let text = outcome.as_str();
             spdlog::info!(
-                "worker-reported-again worker={worker} fence={fencing_token} sequence={sequence} outcome={outcome}"
+                "worker-reported-again worker={worker} fence={fencing_token} sequence={sequence} outcome={text}"
             );
+            if let placement::ReportOutcome::Settled { order, is_executed } = outcome {
+                let result = if is_executed { "holds" } else { "not-executed" };
+                spdlog::info!(
+                    "order worker={worker} fence={fencing_token} order={order} result={result} source=report"
+                );
+            }
             return;
         }
         let profile = ingress.and_then(|ingress| ingress.service(&assignment.upstream.service));
