--- a/crates/domain/src/placement/order_sequence.rs
+++ b/crates/domain/src/placement/order_sequence.rs
@@ -178,6 +178,11 @@
         }
     }
 
+    /// Returns whether a reported number is above the last known one.
+    pub fn is_behind(&self, reported: u64) -> bool {
+        reported > self.confirmed
+    }
+
     /// Returns whether a new report cannot be older than the last change of the number.
     pub fn is_settled(&self, now_ms: u64) -> bool {
         now_ms.saturating_sub(self.confirmed_ms) >= MAX_REPORT_AGE_MS
--- a/crates/domain/src/placement/reports.rs
+++ b/crates/domain/src/placement/reports.rs
@@ -92,10 +92,11 @@
                 ReportOutcome::Restarted
             }
             ReportAge::Current => {
+                let has_advanced = self.sequence.is_behind(sequence);
                 let settled = self.sequence.adopt(sequence, now_ms);
                 self.has_base_model |= reported.has_base_model;
                 self.drop_unlisted(reported, now_ms);
-                self.merge_listed(reported, now_ms);
+                self.merge_listed(reported, has_advanced, now_ms);
                 settled.map_or(ReportOutcome::Adopted, |order| ReportOutcome::Settled {
                     is_executed: reported.is_as_ordered(&order),
                     order,
@@ -137,7 +138,7 @@
     }
 
     /// Brings the slots of the adapters that the worker holds or loads in line with the report.
-    fn merge_listed(&mut self, reported: &WorkerState, now_ms: u64) {
+    fn merge_listed(&mut self, reported: &WorkerState, has_advanced: bool, now_ms: u64) {
         self.add_unknown(reported, now_ms);
         let repeated = self.sequence.sent_order().and_then(|order| order.adapter()).cloned();
         let mut superseded = Vec::new();
@@ -150,6 +151,10 @@
             }
             match slot.state {
                 SlotState::Resident => {}
+                // The worker still waits for the requests that use the adapter.
+                SlotState::Unloading if slot.is_accepted && !has_advanced => {
+                    slot.accepted_ms = Some(now_ms);
+                }
                 SlotState::Unloading => {
                     slot.mark_unordered(now_ms);
                     slot.cancel_unload_if_used(now_ms);
