--- a/crates/domain/tests/late_orders/main.rs
+++ b/crates/domain/tests/late_orders/main.rs
@@ -3,4 +3,5 @@
 mod holder;
 mod properties;
 mod rules;
+mod throughput;
 mod worker;
--- a/crates/edge/src/control/assignments.rs
+++ b/crates/edge/src/control/assignments.rs
@@ -93,7 +93,8 @@
         }
     }
 
-    /// Applies a worker's report; `None` if the worker sent no valid one.
+    /// Applies a worker's report, which is `None` if the worker sent no valid one; returns what became of
+    /// it, as used in metrics.
     pub fn apply_report(
         &mut self,
         worker: &name::WorkerName,
@@ -101,11 +102,12 @@
         report: Option<dialect::WorkerReport>,
         ingress: Option<&Arc<ingress::Ingress>>,
         now_ms: u64,
-    ) {
-        let Some(assignment) = self.assignments.get_mut(worker) else { return };
-        let Some(report) = report.filter(|_| assignment.fencing_token == fencing_token) else {
-            return;
-        };
+    ) -> &'static str {
+        let Some(assignment) = self.assignments.get_mut(worker) else { return "unused" };
+        let Some(report) = report else { return "failed" };
+        if assignment.fencing_token != fencing_token {
+            return "unused";
+        }
         let state = placement::WorkerState::from(&report);
         let sequence = state.sequence.unwrap_or(0);
         if let Some(placement) = &mut assignment.placement {
@@ -120,11 +122,13 @@
                     "order worker={worker} fence={fencing_token} order={order} result={result} source=report"
                 );
             }
-            return;
+            return text;
         }
         let profile = ingress.and_then(|ingress| ingress.service(&assignment.upstream.service));
-        let Some(engine) = profile.and_then(|profile| profile.engine.as_ref()) else { return };
-        let Some(first) = engine.base_models.first() else { return };
+        let Some(engine) = profile.and_then(|profile| profile.engine.as_ref()) else {
+            return "unused";
+        };
+        let Some(first) = engine.base_models.first() else { return "unused" };
         let base_model = report.base_models.first().unwrap_or(&first.name).clone();
         let capacity = engine.adapter_capacity(std::slice::from_ref(&base_model));
         let limits = placement::Limits { adapter_capacity: capacity, base_model };
@@ -135,6 +139,7 @@
         );
         let placement = placement::Placement::new(limits, &state, assignment.unrecorded, now_ms);
         assignment.placement = Some(placement);
+        "first"
     }
 
     /// Applies the result of an order; returns the start of the base model load that it completed, if
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -209,13 +209,14 @@
             }
             Message::WorkerReport { worker, fencing_token, report } => {
                 let ingress = self.catalog.ingress().cloned();
-                self.assignments.apply_report(
+                let result = self.assignments.apply_report(
                     &worker,
                     fencing_token,
                     report,
                     ingress.as_ref(),
                     now_ms,
                 );
+                self.metrics.record_worker_report(result);
                 self.changed_workers.insert(worker);
             }
             Message::Shutdown => self.begin_shutdown(),
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -30,6 +30,7 @@
     total: DurationHistograms,
     failed_attempts: Family<Label, Counter>,
     orders: Family<Label, Counter>,
+    worker_reports: Family<Label, Counter>,
     store_calls: Family<StoreCall, Counter>,
     /// Crashes of workers that this daemon noticed.
     pub worker_crashes: Counter,
@@ -50,6 +51,7 @@
         let total: DurationHistograms = Family::new_with_constructor(duration_histogram);
         let failed_attempts = Family::default();
         let orders = Family::default();
+        let worker_reports = Family::default();
         let store_calls = Family::default();
         registry.register("in_flight", "Requests being served", in_flight.clone());
         registry.register("requests", "Requests by kind and outcome", requests.clone());
@@ -60,6 +62,8 @@
         let help = "Attempts at workers without a usable answer";
         registry.register("failed_attempts", help, failed_attempts.clone());
         registry.register("orders", "Orders to workers by result", orders.clone());
+        let help = "Reports requested from workers, by result";
+        registry.register("worker_reports", help, worker_reports.clone());
         let help = "Calls to the metadata store by kind, table and result";
         registry.register("store_calls", help, store_calls.clone());
         let worker_crashes = Counter::default();
@@ -80,6 +84,7 @@
             total,
             failed_attempts,
             orders,
+            worker_reports,
             store_calls,
             worker_crashes,
             quarantined_segments,
@@ -108,6 +113,11 @@
         self.orders.get_or_create(&[("result", result.to_owned())]).inc();
     }
 
+    /// Records the result of requesting a report from a worker.
+    pub fn record_worker_report(&self, result: &str) {
+        self.worker_reports.get_or_create(&[("result", result.to_owned())]).inc();
+    }
+
     /// Records a call to the metadata store.
     pub fn record_store_call(&self, call: &str, table: &str, result: &str) {
         let labels = [("call", call), ("table", table), ("result", result)];
