--- a/crates/domain/src/slot_credit/worker_slots.rs
+++ b/crates/domain/src/slot_credit/worker_slots.rs
@@ -128,8 +128,7 @@
     /// Allows one more call at once after enough calls that no rejection has answered.
     fn record_call_when_full(&mut self) {
         self.calls_when_full += 1;
-        let needed =
-            if self.has_rejected { CALLS_PER_LATER_INCREASE } else { CALLS_PER_INCREASE };
+        let needed = if self.has_rejected { CALLS_PER_LATER_INCREASE } else { CALLS_PER_INCREASE };
         let most = (f64::from(self.slots) * MAX_QUEUED_SHARE) as u32;
         if self.calls_when_full >= needed && self.queued < most {
             self.queued += 1;
--- a/crates/edge/src/traffic/order_sender.rs
+++ b/crates/edge/src/traffic/order_sender.rs
@@ -52,8 +52,9 @@
     async fn execute(&self, job: control::WorkerJob) {
         let (worker, fencing_token) = (job.upstream.name.clone(), job.fencing_token);
         let message = match job.call.clone() {
-            control::WorkerCall::Order(order) => {
-                let result = self.send_order(&job, &order).await;
+            control::WorkerCall::Order(planned) => {
+                let result = self.send_order(&job, &planned).await;
+                let order = planned.order;
                 control::Message::OrderResult { worker, fencing_token, order, result }
             }
             control::WorkerCall::Report => {
@@ -68,15 +69,16 @@
     async fn send_order(
         &self,
         job: &control::WorkerJob,
-        order: &placement::Order,
+        planned: &placement::PlannedOrder,
     ) -> placement::OrderResult {
         let context = dialect::OrderContext {
             holder: self.shared.host.name.clone(),
             fencing_token: job.fencing_token,
             worker: job.upstream.name.clone(),
+            precondition: planned.precondition,
         };
-        let (path, body) = self.shared.dialect.encode_order(order, &context);
-        let worker = &job.upstream.name;
+        let (path, body) = self.shared.dialect.encode_order(&planned.order, &context);
+        let (worker, order) = (&job.upstream.name, &planned.order);
         let kept = self.connections.lock().take(worker, order);
         let request = self.build_request(job, Method::POST, path, body);
         let (status, _, connection) = match send_request(job, request, kept).await {
