Count the crashes of a burst as separate evidence

Change: one rule in place of the weights. A segment is quarantined if a sound one would hardly be on the crashed workers and in no answer, at whatever share of the requests makes that most probable. Workers that crash at one moment are one event, but if all of them had the segment, each crash counts. Clearances are told after two crashes also if answers came between them.

--- a/crates/domain/src/quarantine/crash_log.rs
+++ b/crates/domain/src/quarantine/crash_log.rs
@@ -4,9 +4,12 @@
 
 use indexmap::IndexMap;
 
-use super::WorkerCrash;
+use super::answer_counts::AnswerCounts;
+use super::answered_segments::AnsweredSegments;
 use super::evidence::Evidence;
 use super::recorded_crash::RecordedCrash;
+use super::segment_crashes::SegmentCrashes;
+use super::{ONSET_MS, WorkerCrash};
 use crate::dispatch;
 
 /// Time for which a crash counts.
@@ -16,6 +19,20 @@
 /// Age up to which the first crashes are kept and further ones ignored, so that a decision need not wait
 /// until workers stop crashing.
 const RECENT_MS: u64 = 10_000;
+/// Crashes within this time of each other may have one cause, such as the loss of a rack.
+const COMMON_CAUSE_MS: u64 = 150;
+/// Crashes that are kept of one moment, as a sample. If workers crash faster than the log can keep, the
+/// crashes of several moments must be there for a decision.
+const MAX_MOMENT_CRASHES: usize = 8;
+/// Crashes from which a segment is examined. They are not sufficient, but may become so with the next one.
+const MIN_CRASHES: usize = 3;
+/// Segments that are examined, those in most crashes first; it bounds the processor time.
+const MAX_CANDIDATES: usize = 32;
+/// Time in which requests of one clump are sent; the answers of this time before and after a crash show
+/// what was in the traffic then.
+const CLUMP_MS: u64 = 1_000;
+/// Time before a crash from which answers count: those that had not lasted for the onset broke off.
+const BEFORE_CRASH_MS: u64 = CLUMP_MS + ONSET_MS;
 
 /// Recent crashes of workers, the oldest first.
 #[derive(Clone, Debug, Default)]
@@ -24,11 +41,11 @@
 }
 
 impl CrashLog {
-    /// Records a crash as one daemon saw it.
-    pub fn record(&mut self, crash: &WorkerCrash, now_ms: u64) {
+    /// Records a crash as one daemon saw it; `is_own` tells that it was this one.
+    pub fn record(&mut self, crash: &WorkerCrash, is_own: bool, now_ms: u64) {
         let is_same = |recorded: &RecordedCrash| recorded.is_reported_by(crash, now_ms);
         if let Some(position) = self.crashes.iter().rposition(is_same) {
-            self.crashes[position].add_report(crash);
+            self.crashes[position].add_report(crash, is_own);
             return;
         }
         if self.crashes.len() >= MAX_CRASHES {
@@ -38,7 +55,15 @@
             }
             self.crashes.pop_front();
         }
-        self.crashes.push_back(RecordedCrash::new(crash, now_ms));
+        let of_moment = self.crashes.iter().rev();
+        let of_moment =
+            of_moment.take_while(|crash| now_ms.saturating_sub(crash.at_ms) < COMMON_CAUSE_MS);
+        if of_moment.count() >= MAX_MOMENT_CRASHES {
+            return;
+        }
+        let mut recorded = RecordedCrash::new(crash, now_ms);
+        recorded.add_report(crash, is_own);
+        self.crashes.push_back(recorded);
     }
 
     /// Drops crashes that no longer count.
@@ -46,15 +71,15 @@
         self.crashes.retain(|crash| now_ms.saturating_sub(crash.at_ms) < LIFETIME_MS);
     }
 
-    /// Drops a segment from the suspects of all crashes up to a time; returns from how many.
-    pub fn exonerate(&mut self, segment: dispatch::SegmentId, until_ms: u64) -> usize {
+    /// Drops a segment from the suspects of all crashes up to a time. Returns from how many, and how many
+    /// crashes had the segment in all.
+    pub fn exonerate(&mut self, segment: dispatch::SegmentId, until_ms: u64) -> (usize, usize) {
         let mut dropped = 0;
         for crash in &mut self.crashes {
-            if crash.at_ms <= until_ms && crash.suspects.swap_remove(&segment).is_some() {
-                dropped += 1;
-            }
+            dropped += usize::from(crash.at_ms <= until_ms && crash.clear(segment));
         }
-        dropped
+        let had = self.crashes.iter().filter(|crash| crash.had(segment));
+        (dropped, if dropped > 0 { had.count() } else { 0 })
     }
 
     /// Returns the time of the first crash from `since_ms` on that a segment is suspected of.
@@ -63,27 +88,87 @@
         crashes.filter(|crash| crash.suspects.contains_key(&segment)).map(|crash| crash.at_ms).min()
     }
 
-    /// Returns the evidence against each segment, leaving out the crashes that have another known
-    /// cause.
-    pub fn evidence<IsKnown>(&self, is_known_cause: IsKnown) -> Vec<Evidence>
+    /// Returns the evidence against the segments that are suspected of enough crashes, leaving out the
+    /// crashes that have another known cause.
+    pub fn evidence<IsKnown>(
+        &self,
+        is_known_cause: IsKnown,
+        answered: &AnsweredSegments,
+        answers: &AnswerCounts,
+        now_ms: u64,
+    ) -> Vec<Evidence>
     where
         IsKnown: Fn(dispatch::SegmentId) -> bool,
     {
         let is_unexplained =
             |crash: &&RecordedCrash| !crash.suspects.keys().any(|segment| is_known_cause(*segment));
         let unexplained: Vec<_> = self.crashes.iter().filter(is_unexplained).collect();
-        let mut all: IndexMap<dispatch::SegmentId, Evidence> = IndexMap::new();
-        for (index, crash) in unexplained.iter().enumerate() {
-            let since = &unexplained[index..];
-            let all_requests = since.iter().map(|crash| crash.requests).sum();
-            for suspect in crash.suspects.values() {
-                let new = || Evidence::new(suspect.id, since.len(), all_requests);
-                let evidence = all.entry(suspect.id).or_insert_with(new);
-                evidence.crashes_ms.push(crash.at_ms);
-                evidence.requests = evidence.requests.saturating_add(suspect.requests);
-                evidence.position = evidence.position.max(suspect.position);
+        let mut crash_counts: IndexMap<dispatch::SegmentId, usize> = IndexMap::new();
+        for crash in &unexplained {
+            for segment in crash.suspects.keys() {
+                *crash_counts.entry(*segment).or_default() += 1;
             }
         }
-        all.into_values().collect()
+        let fleet_factor = self.fleet_factor();
+        let groups = group_by_moment(&unexplained);
+        let mut candidates: Vec<_> =
+            crash_counts.iter().filter(|(_, crashes)| **crashes >= MIN_CRASHES).collect();
+        candidates.sort_by_key(|(_, crashes)| std::cmp::Reverse(**crashes));
+        candidates.truncate(MAX_CANDIDATES);
+        let mut all = Vec::new();
+        for (segment, crashes) in candidates {
+            let mut of_segment = SegmentCrashes::new(*segment);
+            for group in &groups {
+                of_segment.add_group(group);
+            }
+            let latest_ms = answered.latest_ms(*segment);
+            let first_crash_ms = of_segment.first_crash_ms.unwrap_or(now_ms);
+            let count = |from_ms: Option<u64>, until_ms| {
+                let after_ms = from_ms.max(latest_ms);
+                let count = answers.count(&of_segment.first_segments, after_ms, until_ms);
+                count as f64 * fleet_factor
+            };
+            let around = |at_ms: u64| count(at_ms.checked_sub(BEFORE_CRASH_MS), at_ms + CLUMP_MS);
+            let moments =
+                of_segment.moments.iter().map(|moment| (*moment, around(moment.at_ms))).collect();
+            all.push(Evidence {
+                segment: *segment,
+                moments,
+                answers: count(first_crash_ms.checked_sub(BEFORE_CRASH_MS), now_ms),
+                was_answered: latest_ms.is_some(),
+                other_crashes: of_segment.other_crashes,
+                has_other_causes: *crashes < unexplained.len(),
+                suspects: crash_counts.len(),
+                first_crash_ms,
+                crashes: *crashes,
+                requests: of_segment.requests,
+                position: of_segment.position,
+            });
+        }
+        all
+    }
+
+    /// Returns by which factor the answers of all daemons are more than those of this one, by its share of
+    /// the requests on the crashed workers.
+    fn fleet_factor(&self) -> f64 {
+        let requests: u32 = self.crashes.iter().map(|crash| crash.requests).sum();
+        let own: u32 = self.crashes.iter().map(|crash| crash.own_requests).sum();
+        // With few requests, the own share is uncertain; one more keeps the factor low.
+        (f64::from(requests) / (f64::from(own) + 1.0)).max(1.0)
+    }
+}
+
+/// Groups crashes, which are in the order of their times, by their moments.
+fn group_by_moment<'log>(crashes: &[&'log RecordedCrash]) -> Vec<Vec<&'log RecordedCrash>> {
+    let mut groups: Vec<Vec<&RecordedCrash>> = Vec::new();
+    for crash in crashes {
+        let of_moment = groups.last_mut().filter(|group| {
+            group.first().is_some_and(|first| crash.at_ms < first.at_ms + COMMON_CAUSE_MS)
+        });
+        match of_moment {
+            Some(group) => group.push(crash),
+            None => groups.push(vec![crash]),
+        }
     }
+    groups
 }
--- a/crates/domain/src/quarantine/evidence.rs
+++ b/crates/domain/src/quarantine/evidence.rs
@@ -1,72 +1,145 @@
 //! What speaks against one segment.
 
+use super::moment::{Moment, ln_choices};
 use crate::dispatch;
 
-/// Crashes within this time of each other may have one cause, such as the loss of a rack, and count
-/// once.
-const COMMON_CAUSE_MS: u64 = 150;
-
-/// Weight of a crash without the segment against one with it: requests happen to be on workers that crash
-/// for other reasons, but two segments may also crash workers at the same time.
-const OTHER_CRASH_WEIGHT: f64 = 0.5;
+/// Probability of quarantining any sound segment when workers crash for another reason, if all of the
+/// crashes have the segment.
+const FALSE_QUARANTINE_PROBABILITY: f64 = 0.01;
+/// The same if there are crashes without the segment: workers crash for other reasons then, which gives
+/// chance many more occasions.
+const FALSE_QUARANTINE_PROBABILITY_BESIDE_OTHERS: f64 = 0.000_001;
+/// Requests without the segment that are assumed to have been answered if none with it ever was: a segment
+/// that is in most requests has been answered before. They count for each moment once, since workers that
+/// crash together may have requests of one caller.
+const ASSUMED_ANSWERS: f64 = 16.0;
+/// Crashes that are sufficient whenever they are.
+const MIN_CRASHES: usize = 5;
+/// Moments of crashes that are sufficient with fewer crashes: requests of one conversation may be on all
+/// workers of a rack, but hardly ever on workers that crash again and again.
+const MIN_MOMENTS: usize = 4;
+/// Segments of one caller that are told apart if each crashes workers.
+const MAX_PARTS: usize = 4;
+/// Shares of the requests for which probabilities are computed are powers of one half to the half of an
+/// index up to this one, that is, down to 1 in 260,000.
+const MAX_SHARE_INDEX: u32 = 36;
 
 /// Crashes of workers that had requests with one segment.
 #[derive(Clone, Debug)]
 pub(super) struct Evidence {
     pub segment: dispatch::SegmentId,
-    /// Times of the crashes, ascending.
-    pub crashes_ms: Vec<u64>,
-    /// Crashes without another known cause from the first of these on, with or without the segment.
-    pub all_crashes: usize,
+    /// Moments of the crashes, ascending, with the answers to other requests around each.
+    pub moments: Vec<(Moment, f64)>,
+    /// Answers to comparable requests without the segment since shortly before the first of the crashes.
+    pub answers: f64,
+    /// Whether any request with the segment was ever answered.
+    pub was_answered: bool,
+    /// Crashes of single workers without the segment and without a known cause from the first moment on.
+    pub other_crashes: u32,
+    /// Whether there is any crash without the segment and without a known cause.
+    pub has_other_causes: bool,
+    /// Number of different segments that are suspected of crashes.
+    pub suspects: usize,
+    /// Time of the first crash.
+    pub first_crash_ms: u64,
+    /// Number of crashes of workers that had the segment.
+    pub crashes: usize,
     /// Requests with the segment on the crashed workers.
     pub requests: u32,
-    /// Requests in all of these crashes, with or without the segment.
-    pub all_requests: u32,
     /// Position of the segment in their prompts.
     pub position: u32,
 }
 
 impl Evidence {
-    /// Creates evidence without crashes.
-    pub fn new(segment: dispatch::SegmentId, all_crashes: usize, all_requests: u32) -> Self {
-        let (crashes_ms, requests, position) = (Vec::new(), 0, 0);
-        Self { segment, crashes_ms, all_crashes, requests, all_requests, position }
+    /// Returns whether the crashes cannot be explained by a sound segment.
+    pub fn is_sufficient(&self) -> bool {
+        (self.crashes >= MIN_CRASHES || self.moments.len() >= MIN_MOMENTS)
+            && self.weight() >= self.threshold()
+    }
+
+    /// Returns whether the segment follows on another one that requests with it share, and accounts for so
+    /// many of the other one's crashes that the other one may be in the rest for the same kind of reason:
+    /// several segments of one caller may crash workers.
+    pub fn is_part_of(&self, other: &Self) -> bool {
+        self.position > other.position
+            && self.requests < other.requests
+            && self.crashes * MAX_PARTS >= other.crashes
     }
 
-    /// Predicts how many of a number of surviving answers would have the segment if it were no cause: its
-    /// share of them is that of the requests on the crashed workers.
-    pub fn expected_answers(&self, answers: usize) -> f64 {
-        answers as f64 * f64::from(self.requests) / f64::from(self.all_requests.max(1))
+    /// Returns whether the segment follows on another one and is in so many of its crashes that it may be
+    /// the cause of most, although not of all of them.
+    pub fn is_main_part_of(&self, other: &Self) -> bool {
+        self.is_part_of(other) && self.crashes < other.crashes && self.crashes * 2 >= other.crashes
     }
 
-    /// Returns the weight of the crashes with the segment less that of the others.
+    /// Returns the negative logarithm of the probability that a sound segment is on the crashed workers and
+    /// in none of the answers, at the share of the requests that makes this most probable.
+    ///
+    /// The share is either the same all the time, or it differs: requests with the segment may come in
+    /// clumps. The more probable case decides.
     pub fn weight(&self) -> f64 {
-        let crashes = self.crashes_ms.len();
-        crashes as f64 - (self.all_crashes - crashes) as f64 * OTHER_CRASH_WEIGHT
+        self.weight_of_constant_share().min(self.weight_of_clumps())
+    }
+
+    /// Returns the weight that the probability of a false quarantine demands: any of the suspects may be
+    /// in the crashes by chance, and in any of the crashes that there were.
+    fn threshold(&self) -> f64 {
+        let moments = self.moments.len() as u32;
+        let probability = if self.has_other_causes {
+            FALSE_QUARANTINE_PROBABILITY_BESIDE_OTHERS
+        } else {
+            FALSE_QUARANTINE_PROBABILITY
+        };
+        (self.suspects.max(1) as f64).ln() + ln_choices(moments + self.other_crashes, moments)
+            - probability.ln()
     }
 
-    /// Returns the time of the first crash.
-    pub fn first_crash_ms(&self) -> u64 {
-        self.crashes_ms.first().copied().unwrap_or(u64::MAX)
+    fn weight_of_constant_share(&self) -> f64 {
+        let answers = self.answers;
+        let as_many = |ln_absent| {
+            let moments = self.moments.iter().map(|(moment, _)| moment.ln_as_many(ln_absent));
+            answers * ln_absent + moments.sum::<f64>()
+        };
+        let assumed = self.assumed_answers();
+        let any = |ln_absent| {
+            let moments = self.moments.iter().map(|(moment, _)| moment.ln_any(ln_absent));
+            (answers + assumed) * ln_absent + moments.sum::<f64>()
+        };
+        weight(as_many).max(weight(any))
     }
 
-    /// Returns the number of crashes that cannot have had one common cause.
-    pub fn separate_crashes(&self) -> usize {
-        let mut count = 0;
-        let mut counted_ms = None;
-        for &crash_ms in &self.crashes_ms {
-            if counted_ms.is_some_and(|counted_ms| crash_ms < counted_ms + COMMON_CAUSE_MS) {
-                continue;
-            }
-            counted_ms = Some(crash_ms);
-            count += 1;
-        }
-        count
+    fn weight_of_clumps(&self) -> f64 {
+        let assumed = self.assumed_answers();
+        let of_moment = |(moment, answers): &(Moment, f64)| {
+            let as_many = |ln_absent| answers * ln_absent + moment.ln_as_many(ln_absent);
+            let any = |ln_absent| (answers + assumed) * ln_absent + moment.ln_any(ln_absent);
+            weight(as_many).max(weight(any))
+        };
+        self.moments.iter().map(of_moment).sum()
+    }
+
+    fn assumed_answers(&self) -> f64 {
+        if self.was_answered { 0.0 } else { ASSUMED_ANSWERS }
     }
 
     /// Orders evidence by how well the segment explains the crashes: it was there in more of them, in
     /// fewer requests, and later in their prompts.
     pub fn rank(&self) -> (usize, std::cmp::Reverse<u32>, u32, dispatch::SegmentId) {
-        (self.crashes_ms.len(), std::cmp::Reverse(self.requests), self.position, self.segment)
+        (self.crashes, std::cmp::Reverse(self.requests), self.position, self.segment)
     }
 }
+
+/// Returns the negative logarithm of a probability at the share of the requests that makes it greatest.
+///
+/// `ln_probability` gets the logarithm of the share of the requests without the segment.
+fn weight<LnProbability>(ln_probability: LnProbability) -> f64
+where
+    LnProbability: Fn(f64) -> f64,
+{
+    // The share of all requests: answers exclude it, and no answers say nothing, which an infinite logarithm
+    // could not express.
+    let all = ln_probability(-1e6);
+    let shares = (1..=MAX_SHARE_INDEX).map(|index| 0.5_f64.powf(f64::from(index) / 2.0));
+    let greatest = shares.map(|share| ln_probability((-share).ln_1p())).fold(all, f64::max);
+    -greatest.min(0.0)
+}
--- a/crates/domain/src/quarantine/mod.rs
+++ b/crates/domain/src/quarantine/mod.rs
@@ -1,17 +1,21 @@
 //! Segments of prompts on which workers crash.
 //!
 //! A request with such a segment ends every worker that starts to answer it, and a repeat ends the next
-//! one. The daemons tell each other which requests workers crashed on; a segment that these requests
-//! have in common, and that no answer has survived, is quarantined: requests with it are refused.
+//! one. The daemons tell each other which requests workers crashed on. A segment is quarantined, which means
+//! that requests with it are refused, if a sound segment would hardly be on these workers by chance and in
+//! no answer that survived.
 
+mod answer_counts;
 mod answered_segments;
 mod crash_log;
 mod evidence;
+mod moment;
 mod peer_verdict;
 #[allow(clippy::module_inception)]
 mod quarantine;
 mod recorded_crash;
 mod segment_change;
+mod segment_crashes;
 mod survived_answer;
 mod suspect_segment;
 mod verdict;
--- a/crates/domain/src/quarantine/quarantine.rs
+++ b/crates/domain/src/quarantine/quarantine.rs
@@ -1,36 +1,29 @@
 //! Decision which segments are quarantined.
 
-use std::collections::VecDeque;
-
 use indexmap::IndexMap;
 
+use super::answer_counts::AnswerCounts;
 use super::answered_segments::AnsweredSegments;
 use super::crash_log::CrashLog;
 use super::evidence::Evidence;
 use super::{ONSET_MS, PeerVerdict, SegmentChange, SurvivedAnswer, Verdict, WorkerCrash};
 use crate::dispatch;
 
-/// Weight of the evidence from which a segment is quarantined. Of hundreds of segments, hardly one is on
-/// four crashed workers by chance without an answer meanwhile.
-const MIN_WEIGHT: f64 = 4.0;
-/// Separate crashes that the evidence must contain.
-const MIN_SEPARATE_CRASHES: usize = 3;
 /// Time from the first crash to a quarantine, within which sound segments get answers that survive: the
 /// usual time to the first part of an answer and to a report of another daemon, and the onset.
 const MIN_OBSERVATION_MS: u64 = 1_000 + ONSET_MS;
-/// Surviving answers that a segment would be expected to have since the first crash if it were no cause.
-/// Only one that was answered before needs them: it may have no answers now because nothing has.
-const MIN_EXPECTED_ANSWERS: f64 = 4.0;
-/// Latest surviving answers whose start is remembered.
-const MAX_ANSWER_STARTS: usize = 256;
 /// Quarantined segments; above it, no more are added.
 const MAX_VERDICTS: usize = 32;
 /// Time after the last crash within which a decision is made.
 const DECISION_TIME_MS: u64 = 10_000;
+/// Interval of decisions, which take more processor time than all else here.
+const DECISION_INTERVAL_MS: u64 = 300;
 /// Time by which the first crash of a reported quarantine must be later than the last answer to a request
 /// with the segment. Times that daemons report differ by the delay of datagrams, and a segment that has
 /// just been cleared must not be quarantined again by a daemon that does not know it yet.
 const CLEARANCE_MARGIN_MS: u64 = 1_000;
+/// Clearances of suspects that other daemons are told; it bounds the datagrams.
+const MAX_CLEARANCES: usize = 64;
 /// Time for which other daemons are told that a segment is cleared.
 const CLEARANCE_REPORT_MS: u64 = 3_000;
 
@@ -40,17 +33,23 @@
     crashes: CrashLog,
     last_crash_ms: Option<u64>,
     answered: AnsweredSegments,
-    /// Starts of the latest surviving answers.
-    answer_starts_ms: VecDeque<u64>,
+    answers: AnswerCounts,
+    next_decision_ms: u64,
     verdicts: IndexMap<dispatch::SegmentId, Verdict>,
     /// Suspected segments that were cleared: the start of the answer, and when it was known.
     clearances: IndexMap<dispatch::SegmentId, (u64, u64)>,
 }
 
 impl Quarantine {
-    /// Records the crash of a worker.
+    /// Records the crash of a worker while it served requests of this daemon.
     pub fn record_crash(&mut self, crash: &WorkerCrash, now_ms: u64) {
-        self.crashes.record(crash, now_ms);
+        self.crashes.record(crash, true, now_ms);
+        self.last_crash_ms = Some(now_ms);
+    }
+
+    /// Records the crash of a worker while it served requests of another daemon.
+    pub fn record_peer_crash(&mut self, crash: &WorkerCrash, now_ms: u64) {
+        self.crashes.record(crash, false, now_ms);
         self.last_crash_ms = Some(now_ms);
     }
 
@@ -63,11 +62,10 @@
     /// Records an answer that has survived: none of its segments crashed the worker.
     pub fn record_answer(&mut self, answer: &SurvivedAnswer, now_ms: u64) -> Vec<SegmentChange> {
         let started_ms = answer.started_ms;
-        if self.answer_starts_ms.len() >= MAX_ANSWER_STARTS {
-            self.answer_starts_ms.pop_front();
-        }
-        self.answer_starts_ms.push_back(started_ms);
         let shared = dispatch::PromptSegment::shared(&answer.segments).iter();
+        if let Some(first) = answer.segments.first() {
+            self.answers.record(first.id, started_ms);
+        }
         let changes = shared.map(|segment| self.clear(segment.id, started_ms, now_ms));
         changes.flatten().collect()
     }
@@ -81,7 +79,8 @@
     ) -> Option<SegmentChange> {
         self.answered.record(segment, started_ms);
         // A single crash is no reason to tell the other daemons.
-        if self.crashes.exonerate(segment, started_ms) > 1 {
+        let (dropped, crashes) = self.crashes.exonerate(segment, started_ms);
+        if dropped > 0 && crashes > 1 && self.clearances.len() < MAX_CLEARANCES {
             self.clearances.insert(segment, (started_ms, now_ms));
         }
         self.verdicts.get(&segment).filter(|verdict| verdict.first_crash_ms < started_ms)?;
@@ -129,12 +128,16 @@
         {
             return changes;
         }
+        if now_ms < self.next_decision_ms {
+            return changes;
+        }
+        self.next_decision_ms = now_ms + DECISION_INTERVAL_MS;
         while self.verdicts.len() < MAX_VERDICTS
             && let Some(evidence) = self.strongest_evidence(now_ms)
         {
-            let verdict = Verdict::new(evidence.first_crash_ms(), now_ms);
+            let verdict = Verdict::new(evidence.first_crash_ms, now_ms);
             self.verdicts.insert(evidence.segment, verdict);
-            let (segment, crashes) = (evidence.segment, evidence.crashes_ms.len());
+            let (segment, crashes) = (evidence.segment, evidence.crashes);
             changes.push(SegmentChange::Quarantined { segment, crashes });
         }
         changes
@@ -176,22 +179,23 @@
     /// Returns the evidence against the segment that explains most of the unexplained crashes, if it is
     /// sufficient.
     fn strongest_evidence(&self, now_ms: u64) -> Option<Evidence> {
-        let evidence = self.crashes.evidence(|segment| self.verdicts.contains_key(&segment));
-        let sufficient =
-            evidence.into_iter().filter(|evidence| self.is_sufficient(evidence, now_ms));
-        sufficient.max_by_key(Evidence::rank)
-    }
-
-    fn is_sufficient(&self, evidence: &Evidence, now_ms: u64) -> bool {
-        let first_ms = evidence.first_crash_ms();
-        if evidence.separate_crashes() < MIN_SEPARATE_CRASHES
-            || evidence.weight() < MIN_WEIGHT
-            || now_ms.saturating_sub(first_ms) < MIN_OBSERVATION_MS
-        {
-            return false;
+        let is_known = |segment| self.verdicts.contains_key(&segment);
+        let mut evidence = self.crashes.evidence(is_known, &self.answered, &self.answers, now_ms);
+        evidence.retain(|evidence| {
+            now_ms.saturating_sub(evidence.first_crash_ms) >= MIN_OBSERVATION_MS
+        });
+        let sufficient: Vec<_> =
+            evidence.iter().filter(|evidence| evidence.is_sufficient()).collect();
+        let mut strongest = *sufficient.iter().max_by_key(|evidence| evidence.rank())?;
+        loop {
+            let parts = sufficient.iter().filter(|part| part.is_part_of(strongest));
+            match parts.max_by_key(|part| part.rank()) {
+                Some(part) => strongest = part,
+                None => break,
+            }
         }
-        let others = self.answer_starts_ms.iter().filter(|started_ms| **started_ms >= first_ms);
-        self.answered.latest_ms(evidence.segment).is_none()
-            || evidence.expected_answers(others.count()) >= MIN_EXPECTED_ANSWERS
+        // The evidence against a segment that follows on this one may be sufficient with the next crash.
+        let is_undecided = evidence.iter().any(|part| part.is_main_part_of(strongest));
+        (!is_undecided).then(|| strongest.clone())
     }
 }
--- /dev/null
+++ b/crates/domain/tests/crash_evidence.rs
@@ -0,0 +1,162 @@
+//! Tests of the evidence for segments on which workers crash.
+
+mod replay;
+
+use jasminetack_domain::dispatch;
+use jasminetack_domain::name;
+use jasminetack_domain::quarantine;
+
+use replay::{DEADLY, Outcome, Plan, Replay};
+
+const FIRST: u64 = 1;
+/// Time after the fifth crash from which hardly any request with the segment may reach a worker.
+const CONTACT_MS: u64 = 4_000;
+/// Requests with the segment that may reach workers after that time.
+const MAX_LATE: usize = 3;
+/// Share of the sound requests that may be refused on days with crashes of many causes.
+const MAX_REFUSED_SHARE: f64 = 0.005;
+const DAYS: u64 = 10;
+
+fn prompt(shared: &[u64]) -> Vec<dispatch::PromptSegment> {
+    // The last segment is the request's own.
+    let ids = shared.iter().copied().chain([u64::MAX]);
+    ids.map(|id| dispatch::PromptSegment { id: id.into(), tokens: 100 }).collect()
+}
+
+fn crash(worker: u64, started_unix_ms: u64, requests: &[&[u64]]) -> quarantine::WorkerCrash {
+    let worker = name::WorkerName::from(format!("w{worker}"));
+    let mut crash = quarantine::WorkerCrash::new(worker, started_unix_ms);
+    for shared in requests {
+        crash.add_request(&prompt(shared));
+    }
+    crash
+}
+
+fn quarantined(quarantine: &quarantine::Quarantine, now_ms: u64) -> Vec<u64> {
+    quarantine.active(now_ms).map(|(segment, _)| segment.into()).collect()
+}
+
+/// Answers to sound requests with the first segment and one of 40 subjects, one every 50 ms.
+fn answer_sound_requests(quarantine: &mut quarantine::Quarantine, from_ms: u64, until_ms: u64) {
+    for now_ms in (from_ms..until_ms).step_by(50) {
+        let segments = prompt(&[FIRST, 100 + now_ms / 50 % 40]).into();
+        let answer = quarantine::SurvivedAnswer { segments, started_ms: now_ms - 400 };
+        quarantine.record_answer(&answer, now_ms);
+    }
+}
+
+/// Guards against counting the crashes of one burst of requests as one crash: the fifth must suffice,
+/// also if all five are at once.
+#[test]
+fn one_burst_of_five_crashes_is_sufficient_while_other_requests_are_answered() {
+    let mut quarantine = quarantine::Quarantine::default();
+    answer_sound_requests(&mut quarantine, 5_000, 10_000);
+    for worker in 0..5 {
+        let seen = crash(worker, 1, &[&[FIRST, DEADLY], &[FIRST, 100 + worker]]);
+        quarantine.record_crash(&seen, 10_000 + 10 * worker);
+    }
+    answer_sound_requests(&mut quarantine, 10_500, 10_000 + CONTACT_MS);
+    quarantine.update(10_000 + CONTACT_MS);
+    assert_eq!(quarantined(&quarantine, 10_000 + CONTACT_MS), [DEADLY]);
+}
+
+/// Guards against taking what a rack has in common for the cause: the same crashes at one moment beside
+/// workers of the rack that did not have the segment, while everything else is answered.
+#[test]
+fn a_segment_on_some_workers_of_a_failure_domain_is_not_quarantined() {
+    let mut quarantine = quarantine::Quarantine::default();
+    answer_sound_requests(&mut quarantine, 5_000, 10_000);
+    for worker in 0..30 {
+        // A caller's burst of requests with a segment of their own is on four of the thirty workers.
+        let own = if worker % 8 == 0 { 7_000 } else { 8_000 + worker };
+        let shared = [FIRST, 100 + worker];
+        let mut requests: Vec<&[u64]> = vec![&shared; 9];
+        let burst = [FIRST, own];
+        requests.push(&burst);
+        quarantine.record_crash(&crash(worker, 1, &requests), 10_000 + worker);
+    }
+    answer_sound_requests(&mut quarantine, 10_500, 10_000 + CONTACT_MS);
+    assert_eq!(quarantine.update(10_000 + CONTACT_MS), []);
+}
+
+/// Guards against a daemon that quarantines a segment whose answers only another daemon gets, one between
+/// each two crashes.
+#[test]
+fn a_daemon_without_answers_learns_that_another_one_has_them() {
+    let mut with_answers = quarantine::Quarantine::default();
+    let mut without = quarantine::Quarantine::default();
+    for round in 0..6 {
+        let now_ms = 10_000 + 3_000 * round;
+        let seen = crash(round, 1, &[&[FIRST, 20]]);
+        with_answers.record_crash(&seen, now_ms);
+        without.record_peer_crash(&seen, now_ms);
+        answer_sound_requests(&mut without, now_ms + 500, now_ms + 2_000);
+        let segments = prompt(&[FIRST, 20]).into();
+        let answer = quarantine::SurvivedAnswer { segments, started_ms: now_ms + 500 };
+        with_answers.record_answer(&answer, now_ms + 1_500);
+        for (segment, started_ms) in with_answers.clearances() {
+            without.clear(segment, started_ms, now_ms + 2_000);
+        }
+        with_answers.update(now_ms + 2_500);
+        assert_eq!(without.update(now_ms + 2_500), [], "round {round}");
+    }
+}
+
+fn late(outcome: &Outcome, segment: u64) -> usize {
+    let times = &outcome.deadly_ms[&segment];
+    let Some(fifth_ms) = times.get(4) else { return 0 };
+    // A request reaches the worker up to 260 ms before it crashes there.
+    times.iter().filter(|at_ms| **at_ms > fifth_ms + 260 + CONTACT_MS).count()
+}
+
+/// Guards against taking one of several deadly segments for all of them, or none.
+#[test]
+fn three_deadly_segments_at_different_rates_are_all_found() {
+    for seed in 0..DAYS {
+        let plan = Plan {
+            workers: 30,
+            rack: 3,
+            domain: 10,
+            daemons: 3,
+            requests_per_s: 60,
+            length_ms: 50_000,
+            crash_interval_ms: 0,
+            deadly_intervals_ms: vec![300, 1_700, 5_300],
+        };
+        let outcome = Replay::new(plan, seed).run();
+        assert!(outcome.wrong.is_empty(), "seed {seed}: {:?}", outcome.wrong);
+        for segment in DEADLY..DEADLY + 3 {
+            let late = late(&outcome, segment);
+            assert!(late <= MAX_LATE, "seed {seed}: {late} with {segment:x}");
+        }
+    }
+}
+
+/// Guards against sound segments that are refused for crashes of other causes: single workers, racks,
+/// failure domains and releases.
+#[test]
+fn on_days_with_crashes_of_many_causes_no_sound_segment_is_quarantined() {
+    let (mut sound, mut refused, mut crashes) = (0, 0, 0);
+    for seed in 0..DAYS {
+        for workers in [9, 60] {
+            let plan = Plan {
+                workers,
+                rack: 3,
+                domain: workers / 3,
+                daemons: 3,
+                requests_per_s: 4 * workers as u64,
+                length_ms: 88_000,
+                crash_interval_ms: 2_000,
+                deadly_intervals_ms: Vec::new(),
+            };
+            let outcome = Replay::new(plan, seed).run();
+            println!("seed {seed}: {workers} workers, {outcome:?}");
+            assert!(outcome.wrong.is_empty(), "seed {seed}: {:?}", outcome.wrong);
+            sound += outcome.sound;
+            refused += outcome.refused;
+            crashes += outcome.crashes;
+        }
+    }
+    println!("{crashes} crashes; {refused} of {sound} sound requests refused");
+    assert!(refused as f64 <= sound as f64 * MAX_REFUSED_SHARE, "{refused} of {sound}");
+}
--- a/crates/edge/src/control/quarantined_segments.rs
+++ b/crates/edge/src/control/quarantined_segments.rs
@@ -58,7 +58,7 @@
         for crash in &datagram.crashes {
             let (from, worker) = (&datagram.host, &crash.worker);
             spdlog::info!("worker-crash-reported from={from} worker={worker}");
-            self.quarantine.record_crash(&crash.into(), now_ms);
+            self.quarantine.record_peer_crash(&crash.into(), now_ms);
         }
     }
 
