--- a/crates/domain/tests/crash_evidence.rs
+++ b/crates/domain/tests/crash_evidence.rs
@@ -60,6 +60,27 @@
     assert_eq!(quarantined(&quarantine, 10_000 + CONTACT_MS), [DEADLY]);
 }
 
+/// Guards against counting crashes of a rack against the evidence: five racks of three crash beside a
+/// segment with one request every 5 s.
+#[test]
+fn crashes_of_groups_of_workers_take_nothing_from_the_evidence() {
+    let mut quarantine = quarantine::Quarantine::default();
+    answer_sound_requests(&mut quarantine, 5_000, 9_000);
+    for round in 0..5 {
+        let start_ms = 10_000 + 5_000 * round;
+        let seen = crash(8, start_ms, &[&[FIRST, DEADLY], &[FIRST, 100 + round]]);
+        quarantine.record_crash(&seen, start_ms);
+        for worker in 0..3 {
+            let subjects = [120 + 3 * round + worker, 135 + 3 * round + worker];
+            let seen = crash(worker, start_ms, &[&[FIRST, subjects[0]], &[FIRST, subjects[1]]]);
+            quarantine.record_crash(&seen, start_ms + 2_500);
+        }
+        answer_sound_requests(&mut quarantine, start_ms + 500, start_ms + 4_900);
+        quarantine.update(start_ms + 4_900);
+    }
+    assert_eq!(quarantined(&quarantine, 34_900), [DEADLY]);
+}
+
 /// Guards against taking what a rack has in common for the cause: the same crashes at one moment beside
 /// workers of the rack that did not have the segment, while everything else is answered.
 #[test]
@@ -160,3 +181,28 @@
     println!("{crashes} crashes; {refused} of {sound} sound requests refused");
     assert!(refused as f64 <= sound as f64 * MAX_REFUSED_SHARE, "{refused} of {sound}");
 }
+
+/// Guards against deadly segments that stay unknown beside crashes of other causes.
+#[test]
+fn a_deadly_segment_is_found_on_days_with_crashes_of_many_causes() {
+    let (mut sound, mut refused) = (0, 0);
+    for seed in 0..DAYS {
+        let plan = Plan {
+            workers: 30,
+            rack: 3,
+            domain: 10,
+            daemons: 3,
+            requests_per_s: 100,
+            length_ms: 60_000,
+            crash_interval_ms: 4_000,
+            deadly_intervals_ms: vec![2_500],
+        };
+        let outcome = Replay::new(plan, seed).run();
+        let late = late(&outcome, DEADLY);
+        assert!(late <= MAX_LATE, "seed {seed}: {late} of {:?}", outcome.deadly_ms);
+        sound += outcome.sound;
+        refused += outcome.refused;
+    }
+    println!("{refused} of {sound} sound requests refused");
+    assert!(refused as f64 <= sound as f64 * MAX_REFUSED_SHARE, "{refused} of {sound}");
+}
