Keep quarantined segments in the store

Change: table `quarantine`, one row a segment with times on the store's clock. The first three live daemons by rendezvous hashing write a verdict on condition that no other was first, and repeat the write after an outage. Each daemon reads the table after its first read of the lease rows and every 60 s, and deletes rows that are over or that an answer has refuted.

Without the read, a_segment_stays_quarantined_when_all_daemons_are_killed fails: a request with the segment reaches a worker after the restart.

--- a/crates/domain/src/quarantine/quarantine.rs
+++ b/crates/domain/src/quarantine/quarantine.rs
@@ -6,7 +6,9 @@
 use super::answered_segments::AnsweredSegments;
 use super::crash_log::CrashLog;
 use super::evidence::Evidence;
-use super::{ONSET_MS, PeerVerdict, SegmentChange, SurvivedAnswer, Verdict, WorkerCrash};
+use super::{
+    ONSET_MS, PeerVerdict, SegmentChange, StoredVerdict, SurvivedAnswer, Verdict, WorkerCrash,
+};
 use crate::dispatch;
 
 /// Time from the first crash to a quarantine, within which sound segments get answers that survive: the
@@ -97,6 +99,66 @@
         now_ms: u64,
     ) -> Option<SegmentChange> {
         let verdict = Verdict::from_peer(reported, now_ms);
+        if !verdict.is_active(now_ms) {
+            return None;
+        }
+        self.adopt(segment, verdict, now_ms)
+    }
+
+    /// Applies the quarantine of a segment that is in the store; it may be on probation.
+    pub fn apply_stored_verdict(
+        &mut self,
+        segment: dispatch::SegmentId,
+        stored: StoredVerdict,
+        store_ms: u64,
+        now_ms: u64,
+    ) -> Option<SegmentChange> {
+        if stored.is_over(store_ms) {
+            return None;
+        }
+        let verdict = Verdict::from_store(stored, store_ms, now_ms);
+        self.adopt(segment, verdict, now_ms).filter(|_| verdict.is_active(now_ms))
+    }
+
+    /// Returns the quarantine of a segment, also on probation, with times on the store's clock.
+    #[must_use]
+    pub fn stored_verdict(
+        &self,
+        segment: dispatch::SegmentId,
+        store_ms: u64,
+        now_ms: u64,
+    ) -> Option<StoredVerdict> {
+        self.verdicts.get(&segment).map(|verdict| verdict.to_store(store_ms, now_ms))
+    }
+
+    /// Returns whether a segment is quarantined or on probation.
+    #[must_use]
+    pub fn has_verdict(&self, segment: dispatch::SegmentId) -> bool {
+        self.verdicts.contains_key(&segment)
+    }
+
+    /// Returns whether the quarantine in the store is of no more use: it is over, or an answer has cleared
+    /// its segment.
+    #[must_use]
+    pub fn may_discard(
+        &self,
+        segment: dispatch::SegmentId,
+        stored: &StoredVerdict,
+        store_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let first_crash_ms = Verdict::from_store(*stored, store_ms, now_ms).first_crash_ms;
+        stored.is_over(store_ms)
+            || self.answered.latest_ms(segment).is_some_and(|latest_ms| latest_ms > first_crash_ms)
+    }
+
+    /// Adopts the quarantine of a segment unless it is known, or an answer has refuted it.
+    fn adopt(
+        &mut self,
+        segment: dispatch::SegmentId,
+        verdict: Verdict,
+        now_ms: u64,
+    ) -> Option<SegmentChange> {
         if let Some(latest_ms) = self.answered.latest_ms(segment)
             && latest_ms + CLEARANCE_MARGIN_MS > verdict.first_crash_ms
         {
@@ -106,7 +168,8 @@
             return None;
         }
         let known = self.verdicts.get(&segment);
-        if !verdict.is_active(now_ms) || known.is_some_and(|known| known.is_active(now_ms)) {
+        if known.is_some_and(|known| known.until_ms >= verdict.until_ms || known.is_active(now_ms))
+        {
             return None;
         }
         if known.is_none() && self.verdicts.len() >= MAX_VERDICTS {
--- a/crates/domain/src/quarantine/verdict.rs
+++ b/crates/domain/src/quarantine/verdict.rs
@@ -1,6 +1,6 @@
 //! Quarantine of one segment.
 
-use super::PeerVerdict;
+use super::{PeerVerdict, StoredVerdict};
 
 /// First quarantine of a segment.
 const INITIAL_DURATION_MS: u64 = 120_000;
@@ -53,6 +53,27 @@
         }
     }
 
+    /// Returns what is kept in the store, whose clock shows `store_ms`.
+    pub(super) fn to_store(self, store_ms: u64, now_ms: u64) -> StoredVerdict {
+        let to_store_ms = |at_ms: u64| (store_ms + at_ms).saturating_sub(now_ms);
+        StoredVerdict {
+            first_crash_store_ms: to_store_ms(self.first_crash_ms),
+            until_store_ms: to_store_ms(self.until_ms),
+            duration_ms: self.duration_ms,
+        }
+    }
+
+    /// Returns a quarantine that is in the store, whose clock shows `store_ms`.
+    pub(super) fn from_store(stored: StoredVerdict, store_ms: u64, now_ms: u64) -> Self {
+        let duration_ms = stored.duration_ms.min(MAX_DURATION_MS);
+        let to_own_ms = |at_ms: u64| (now_ms + at_ms).saturating_sub(store_ms);
+        Self {
+            first_crash_ms: to_own_ms(stored.first_crash_store_ms),
+            until_ms: to_own_ms(stored.until_store_ms).min(now_ms + duration_ms),
+            duration_ms,
+        }
+    }
+
     /// Returns the quarantine that another daemon reports.
     pub(super) fn from_peer(reported: PeerVerdict, now_ms: u64) -> Self {
         let duration_ms = reported.duration_ms.min(MAX_DURATION_MS);
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -20,6 +20,7 @@
 use super::outputs::Outputs;
 use super::peers::Peers;
 use super::publisher::Publisher;
+use super::quarantine_rows::QuarantineRows;
 use super::removed_workers::RemovedWorkers;
 use crate::clock;
 use crate::dialect;
@@ -45,6 +46,7 @@
     pub(super) local_copies: placement::LocalCopies,
     pub(super) removed_workers: RemovedWorkers,
     pub(super) quarantine: quarantine::Quarantine,
+    pub(super) quarantine_rows: QuarantineRows,
     pub(super) peers: Peers,
     pub(super) lease_manager: LeaseManager,
     pub(super) operator: Freshness,
@@ -93,6 +95,7 @@
             local_copies: placement::LocalCopies::default(),
             removed_workers: RemovedWorkers::default(),
             quarantine: quarantine::Quarantine::default(),
+            quarantine_rows: QuarantineRows::default(),
             peers: Peers::default(),
             lease_manager: LeaseManager::new(identity, times, clock::now_ms()),
             operator,
@@ -137,6 +140,7 @@
         for job in self.lease_manager.due_jobs(now_ms) {
             self.outputs.queue_store_job(job);
         }
+        self.queue_quarantine_jobs(now_ms);
         for (worker, fencing_token) in self.removed_workers.take_due(now_ms) {
             self.outputs.queue_store_job(self.lease_manager.removal_job(&worker, fencing_token));
         }
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -17,6 +17,8 @@
 mod outputs;
 mod peers;
 mod publisher;
+mod quarantine_job;
+mod quarantine_rows;
 mod quarantined_segments;
 mod removed_workers;
 mod reports;
@@ -41,6 +43,7 @@
 pub use outputs::{OutgoingDatagram, Outputs, WorkerCall, WorkerJob};
 pub use peers::Peers;
 pub use publisher::Publisher;
+pub use quarantine_job::{QuarantineJob, QuarantineReply};
 pub use store_job::{StoreJob, StoreReply};
 pub use writer::Writer;
 
--- a/crates/edge/src/control/quarantined_segments.rs
+++ b/crates/edge/src/control/quarantined_segments.rs
@@ -93,6 +93,7 @@
             return;
         }
         for change in changes {
+            self.store_segment_change(change, now_ms);
             match change {
                 quarantine::SegmentChange::Quarantined { segment, crashes } => {
                     let source = if *crashes == 0 { "peer" } else { "own" };
--- a/crates/edge/src/control/store_job.rs
+++ b/crates/edge/src/control/store_job.rs
@@ -2,6 +2,7 @@
 
 use jasminetack_domain::name;
 
+use super::quarantine_job::{QuarantineJob, QuarantineReply};
 use crate::store;
 
 /// Job on lease and holder rows.
@@ -17,6 +18,8 @@
     WriteUnansweredOrders(name::WorkerName, store::Transaction),
     /// Deletes the rows of a worker that left, or releases the lease.
     Write(store::Transaction),
+    /// Call on quarantined segments.
+    Quarantine(QuarantineJob),
 }
 
 /// Result of a job.
@@ -39,4 +42,6 @@
     UnansweredOrdersWritten(name::WorkerName, Result<store::Outcome, store::StoreError>),
     /// Result of a write.
     Written(Result<store::Outcome, store::StoreError>),
+    /// Result of a call on quarantined segments.
+    Quarantine(QuarantineReply),
 }
--- a/crates/edge/src/control/store_replies.rs
+++ b/crates/edge/src/control/store_replies.rs
@@ -47,6 +47,7 @@
                     assignment.record_late_write_failure();
                 }
             }
+            StoreReply::Quarantine(reply) => self.handle_quarantine_reply(reply, now_ms),
             StoreReply::Written(result) => {
                 if let Err(error) = result {
                     spdlog::warn!("write-failed error={error:?}");
--- a/crates/edge/src/control/table_reads.rs
+++ b/crates/edge/src/control/table_reads.rs
@@ -31,7 +31,7 @@
         let mut changes = match table {
             store::Table::Operator => self.catalog.apply_operator_read(event, &*self.dialect),
             store::Table::Workers => self.catalog.apply_workers_read(event, &*self.dialect, now_ms),
-            store::Table::Leases | store::Table::Holders => return,
+            store::Table::Leases | store::Table::Holders | store::Table::Quarantine => return,
         };
         let shared = if is_first { Vec::new() } else { std::mem::take(&mut changes.rows) };
         self.apply_catalog_changes(changes, now_ms);
--- a/crates/edge/src/control/writer.rs
+++ b/crates/edge/src/control/writer.rs
@@ -60,6 +60,7 @@
             StoreJob::WriteUnansweredOrders(worker, transaction) => {
                 StoreReply::UnansweredOrdersWritten(worker, self.store.transact(&transaction))
             }
+            StoreJob::Quarantine(job) => StoreReply::Quarantine(job.call(&self.store, sent_ms)),
             StoreJob::Write(transaction) => StoreReply::Written(self.store.transact(&transaction)),
         }
     }
--- a/crates/edge/src/store/table.rs
+++ b/crates/edge/src/store/table.rs
@@ -11,6 +11,8 @@
     Leases,
     /// Holders of workers, and deadlines of unanswered orders.
     Holders,
+    /// Quarantined segments of prompts.
+    Quarantine,
 }
 
 impl Table {
@@ -22,6 +24,7 @@
             Self::Workers => "workers",
             Self::Leases => "leases",
             Self::Holders => "holders",
+            Self::Quarantine => "quarantine",
         }
     }
 }
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -99,6 +99,7 @@
 pub struct Daemon {
     pub state: control::ControlState<NameDialect>,
     datagrams: mpsc::UnboundedReceiver<control::OutgoingDatagram>,
+    store_jobs: crossbeam_channel::Receiver<control::StoreJob>,
     pub view: Arc<ArcSwap<view::View>>,
     pub chooser: Arc<Mutex<dispatch::Chooser>>,
 }
@@ -110,6 +111,7 @@
         let view = Arc::new(ArcSwap::from_pointee(view::View::default()));
         let (worker_jobs, _) = mpsc::unbounded_channel();
         let (datagrams, outgoing) = mpsc::unbounded_channel();
+        let (store_jobs, queued_jobs) = crossbeam_channel::unbounded();
         let state = control::ControlState::new(
             Arc::new(NameDialect),
             control::Identity {
@@ -120,7 +122,7 @@
             control::LeaseTimes { ttl_ms: 12_000, renewal_ms: 6_000, guard_ms: 3_000 },
             control::Publisher::new(Arc::clone(&view), watch::channel(0).0),
             control::Outputs {
-                store_jobs: crossbeam_channel::unbounded().0,
+                store_jobs,
                 operator_reads: crossbeam_channel::unbounded().0,
                 workers_reads: crossbeam_channel::unbounded().0,
                 worker_jobs,
@@ -130,7 +132,8 @@
             Arc::new(metrics::Metrics::new()),
             1,
         );
-        let mut daemon = Self { state, datagrams: outgoing, view, chooser };
+        let mut daemon =
+            Self { state, datagrams: outgoing, store_jobs: queued_jobs, view, chooser };
         let row = |worker: &&str| store::Row {
             key: (*worker).to_owned(),
             value: Some(Vec::new()),
@@ -174,6 +177,11 @@
         self.state.receive(vec![message], NOW_MS);
     }
 
+    /// Takes the store jobs that were queued since the last call.
+    pub fn take_store_jobs(&mut self) -> Vec<control::StoreJob> {
+        self.store_jobs.try_iter().collect()
+    }
+
     /// Takes the datagrams that were sent since the last call.
     pub fn take_datagrams(&mut self) -> Vec<control::OutgoingDatagram> {
         let mut outgoing = Vec::new();
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -6,6 +6,7 @@
 mod base_load_limit;
 mod cleared_segment;
 mod leaving_worker;
+mod quarantine_row;
 mod quarantined_segment;
 mod rows;
 mod suspect_segment;
@@ -26,6 +27,7 @@
 pub use base_load_limit::BaseLoadLimit;
 pub use cleared_segment::ClearedSegment;
 pub use leaving_worker::LeavingWorker;
+pub use quarantine_row::QuarantineRow;
 pub use quarantined_segment::QuarantinedSegment;
 pub use rows::{Lease, UnansweredOrders, WorkerHolder};
 pub use suspect_segment::SuspectSegment;
