--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -20,6 +20,7 @@
 use super::outputs::Outputs;
 use super::peers::Peers;
 use super::publisher::Publisher;
+use super::quarantine_rows::QuarantineRows;
 use super::removed_workers::RemovedWorkers;
 use super::slot_state::SlotState;
 use crate::clock;
@@ -47,6 +48,7 @@
     pub(super) removed_workers: RemovedWorkers,
     pub(super) quarantine: quarantine::Quarantine,
     pub(super) slots: SlotState,
+    pub(super) quarantine_rows: QuarantineRows,
     pub(super) peers: Peers,
     pub(super) lease_manager: LeaseManager,
     pub(super) operator: Freshness,
@@ -96,6 +98,7 @@
             removed_workers: RemovedWorkers::default(),
             quarantine: quarantine::Quarantine::default(),
             slots: SlotState::new(&identity.host, started_unix_ms),
+            quarantine_rows: QuarantineRows::default(),
             peers: Peers::default(),
             lease_manager: LeaseManager::new(identity, times, clock::now_ms()),
             operator,
@@ -146,6 +149,7 @@
         for job in self.lease_manager.due_jobs(now_ms) {
             self.outputs.queue_store_job(job);
         }
+        self.queue_quarantine_jobs(now_ms);
         for (worker, fencing_token) in self.removed_workers.take_due(now_ms) {
             self.outputs.queue_store_job(self.lease_manager.removal_job(&worker, fencing_token));
         }
--- a/crates/edge/src/control/quarantined_segments.rs
+++ b/crates/edge/src/control/quarantined_segments.rs
@@ -58,7 +58,7 @@
         for crash in &datagram.crashes {
             let (from, worker) = (&datagram.host, &crash.worker);
             spdlog::info!("worker-crash-reported from={from} worker={worker}");
-            self.quarantine.record_crash(&crash.into(), now_ms);
+            self.quarantine.record_peer_crash(&crash.into(), now_ms);
         }
     }
 
@@ -93,6 +93,7 @@
             return;
         }
         for change in changes {
+            self.store_segment_change(change, now_ms);
             match change {
                 quarantine::SegmentChange::Quarantined { segment, crashes } => {
                     let source = if *crashes == 0 { "peer" } else { "own" };
--- a/crates/edge/src/control/store_replies.rs
+++ b/crates/edge/src/control/store_replies.rs
@@ -44,6 +44,7 @@
                 self.assignments.add(Arc::clone(upstream), fencing_token, unrecorded);
                 self.changed_workers.insert(worker);
             }
+            StoreReply::Quarantine(reply) => self.handle_quarantine_reply(reply, now_ms),
             StoreReply::Written(result) => {
                 if let Err(error) = result {
                     spdlog::warn!("write-failed error={error:?}");
--- a/crates/edge/src/control/writer.rs
+++ b/crates/edge/src/control/writer.rs
@@ -57,6 +57,7 @@
             StoreJob::Claim(worker, transaction) => {
                 StoreReply::Claimed(worker, self.store.transact(&transaction))
             }
+            StoreJob::Quarantine(job) => StoreReply::Quarantine(job.call(&self.store, sent_ms)),
             StoreJob::Write(transaction) => StoreReply::Written(self.store.transact(&transaction)),
         }
     }
