--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod route;
 pub mod service;
 pub mod table;
+pub mod team_quota;
 pub mod upstream;
 pub mod worker;
