--- a/crates/domain/src/ingress/ingress.rs
+++ b/crates/domain/src/ingress/ingress.rs
@@ -6,8 +6,9 @@
 
 use super::{ClientLimits, Route, ServiceProfile};
 use crate::name;
+use crate::team;
 
-/// Immutable snapshot of the routes, services and limits of one configuration version.
+/// Immutable snapshot of the routes, services, limits and teams of one configuration version.
 #[derive(Clone, Debug)]
 pub struct Ingress {
     version: u64,
@@ -15,16 +16,19 @@
     routes: IndexMap<String, Vec<Arc<Route>>>,
     services: IndexMap<name::ServiceName, Arc<ServiceProfile>>,
     limits: ClientLimits,
+    teams: Option<Arc<team::TeamDirectory>>,
 }
 
 impl Ingress {
-    /// Creates a configuration; each route is paired with its host.
+    /// Creates a configuration; each route is paired with its host. Without `teams`, callers are not
+    /// authenticated.
     #[must_use]
     pub fn new<Routes, Services>(
         version: u64,
         routes: Routes,
         services: Services,
         limits: ClientLimits,
+        teams: Option<team::TeamDirectory>,
     ) -> Self
     where
         Routes: IntoIterator<Item = (String, Route)>,
@@ -39,7 +43,8 @@
         }
         let services =
             services.into_iter().map(|service| (service.name.clone(), Arc::new(service)));
-        Self { version, routes: by_host, services: services.collect(), limits }
+        let (services, teams) = (services.collect(), teams.map(Arc::new));
+        Self { version, routes: by_host, services, limits, teams }
     }
 
     /// Returns the version.
@@ -72,6 +77,12 @@
         self.services.get(name)
     }
 
+    /// Returns the teams; `None` if the configuration has none and callers are not authenticated.
+    #[must_use]
+    pub fn teams(&self) -> Option<&Arc<team::TeamDirectory>> {
+        self.teams.as_ref()
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/domain/src/ingress/route.rs
+++ b/crates/domain/src/ingress/route.rs
@@ -20,6 +20,8 @@
     pub priority: u8,
     /// Maximum number of workers that a request is sent to.
     pub max_attempts: u32,
+    /// Whether requests need no key.
+    pub is_public: bool,
     /// Services that the requests are split between; never empty.
     pub services: Vec<WeightedService>,
 }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -30,5 +30,6 @@
 pub mod service;
 pub mod table;
 pub mod team_quota;
+pub mod team;
 pub mod upstream;
 pub mod worker;
--- /dev/null
+++ b/crates/domain/src/team/mod.rs
@@ -0,0 +1,14 @@
+//! Teams of callers, the keys that authenticate them, and the limits of their requests.
+
+mod key_digest;
+mod quota_limit;
+mod quota_unit;
+#[allow(clippy::module_inception)]
+mod team;
+mod team_directory;
+
+pub use key_digest::KeyDigest;
+pub use quota_limit::QuotaLimit;
+pub use quota_unit::QuotaUnit;
+pub use team::Team;
+pub use team_directory::TeamDirectory;
--- a/crates/domain/tests/ingress.rs
+++ b/crates/domain/tests/ingress.rs
@@ -22,6 +22,7 @@
         first_byte_target_ms: 200,
         priority: 0,
         max_attempts: 2,
+        is_public: false,
         services: services.collect(),
     }
 }
@@ -29,7 +30,7 @@
 fn ingress(routes: &[(&str, &str)]) -> ingress::Ingress {
     let routes = routes.iter();
     let routes = routes.map(|(host, prefix)| ((*host).to_owned(), route(prefix, &[("app", 1)])));
-    ingress::Ingress::new(1, routes, [], LIMITS)
+    ingress::Ingress::new(1, routes, [], LIMITS, None)
 }
 
 #[test]
--- a/crates/edge/src/dialect/dialect.rs
+++ b/crates/edge/src/dialect/dialect.rs
@@ -7,6 +7,7 @@
 use hyper::http::response;
 use jasminetack_domain::name;
 use jasminetack_domain::placement;
+use jasminetack_domain::team;
 use jasminetack_domain::upstream;
 
 use super::{
@@ -16,6 +17,12 @@
 
 /// Codec for the messages of one platform; makes no decisions.
 pub trait Dialect: Send + Sync + 'static {
+    /// Returns the digest of the caller's key; `None` if the request has none or several.
+    ///
+    /// The key is checked before the rest of the head is decoded, so that a caller without one learns
+    /// nothing else.
+    fn decode_key(&self, headers: &HeaderMap) -> Option<team::KeyDigest>;
+
     /// Decodes the head of a caller's request.
     ///
     /// # Errors
--- a/crates/edge/src/dialect/forward_metadata.rs
+++ b/crates/edge/src/dialect/forward_metadata.rs
@@ -13,6 +13,10 @@
     pub priority: Option<u8>,
     /// Required version of the adapter.
     pub adapter_version: Option<u32>,
+    /// Whether callers are authenticated; their keys and names of teams are then removed.
+    pub has_teams: bool,
+    /// Team that sent the request; `None` on a public route.
+    pub team: Option<&'a name::TeamName>,
     /// Identifier of the last event that the caller received, if a stream is resumed.
     pub last_event_id: Option<&'a str>,
 }
--- a/crates/edge/src/dialect/request_metadata.rs
+++ b/crates/edge/src/dialect/request_metadata.rs
@@ -16,8 +16,16 @@
     pub adapter: Option<name::AdapterName>,
     /// Required base model.
     pub base_model: Option<name::BaseModelName>,
-    /// Numbers of prompt and answer tokens.
-    pub size: dispatch::RequestSize,
+    /// Numbers of prompt and answer tokens, if the caller states them.
+    pub size: Option<dispatch::RequestSize>,
     /// Segments of the prompt, in order.
     pub prompt_segments: Arc<[dispatch::PromptSegment]>,
 }
+
+impl RequestMetadata {
+    /// Returns the size; a request that does not state it counts as one without tokens.
+    #[must_use]
+    pub fn size_or_default(&self) -> dispatch::RequestSize {
+        self.size.unwrap_or_default()
+    }
+}
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -209,7 +209,7 @@
         }
         record.record_attempt(&target.decision);
         let request = self.worker_request(target, last_event_id, now_ms);
-        let (adapter, work) = (self.facts.adapter.as_ref(), self.facts.size);
+        let (adapter, work) = (self.facts.adapter.as_ref(), self.facts.size_or_default());
         let chooser = &self.shared.chooser;
         let control = &self.shared.control;
         let load = LoadGuard::new(chooser, control, worker, &self.service, adapter, work, now_ms);
--- a/crates/edge/src/traffic/worker_request.rs
+++ b/crates/edge/src/traffic/worker_request.rs
@@ -35,10 +35,12 @@
             deadline_ms: self.facts.deadline_ms.map(|_| remaining_ms),
             priority: self
                 .facts
-                .size
+                .size_or_default()
                 .is_generation()
                 .then(|| self.route.priority.min(MAX_PRIORITY)),
             adapter_version: (version > 0).then_some(version),
+            has_teams: false,
+            team: None,
             last_event_id,
         };
         self.shared.dialect.set_forward_headers(&mut headers, &facts);
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -216,7 +216,7 @@
             from: &self.shared.host.locality,
             adapter: self.facts.adapter.as_ref(),
             parts: &self.facts.prompt_segments,
-            size: self.facts.size,
+            size: self.facts.size_or_default(),
             loading_worker: self.requested_load.as_ref().map(|(worker, _)| worker),
             excluded: &self.excluded,
             permit: permit.as_ref().map(|(worker, wait_ms)| (worker, *wait_ms)),
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, StatusCode};
-use jasminetack_domain::{dispatch, locality, name, placement, upstream};
+use jasminetack_domain::{dispatch, locality, name, placement, team, upstream};
 use jasminetack_edge::{control, dialect, metrics, store, view};
 use jasminetack_wire::fleet;
 use parking_lot::Mutex;
@@ -39,6 +39,10 @@
         })
     }
 
+    fn decode_key(&self, _headers: &HeaderMap) -> Option<team::KeyDigest> {
+        None
+    }
+
     fn decode_request(
         &self,
         _head: &request::Parts,
