Authenticate callers by the keys of their teams

A request on a route that is not public needs a key of a team; without one it gets 401 before its head is decoded and its body is read. The daemon removes the key, sets the name and the priority of the team, checks the key again whenever a worker is selected, and with RevokeStrict ends running answers of removed keys.

--- a/crates/domain/src/ingress/ingress.rs
+++ b/crates/domain/src/ingress/ingress.rs
@@ -83,6 +83,26 @@
         self.teams.as_ref()
     }
 
+    /// Decides whether a request with the given key may use a route; `None` is an address without a
+    /// route, about which only callers with a key learn anything.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the route needs a key and the request has none that belongs to a team.
+    pub fn authorize(
+        &self,
+        route: Option<&Route>,
+        key: Option<&team::KeyDigest>,
+    ) -> Result<team::Access, team::KeyRefusal> {
+        let Some(teams) = &self.teams else { return Ok(team::Access::Unrestricted) };
+        if route.is_some_and(|route| route.is_public) {
+            return Ok(team::Access::Public);
+        }
+        let key = key.ok_or(team::KeyRefusal::Missing)?;
+        let team = teams.authenticate(key).ok_or(team::KeyRefusal::Unknown)?;
+        Ok(team::Access::Team(Arc::clone(team)))
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/edge/src/control/catalog.rs
+++ b/crates/edge/src/control/catalog.rs
@@ -96,7 +96,13 @@
         for row in rows {
             let Some(value) = &row.value else { continue };
             let has_changed = match dialect.decode_operator_entry(&row.key, value) {
-                Ok(dialect::OperatorEntry::Ingress(ingress)) => self.update_ingress(ingress),
+                Ok(dialect::OperatorEntry::Ingress(ingress)) => {
+                    let has_keys = ingress.teams().is_some();
+                    let has_changed = self.update_ingress(ingress);
+                    changes.has_changed |= has_changed;
+                    // Keys are not sent to other daemons; each reads them from the store.
+                    has_changed && !has_keys
+                }
                 Ok(dialect::OperatorEntry::AdapterVersion(adapter)) => {
                     self.update_adapter_version(adapter, &mut changes)
                 }
@@ -236,7 +242,14 @@
         if self.ingress.is_some() && version <= known {
             return false;
         }
-        spdlog::info!("configuration-in-force version={version} previous={known} routes={routes}");
+        let teams = ingress.teams().map_or(0, |directory| directory.teams().count());
+        let keys = ingress.teams().map_or(0, |directory| directory.key_count());
+        spdlog::info!(
+            "configuration-in-force version={version} previous={known} routes={routes} teams={teams} keys={keys}"
+        );
+        for key in ingress.teams().into_iter().flat_map(|directory| directory.ambiguous_keys()) {
+            spdlog::warn!("key-of-two-teams key={key} version={version} outcome=refused");
+        }
         self.ingress = Some(Arc::new(ingress));
         true
     }
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -250,6 +250,12 @@
             self.assignments.request_version(adapter, now_ms);
         }
         self.must_publish_all |= changes.has_changed;
+        if changes.has_changed {
+            let teams = self.catalog.ingress().and_then(|ingress| ingress.teams());
+            let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+            self.metrics.teams.set(count(teams.map_or(0, |teams| teams.teams().count())));
+            self.metrics.team_keys.set(count(teams.map_or(0, |teams| teams.key_count())));
+        }
     }
 
     fn handle_worker_removal(&mut self, worker: &name::WorkerName, now_ms: u64) {
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -161,6 +161,9 @@
             port.start(address).context(ListenSnafu { address })?;
         }
         tokio::spawn(close_idle_connections(Arc::clone(&traffic)));
+        if traffic.host.limits.ends_revoked_answers {
+            tokio::spawn(traffic::end_revoked_answers(Arc::clone(&traffic)));
+        }
         let listener = traffic::listen(callers).context(ListenSnafu { address: callers })?;
         spdlog::info!("listening callers={callers} readiness={readiness} metrics={metrics_address} peers={peers}");
         traffic::Server::new(traffic).serve(listener).await;
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -48,4 +48,6 @@
     pub retry_slack: f64,
     /// Time within which orders of two holders must not interleave.
     pub order_guard_ms: u64,
+    /// Whether running answers end when the key of their request is removed.
+    pub ends_revoked_answers: bool,
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -37,6 +37,11 @@
     pub quarantined_segments: Gauge,
     /// Workers that state a limit of requests.
     pub limited_workers: Gauge,
+    /// Teams of the configuration.
+    pub teams: Gauge,
+    /// Keys of all teams.
+    pub team_keys: Gauge,
+    key_refusals: Family<Label, Counter>,
 }
 
 impl Metrics {
@@ -71,6 +76,12 @@
         let limited_workers = Gauge::default();
         let help = "Workers that accept a limited number of requests";
         registry.register("limited_workers", help, limited_workers.clone());
+        let (teams, team_keys) = (Gauge::default(), Gauge::default());
+        registry.register("teams", "Teams of the configuration", teams.clone());
+        registry.register("team_keys", "Keys of all teams", team_keys.clone());
+        let key_refusals = Family::default();
+        let help = "Requests refused because of their key, by reason";
+        registry.register("key_refusals", help, key_refusals.clone());
         let registry = Mutex::new(registry);
         Self {
             registry,
@@ -84,6 +95,9 @@
             worker_crashes,
             quarantined_segments,
             limited_workers,
+            teams,
+            team_keys,
+            key_refusals,
         }
     }
 
@@ -103,6 +117,11 @@
         self.failed_attempts.get_or_create(&[("result", result.to_owned())]).inc();
     }
 
+    /// Records a request that was refused because of its key.
+    pub fn record_key_refusal(&self, reason: &str) {
+        self.key_refusals.get_or_create(&[("reason", reason.to_owned())]).inc();
+    }
+
     /// Records the result of an order.
     pub fn record_order(&self, result: &str) {
         self.orders.get_or_create(&[("result", result.to_owned())]).inc();
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 
 mod answer_watch;
 mod attempt;
+mod caller;
 mod connection;
 mod crash_watch;
 mod datagram_socket;
@@ -11,6 +12,7 @@
 mod forwarded_parts;
 mod head_limit;
 mod health_server;
+mod key_refusal_log;
 mod listener;
 mod load_guard;
 mod order_sender;
@@ -19,15 +21,19 @@
 mod proxy_request;
 mod refusal;
 mod relay;
+mod request_body;
 mod request_record;
 mod response_body;
 mod retry_decision;
+mod revocation_watch;
+mod running_requests;
 mod server;
 mod shared_state;
 mod stream_relay;
 mod worker_request;
 mod worker_search;
 
+pub use caller::end_revoked_answers;
 pub use datagram_socket::DatagramSocket;
 pub use health_server::HealthServer;
 pub use order_sender::OrderSender;
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::http::request;
@@ -19,10 +18,12 @@
 
 use super::answer_watch::AnswerWatch;
 use super::attempt::{self, Exchange};
+use super::caller::{Caller, Destination, KEY_REVOKED};
 use super::load_guard::LoadGuard;
 use super::permit_guard::PermitGuard;
 use super::refusal::{RETRY_AFTER_MS, Refusal};
 use super::relay::Relay;
+use super::request_body;
 use super::request_record::RequestRecord;
 use super::response_body::ResponseBody;
 use super::retry_decision::RetryDecision;
@@ -43,6 +44,8 @@
 /// A caller follows a `Retry-After` of up to a third of its timeout; a quarter leaves time for the
 /// network.
 const RETRY_AFTER_DIVISOR: u64 = 4;
+/// Reason for refusing all requests until a configuration has been read.
+const NO_CONFIGURATION: &str = "no configuration yet";
 /// Multiple of the route's first-byte target after which an idempotent request is retried on another
 /// worker.
 const ATTEMPT_TIMEOUT_FACTOR: f64 = 1.5;
@@ -55,6 +58,7 @@
     pub(super) facts: dialect::RequestMetadata,
     pub(super) route: Arc<ingress::Route>,
     pub(super) service: name::ServiceName,
+    pub(super) caller: Caller,
     pub(super) received_ms: u64,
     pub(super) deadline_ms: u64,
     /// Workers that are not selected again for this request.
@@ -82,20 +86,30 @@
 {
     let received_ms = clock::now_ms();
     let (head, body) = request.into_parts();
+    let destination = Destination::find(&shared, &head);
+    let caller = match Caller::authenticate(&shared, &head, &destination, received_ms) {
+        Ok(caller) => caller,
+        Err(refusal) => return refusal.into_response(),
+    };
     let facts = match shared.dialect.decode_request(&head) {
         Ok(facts) => facts,
         Err(problem) => {
             spdlog::info!("refuse reason=bad-request problem={problem:?}");
-            return Refusal::rejected(StatusCode::BAD_REQUEST, "bad request").into_response();
+            let refusal = match destination.ingress {
+                Some(_) => Refusal::rejected(StatusCode::BAD_REQUEST, "bad request"),
+                None => Refusal::not_executed(NO_CONFIGURATION, STARTUP_RETRY_AFTER_MS),
+            };
+            return refusal.into_response();
         }
     };
     let mut record = RequestRecord::new(&shared.metrics, facts.request_id.clone(), received_ms);
-    let proxied =
-        match ProxyRequest::admit(shared, head, body, facts, &mut record, received_ms).await {
-            Ok(proxied) => proxied,
-            Err(refusal) => return refuse(refusal, record),
-        };
-    proxied.run(record).await
+    let head = (head, facts);
+    match ProxyRequest::admit(shared, destination, caller, head, body, &mut record, received_ms)
+        .await
+    {
+        Ok(proxied) => proxied.run(record).await,
+        Err(refusal) => refuse(refusal, record),
+    }
 }
 
 /// Records a refusal and builds its response.
@@ -109,27 +123,25 @@
 where
     Dialect: dialect::Dialect,
 {
-    /// Resolves the route and service of a request and reads its body.
+    /// Selects the service of a request and reads its body.
     async fn admit(
         shared: Arc<SharedState<Dialect>>,
-        head: request::Parts,
+        destination: Destination,
+        caller: Caller,
+        (head, facts): (request::Parts, dialect::RequestMetadata),
         body: Incoming,
-        facts: dialect::RequestMetadata,
         record: &mut RequestRecord,
         received_ms: u64,
     ) -> Result<Self, Refusal> {
-        let view = shared.view.load_full();
-        let ingress = view.ingress.as_ref();
-        let ingress = ingress.ok_or_else(|| {
+        let ingress = destination.ingress.ok_or_else(|| {
             let timeout_ms = facts.deadline_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
             let retry_after_ms = (timeout_ms / RETRY_AFTER_DIVISOR).min(STARTUP_RETRY_AFTER_MS);
-            Refusal::not_executed("no configuration yet", retry_after_ms)
+            Refusal::not_executed(NO_CONFIGURATION, retry_after_ms)
         })?;
-        let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-        let host = host.map_or("", |host| host.split(':').next().unwrap_or(host));
-        let route = ingress.resolve(host, head.uri.path());
-        let route = route.ok_or(Refusal::rejected(StatusCode::NOT_FOUND, "no such route"))?;
-        record.set_route(route, ingress.version());
+        let route =
+            destination.route.ok_or(Refusal::rejected(StatusCode::NOT_FOUND, "no such route"))?;
+        record.set_route(&route, ingress.version());
+        record.set_team(caller.access().team());
         record.set_adapter(facts.adapter.as_ref());
         record.set_prompt_segments(&facts.prompt_segments);
         let service = route.service(rand::random());
@@ -141,27 +153,16 @@
         let timeout_ms = facts.deadline_ms.unwrap_or(DEFAULT_TIMEOUT_MS).min(route.timeout_ms);
         let deadline_ms = received_ms + timeout_ms;
         record.set_timeout(timeout_ms);
-        let limits = ingress.limits();
-        let read = Limited::new(body, limits.max_body_bytes).collect();
-        let limit = Duration::from_millis(limits.idle_timeout_ms.min(timeout_ms));
-        let body = match time::timeout(limit, read).await {
-            Err(_) => return Err(Refusal::rejected(StatusCode::REQUEST_TIMEOUT, "slow body")),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                return Err(Refusal::rejected(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
-            }
-            Ok(Err(_)) => {
-                return Err(Refusal::rejected(StatusCode::BAD_REQUEST, "body broken off"));
-            }
-            Ok(Ok(body)) => body.to_bytes(),
-        };
+        let body = request_body::read(body, ingress.limits(), timeout_ms).await?;
         let revision = shared.revision.clone();
         Ok(Self {
             shared,
             head: Arc::new(head),
             body,
             facts,
-            route: Arc::clone(route),
+            route,
             service,
+            caller,
             received_ms,
             deadline_ms,
             excluded: Vec::new(),
@@ -221,7 +222,13 @@
         let answer =
             AnswerWatch::new(&self.shared.crash_watch, upstream, &self.facts.prompt_segments);
         let timeout_ms = self.attempt_timeout_ms(now_ms);
-        let sent = attempt::send(pool, upstream, request, load, answer, timeout_ms).await;
+        let sent = tokio::select! {
+            sent = attempt::send(pool, upstream, request, load, answer, timeout_ms) => sent,
+            () = self.caller.revocation.revoked() => {
+                record.record_attempt_failure(worker, KEY_REVOKED);
+                return Err(RetryDecision::GiveUp(self.end_revoked()));
+            }
+        };
         let (response, mut exchange) = match sent {
             Ok(response) => response,
             Err(error) => return Err(self.attempt_failed(worker, error, record)),
@@ -336,7 +343,7 @@
 
     /// Builds the caller's response, which streams the body of the worker's response.
     fn forward_response(
-        self,
+        mut self,
         response: Response<Incoming>,
         exchange: Exchange,
         mut record: RequestRecord,
@@ -355,7 +362,10 @@
             ResponseBody::events(StreamRelay::start(self, incoming, exchange, record, deadline))
         } else {
             let pool = Arc::clone(&self.shared.pool);
-            ResponseBody::relay(Relay::new(exchange, incoming, record, deadline, pool, has_events))
+            let revocation = self.take_revocation();
+            let relay =
+                Relay::new(exchange, incoming, record, deadline, revocation, pool, has_events);
+            ResponseBody::relay(relay)
         };
         Response::from_parts(head, body)
     }
--- a/crates/edge/src/traffic/refusal.rs
+++ b/crates/edge/src/traffic/refusal.rs
@@ -49,6 +49,9 @@
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if self.status == StatusCode::UNAUTHORIZED {
+            headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
         if let Some(retry_after_ms) = self.retry_after_ms {
             let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
             if let Ok(seconds) = HeaderValue::from_str(&seconds) {
--- a/crates/edge/src/traffic/relay.rs
+++ b/crates/edge/src/traffic/relay.rs
@@ -10,12 +10,14 @@
 
 use super::answer_watch::AnswerWatch;
 use super::attempt::Exchange;
+use super::caller::KEY_REVOKED;
 use super::connection::Connection;
 use super::event_end::EventEnd;
 use super::load_guard::LoadGuard;
 use super::pool::Pool;
 use super::request_record::RequestRecord;
 use super::response_body::IncompleteResponse;
+use super::revocation_watch::RevocationWatch;
 use crate::clock;
 
 /// Streams a worker's response as it arrives; the connection returns to the pool at its end.
@@ -26,6 +28,7 @@
     answer: AnswerWatch,
     record: RequestRecord,
     deadline: Pin<Box<Sleep>>,
+    revocation: RevocationWatch,
     pool: Arc<Pool>,
     /// End of the data so far if the response is a stream of events.
     event_end: Option<EventEnd>,
@@ -33,13 +36,14 @@
 }
 
 impl Relay {
-    /// Creates a relay that fails at the deadline; a stream of events also fails if it ends inside an
+    /// Creates a relay that fails at the deadline or when the key is removed; a stream of events also fails if it ends inside an
     /// event.
     pub fn new(
         exchange: Exchange,
         incoming: Incoming,
         record: RequestRecord,
         deadline: Pin<Box<Sleep>>,
+        revocation: RevocationWatch,
         pool: Arc<Pool>,
         has_events: bool,
     ) -> Self {
@@ -54,6 +58,7 @@
             answer,
             record,
             deadline,
+            revocation,
             pool,
             event_end,
             is_complete,
@@ -75,6 +80,9 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, IncompleteResponse>>> {
+        if !self.is_complete && self.revocation.poll_revoked(context).is_ready() {
+            return Poll::Ready(Some(Err(self.fail(KEY_REVOKED))));
+        }
         loop {
             let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(context) else {
                 ready!(self.deadline.as_mut().poll(context));
--- a/crates/edge/src/traffic/request_record.rs
+++ b/crates/edge/src/traffic/request_record.rs
@@ -6,6 +6,7 @@
 use jasminetack_domain::ingress;
 use jasminetack_domain::name;
 use jasminetack_domain::route;
+use jasminetack_domain::team;
 
 use super::forwarded_parts::ForwardedParts;
 use crate::clock;
@@ -21,6 +22,7 @@
     request_id: name::RequestId,
     route: Option<Arc<ingress::Route>>,
     configuration: u64,
+    team: Option<Arc<team::Team>>,
     received_ms: u64,
     timeout_ms: u64,
     attempts: u32,
@@ -53,6 +55,7 @@
             request_id,
             route: None,
             configuration: 0,
+            team: None,
             received_ms,
             timeout_ms: 0,
             attempts: 0,
@@ -76,6 +79,11 @@
         self.configuration = configuration;
     }
 
+    /// Sets the team that the request belongs to.
+    pub fn set_team(&mut self, team: Option<&Arc<team::Team>>) {
+        self.team = team.cloned();
+    }
+
     /// Sets the time from the receipt of the request to its deadline.
     pub fn set_timeout(&mut self, timeout_ms: u64) {
         self.timeout_ms = timeout_ms;
@@ -159,6 +167,7 @@
         let (id, outcome, status, attempts) =
             (&self.request_id, self.outcome, self.status, self.attempts);
         let route = self.route.as_ref().map_or("none", |route| route.name.as_str());
+        let team = self.team.as_ref().map_or("none", |team| team.name.as_str());
         let worker = self.worker.as_ref().map_or("none", name::WorkerName::as_str);
         let (version, load_wait_ms) = (self.configuration, self.load_wait_ms);
         let first_ms = self.first_byte_ms.unwrap_or(0);
@@ -169,7 +178,7 @@
         let limit_per_s = format_limit(self.limit_per_s);
         let predictions = if self.predictions.is_empty() { "none" } else { &self.predictions };
         spdlog::info!(
-            "request request={id} outcome={outcome:?} status={status} route={route} kind={kind} adapter={adapter} worker={worker} predicted_ms={predictions} attempts={attempts} asked={asked} load_wait_ms={load_wait_ms} first_ms={first_ms} parts={parts} longest_gap_ms={longest_gap_ms} longest_gap_at_ms={longest_gap_at_ms} total_ms={total_ms} limit_per_s={limit_per_s} timeout_ms={timeout_ms} configuration={version}"
+            "request request={id} outcome={outcome:?} status={status} route={route} team={team} kind={kind} adapter={adapter} worker={worker} predicted_ms={predictions} attempts={attempts} asked={asked} load_wait_ms={load_wait_ms} first_ms={first_ms} parts={parts} longest_gap_ms={longest_gap_ms} longest_gap_at_ms={longest_gap_at_ms} total_ms={total_ms} limit_per_s={limit_per_s} timeout_ms={timeout_ms} configuration={version}"
         );
     }
 }
--- a/crates/edge/src/traffic/shared_state.rs
+++ b/crates/edge/src/traffic/shared_state.rs
@@ -11,7 +11,9 @@
 use tokio::sync::watch;
 
 use super::crash_watch::CrashWatch;
+use super::key_refusal_log::KeyRefusalLog;
 use super::pool::Pool;
+use super::running_requests::RunningRequests;
 use crate::control;
 use crate::host;
 use crate::metrics;
@@ -41,6 +43,10 @@
     pub control: Sender<control::Message>,
     /// Metrics of the daemon.
     pub metrics: Arc<metrics::Metrics>,
+    /// Requests whose answers end when their key is removed.
+    pub running_requests: Arc<RunningRequests>,
+    /// Log of refused keys.
+    pub key_refusal_log: KeyRefusalLog,
     /// One retry budget per service.
     retry_budgets: Mutex<FxHashMap<name::ServiceName, dispatch::RetryBudget>>,
 }
@@ -67,6 +73,8 @@
             crash_watch,
             control,
             metrics,
+            running_requests: Arc::default(),
+            key_refusal_log: KeyRefusalLog::default(),
             retry_budgets: Mutex::default(),
         }
     }
--- a/crates/edge/src/traffic/stream_relay.rs
+++ b/crates/edge/src/traffic/stream_relay.rs
@@ -9,6 +9,7 @@
 use tokio::time::Sleep;
 
 use super::attempt::Exchange;
+use super::caller::KEY_REVOKED;
 use super::event_buffer::EventBuffer;
 use super::proxy_request::ProxyRequest;
 use super::request_record::RequestRecord;
@@ -54,9 +55,11 @@
 
     async fn run(mut self, incoming: Incoming, exchange: Exchange, mut deadline: Pin<Box<Sleep>>) {
         let caller = self.chunks.clone();
+        let mut revocation = self.request.take_revocation();
         let failure = tokio::select! {
             result = self.relay(incoming, exchange) => result,
             () = &mut deadline => Some("deadline"),
+            () = revocation.revoked() => Some(KEY_REVOKED),
             () = caller.closed() => return,
         };
         let last = match failure {
--- a/crates/edge/src/traffic/worker_request.rs
+++ b/crates/edge/src/traffic/worker_request.rs
@@ -30,6 +30,7 @@
         let view = self.shared.view.load();
         let version = self.required_version(&view);
         let remaining_ms = self.deadline_ms.saturating_sub(now_ms);
+        let access = self.caller.access();
         let facts = dialect::ForwardMetadata {
             worker: &target.decision.worker,
             deadline_ms: self.facts.deadline_ms.map(|_| remaining_ms),
@@ -37,10 +38,10 @@
                 .facts
                 .size_or_default()
                 .is_generation()
-                .then(|| self.route.priority.min(MAX_PRIORITY)),
+                .then(|| access.priority(self.route.priority).min(MAX_PRIORITY)),
             adapter_version: (version > 0).then_some(version),
-            has_teams: false,
-            team: None,
+            has_teams: access.has_teams(),
+            team: access.team().map(|team| &team.name),
             last_event_id,
         };
         self.shared.dialect.set_forward_headers(&mut headers, &facts);
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -74,6 +74,7 @@
                 return Err(self.give_up("deadline"));
             }
             self.revision.borrow_and_update();
+            self.check_key(record, now_ms)?;
             self.check_quarantine(now_ms)?;
             let mut wait = VIEW_CHECK_INTERVAL;
             match self.select_admitted(now_ms > started_ms, now_ms)? {
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -370,6 +370,7 @@
     }
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        self.log.lock().heads.push(worker_messages::head_text(&request));
         let faults = *self.faults.lock();
         if faults.is_unresponsive {
             time::sleep(UNRESPONSIVE_DURATION).await;
--- a/crates/standins/src/fleet/worker_log.rs
+++ b/crates/standins/src/fleet/worker_log.rs
@@ -37,6 +37,8 @@
 pub struct WorkerLog {
     /// Number of connections that clients opened.
     pub connections: usize,
+    /// Heads of all requests, orders and reads of the report, as text.
+    pub heads: Vec<String>,
     /// Executed requests.
     pub runs: Vec<Run>,
     /// Times at which requests were rejected.
--- a/crates/standins/src/fleet/worker_messages.rs
+++ b/crates/standins/src/fleet/worker_messages.rs
@@ -1,6 +1,7 @@
 //! Parts of the messages between a worker and its callers.
 
-use hyper::{HeaderMap, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, Response, StatusCode};
 
 use super::http_server::{self, Body};
 
@@ -31,3 +32,12 @@
     headers.insert("Not-Executed", "1".parse().expect("a constant"));
     response
 }
+
+/// Returns the head of a request with one header a line and header names in lower case.
+pub(super) fn head_text(request: &Request<Incoming>) -> String {
+    let mut text = format!("{} {}\n", request.method(), request.uri());
+    for (name, value) in request.headers() {
+        text.push_str(&format!("{name}: {}\n", String::from_utf8_lossy(value.as_bytes())));
+    }
+    text
+}
