Charge requests to the quotas of their teams

The check comes after authentication and before the body is read. A charge is returned at most once, if no worker has executed the request.

--- a/crates/domain/src/order_lease/store_clock.rs
+++ b/crates/domain/src/order_lease/store_clock.rs
@@ -14,6 +14,8 @@
     /// By how much the store's clock is ahead at most, from the reading with the shortest delay, and the
     /// boot time of that reading.
     ahead: Option<(f64, u64)>,
+    /// By how much the store's clock is ahead at least, and the boot time of that reading.
+    min_ahead: Option<(f64, u64)>,
 }
 
 impl StoreClock {
@@ -28,6 +30,26 @@
         }
     }
 
+    /// Records the store time of a response that was received by `received_boot_ms`.
+    pub fn observe_receipt(&mut self, store_ms: u64, received_boot_ms: u64) {
+        let ahead_ms = store_ms as f64 - received_boot_ms as f64;
+        let known_ms = self.min_ahead_bound_ms(received_boot_ms);
+        if known_ms.is_none_or(|known_ms| ahead_ms >= known_ms) {
+            self.min_ahead = Some((ahead_ms, received_boot_ms));
+        }
+    }
+
+    /// Returns by how much the store's clock is ahead of the boot clock at least.
+    #[must_use]
+    pub fn min_ahead_ms(&self, boot_ms: u64) -> Option<i64> {
+        self.min_ahead_bound_ms(boot_ms).map(|ahead_ms| ahead_ms.floor() as i64)
+    }
+
+    fn min_ahead_bound_ms(&self, boot_ms: u64) -> Option<f64> {
+        let (ahead_ms, since_boot_ms) = self.min_ahead?;
+        Some(ahead_ms - boot_ms.saturating_sub(since_boot_ms) as f64 * MAX_DRIFT_MS_PER_MS)
+    }
+
     /// Returns by how much the store's clock is ahead of the boot clock, which is negative if it is
     /// behind. The error is the shortest delay of a call on its way to the store.
     #[must_use]
--- a/crates/domain/src/team_quota/team_quota.rs
+++ b/crates/domain/src/team_quota/team_quota.rs
@@ -23,6 +23,8 @@
 /// Shortest time between two requests to the exchange: with 50 ms, a request that follows another one
 /// closely is refused before the second response arrives from another region.
 const REQUEST_INTERVAL_MS: u64 = 20;
+/// Time after which a response of the exchange counts as lost; a round trip between regions takes 40 ms.
+const RESPONSE_MS: u64 = 50;
 /// Interval of renewing a borrowed share; a third of a grant, so that one lost request does no harm.
 const REQUEST_RENEWAL_MS: u64 = 500;
 /// Time for which tokens granted beyond the capacity can be used, and in which they must arrive.
@@ -118,8 +120,10 @@
             self.bucket.take(cost);
             return Admission::Admitted;
         }
-        if !is_repeat && now_ms >= self.exhausted_until_ms {
-            self.waiting_tokens += cost;
+        if now_ms >= self.exhausted_until_ms {
+            if !is_repeat || self.must_request_again(now_ms) {
+                self.waiting_tokens += cost;
+            }
             return Admission::AwaitTokens;
         }
         let rate = self.shares.usable(now_ms) * self.limit.rate_per_ms();
@@ -264,10 +268,10 @@
         })
     }
 
-    /// Returns whether requests wait for tokens that are to be requested.
-    #[must_use]
-    pub fn has_waiting(&self) -> bool {
-        self.waiting_tokens > 0.0
+    /// Returns whether the last request to the exchange was lost, or its response did not suffice.
+    fn must_request_again(&self, now_ms: u64) -> bool {
+        let is_over = |sent_ms| sent_ms <= self.granted_ms || now_ms >= sent_ms + RESPONSE_MS;
+        self.waiting_tokens <= 0.0 && self.last_request_ms.is_none_or(is_over)
     }
 
     /// Returns the share that the callers of this daemon need.
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -7,6 +7,7 @@
 use jasminetack_domain::name;
 use jasminetack_domain::placement;
 use jasminetack_domain::quarantine;
+use jasminetack_domain::team_quota;
 use jasminetack_domain::upstream;
 use jasminetack_wire::fleet;
 use parking_lot::Mutex;
@@ -21,10 +22,12 @@
 use super::peers::Peers;
 use super::publisher::Publisher;
 use super::removed_workers::RemovedWorkers;
+use super::team_quotas::DEFAULT_BOUNDS;
 use crate::clock;
 use crate::dialect;
 use crate::metrics;
 use crate::store;
+use crate::team_tokens::TeamTokens;
 
 /// Time without use after which an adapter may be evicted.
 ///
@@ -54,6 +57,10 @@
     pub(super) outputs: Outputs,
     pub(super) chooser: Arc<Mutex<dispatch::Chooser>>,
     pub(super) metrics: Arc<metrics::Metrics>,
+    pub(super) team_tokens: Arc<TeamTokens>,
+    pub(super) quota_bounds: team_quota::QuotaBounds,
+    /// Version of the configuration whose limits of teams apply.
+    pub(super) limits_version: Option<u64>,
     pub(super) started_unix_ms: u64,
     pub(super) sequence: u64,
     pub(super) is_shutting_down: bool,
@@ -83,6 +90,7 @@
         metrics: Arc<metrics::Metrics>,
         started_unix_ms: u64,
     ) -> Self {
+        let team_tokens = TeamTokens::new(identity.host.clone(), started_unix_ms);
         let operator = Freshness::new(&identity.host, store::Table::Operator.as_str());
         let workers = Freshness::new(&identity.host, store::Table::Workers.as_str());
         Self {
@@ -102,6 +110,9 @@
             outputs,
             chooser,
             metrics,
+            team_tokens: Arc::new(team_tokens),
+            quota_bounds: DEFAULT_BOUNDS,
+            limits_version: None,
             started_unix_ms,
             sequence: 0,
             is_shutting_down: false,
@@ -149,10 +160,12 @@
             self.rank_readers(now_ms);
             self.assignments.log_slot_counts();
             self.remove_unlisted_limits(now_ms);
+            self.report_team_shares(now_ms);
             self.chooser.lock().loads.expire(now_ms);
         }
         self.update_quarantine(now_ms);
         self.update_permit_schedule(now_ms);
+        self.update_team_quotas(now_ms);
         self.send_orders(now_ms);
         self.publish_changes(now_ms);
     }
@@ -191,6 +204,7 @@
             Message::WorkerLeaving { worker, started_unix_ms } => {
                 self.handle_leaving_worker(&worker, started_unix_ms, now_ms);
             }
+            Message::TeamTokensNeeded => self.send_team_messages(now_ms),
             Message::LimitChanged { worker, change } => {
                 self.handle_limit_change(&worker, change, now_ms);
             }
@@ -338,6 +352,7 @@
         if changed.is_none() {
             self.last_full_view_ms = now_ms;
         }
+        self.update_team_limits(now_ms);
         let (catalog, assignments, peers) = (&self.catalog, &self.assignments, &self.peers);
         self.publisher.publish(catalog, assignments, peers, changed, self.is_shutting_down, now_ms);
     }
--- a/crates/edge/src/control/datagrams.rs
+++ b/crates/edge/src/control/datagrams.rs
@@ -38,6 +38,7 @@
         self.apply_peer_crashes(&datagram, now_ms);
         self.apply_peer_limits(&datagram, now_ms);
         self.apply_peer_leaving(&datagram, now_ms);
+        self.apply_peer_quotas(&datagram, now_ms);
         let Some(state) = &datagram.state else { return };
         let address = match fleet::parse_address(&state.address) {
             Ok(address) => address,
--- a/crates/edge/src/control/lease_manager.rs
+++ b/crates/edge/src/control/lease_manager.rs
@@ -108,8 +108,9 @@
     }
 
     /// Records the store time returned by a call that was sent at `sent_ms`.
-    pub fn observe_clock(&mut self, store_ms: u64, sent_ms: u64) {
+    pub fn observe_clock(&mut self, store_ms: u64, sent_ms: u64, now_ms: u64) {
         self.clock.observe(store_ms, sent_ms);
+        self.clock.observe_receipt(store_ms, now_ms);
     }
 
     /// Returns the identity of this daemon.
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -60,6 +60,8 @@
         /// The change.
         change: request_limit::LimitChange,
     },
+    /// A request waits for tokens of its team.
+    TeamTokensNeeded,
     /// Result of an order.
     OrderResult {
         /// The worker.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -23,6 +23,7 @@
 mod store_job;
 mod store_replies;
 mod table_reads;
+mod team_quotas;
 mod worker_limits;
 mod writer;
 
--- a/crates/edge/src/control/reports.rs
+++ b/crates/edge/src/control/reports.rs
@@ -193,6 +193,9 @@
             crashes: Vec::new(),
             limits: Vec::new(),
             leaving: Vec::new(),
+            team_loans: Vec::new(),
+            team_share_requests: Vec::new(),
+            team_grants: Vec::new(),
         }
     }
 }
--- a/crates/edge/src/control/table_reads.rs
+++ b/crates/edge/src/control/table_reads.rs
@@ -77,7 +77,7 @@
             FeedEvent::Listed(store::Listing { store_ms, .. })
             | FeedEvent::Changed(_, store_ms) => {
                 freshness.record_read(*store_ms);
-                self.lease_manager.observe_clock(*store_ms, started_ms);
+                self.lease_manager.observe_clock(*store_ms, started_ms, now_ms);
                 if was_lost {
                     self.unreachable_tables.retain(|lost| *lost != table);
                     spdlog::info!("dependency-regained name=store table={name}");
--- /dev/null
+++ b/crates/edge/src/control/team_quotas.rs
@@ -0,0 +1,164 @@
+//! Quotas of teams: the daemons and clock that they depend on, and the messages about shares.
+
+use std::sync::Arc;
+
+use jasminetack_domain::name;
+use jasminetack_domain::team;
+use jasminetack_domain::team_quota;
+use jasminetack_wire::fleet;
+
+use super::control_state::ControlState;
+use super::outputs::OutgoingDatagram;
+use crate::dialect;
+use crate::team_tokens::TeamTokens;
+
+/// Bounds of the rule if the platform's settings have none.
+pub(super) const DEFAULT_BOUNDS: team_quota::QuotaBounds =
+    team_quota::QuotaBounds { window_ms: 8_000, overage: 0.1, slack_tokens: 0.0 };
+const PPM: f64 = 1e6;
+
+impl<Dialect> ControlState<Dialect>
+where
+    Dialect: dialect::Dialect,
+{
+    /// Sets the bounds of the rule for quotas.
+    #[must_use]
+    pub fn with_quota_bounds(mut self, bounds: Option<team_quota::QuotaBounds>) -> Self {
+        self.quota_bounds = bounds.unwrap_or(DEFAULT_BOUNDS);
+        self
+    }
+
+    /// Returns the tokens of teams, which the traffic thread charges.
+    pub fn team_tokens(&self) -> &Arc<TeamTokens> {
+        &self.team_tokens
+    }
+
+    /// Applies the limits of a new configuration; called before it is published.
+    pub(super) fn update_team_limits(&mut self, now_ms: u64) {
+        let Some(ingress) = self.catalog.ingress() else { return };
+        if self.limits_version == Some(ingress.version()) {
+            return;
+        }
+        self.limits_version = Some(ingress.version());
+        let bounds = self.quota_bounds;
+        let teams = ingress.teams().into_iter().flat_map(|directory| directory.teams());
+        let limits = teams.filter_map(|team| Some((team.name.clone(), limit(team, bounds)?)));
+        self.team_tokens.quotas.lock().set_limits(limits, now_ms);
+    }
+
+    /// Updates the daemons and the clock by which shares are divided, and sends what is due.
+    pub(super) fn update_team_quotas(&mut self, now_ms: u64) {
+        let mut quotas = self.team_tokens.quotas.lock();
+        if quotas.is_empty() {
+            return;
+        }
+        let own = self.lease_manager.host();
+        let live = self.peers.iter().filter(|(_, peer)| peer.is_live(now_ms) && !peer.is_leaving);
+        let live = live.map(|(host, _)| host.clone()).chain([own.clone()]).collect();
+        // The same daemons own shares as have permits for workers with a limit.
+        let owners = self.lease_manager.has_read_rows().then(|| {
+            let others = self.peers.iter().filter(|(host, peer)| {
+                !peer.is_leaving
+                    && (peer.is_live(now_ms) || !self.lease_manager.is_lease_expired(host))
+            });
+            others.count() + 1
+        });
+        let clock = self.lease_manager.store_clock();
+        let bounds = clock.min_ahead_ms(now_ms).zip(clock.ahead_ms(now_ms));
+        let clock = bounds.map(|(min_ahead_ms, max_ahead_ms)| team_quota::ClockBounds {
+            min_ahead_ms,
+            // A store that lags behind may have stated too early a time once.
+            max_ahead_ms: max_ahead_ms.max(min_ahead_ms),
+        });
+        quotas.set_clock(clock);
+        quotas.set_daemons(live, owners, now_ms);
+        drop(quotas);
+        self.send_team_messages(now_ms);
+    }
+
+    /// Sends the loans and requests that are due, one datagram for each receiver.
+    pub(super) fn send_team_messages(&mut self, now_ms: u64) {
+        let outbox = self.team_tokens.quotas.lock().due_messages(now_ms);
+        // This daemon may be the exchange and have granted tokens to itself.
+        self.team_tokens.granted.notify_waiters();
+        for (host, message) in outbox {
+            self.send_team_message(&host, &message);
+        }
+    }
+
+    /// Applies the loans, requests and grants of another daemon.
+    pub(super) fn apply_peer_quotas(&mut self, datagram: &fleet::Datagram, now_ms: u64) {
+        let message = team_quota::Message {
+            loans: datagram.team_loans.iter().map(team_quota::Loan::from).collect(),
+            requests: datagram
+                .team_share_requests
+                .iter()
+                .map(team_quota::ShareRequest::from)
+                .collect(),
+            grants: datagram.team_grants.iter().map(team_quota::Grant::from).collect(),
+        };
+        if message == team_quota::Message::default() {
+            return;
+        }
+        let host = name::HostName::from(datagram.host.as_str());
+        let (started_unix_ms, sequence) = (datagram.started_unix_ms, datagram.sequence);
+        let response = self.team_tokens.quotas.lock().receive(
+            &host,
+            started_unix_ms,
+            sequence,
+            &message,
+            now_ms,
+        );
+        self.send_team_message(&host, &response);
+        if !message.grants.is_empty() {
+            self.team_tokens.granted.notify_waiters();
+        }
+    }
+
+    /// Logs changes of shares, and updates their metrics.
+    pub(super) fn report_team_shares(&self, now_ms: u64) {
+        let mut quotas = self.team_tokens.quotas.lock();
+        let changes = quotas.take_share_changes(now_ms);
+        let shares = quotas.iter().map(|(team, quota)| {
+            let shares = quota.shares();
+            (team, (shares.lent(now_ms) * PPM) as i64, (shares.borrowed(now_ms) * PPM) as i64)
+        });
+        self.metrics.teams_quota.set_shares(shares);
+        drop(quotas);
+        for change in changes {
+            let team_quota::ShareChange { team, usable, lent, borrowed } = change;
+            let ppm = |share: f64| (share * PPM) as u64;
+            spdlog::info!(
+                "team-share team={team} share_ppm={} lent_ppm={} borrowed_ppm={}",
+                ppm(usable),
+                ppm(lent),
+                ppm(borrowed)
+            );
+        }
+    }
+
+    fn send_team_message(&mut self, host: &name::HostName, message: &team_quota::Message) {
+        let Some(peer) = self.peers.get(host) else { return };
+        if *message == team_quota::Message::default() {
+            return;
+        }
+        let receivers = vec![peer.address];
+        let mut datagram = self.next_datagram(None, Vec::new());
+        datagram.team_loans = message.loans.iter().map(fleet::TeamLoan::from).collect();
+        datagram.team_share_requests =
+            message.requests.iter().map(fleet::TeamShareRequest::from).collect();
+        datagram.team_grants = message.grants.iter().map(fleet::TeamGrant::from).collect();
+        self.outputs.queue_datagram(OutgoingDatagram { receivers, datagram });
+    }
+}
+
+/// Returns the limit of a team; `None` if it has none.
+fn limit(team: &team::Team, bounds: team_quota::QuotaBounds) -> Option<team_quota::TeamLimit> {
+    let quota = team.quota?;
+    let bounds = match quota.unit {
+        team::QuotaUnit::Tokens => bounds,
+        // The slack is a number of tokens.
+        team::QuotaUnit::Requests => team_quota::QuotaBounds { slack_tokens: 0.0, ..bounds },
+    };
+    Some(team_quota::TeamLimit::new(quota.rate_per_s, quota.burst, bounds))
+}
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -126,7 +126,9 @@
         Arc::clone(&chooser),
         Arc::clone(&metrics),
         unix_ms(),
-    );
+    )
+    .with_quota_bounds(host.limits.quota);
+    let team_tokens = Arc::clone(state.team_tokens());
     let actor = control::Actor::new(state);
     thread::Builder::new()
         .name("control".to_owned())
@@ -149,6 +151,7 @@
         chooser,
         control_sender.clone(),
         metrics,
+        team_tokens,
     );
     let traffic = Arc::new(traffic);
     runtime.block_on(async {
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -4,6 +4,7 @@
 
 use jasminetack_domain::locality;
 use jasminetack_domain::name;
+use jasminetack_domain::team_quota;
 
 /// Identity, addresses and operating limits of the daemon on one host.
 #[derive(Clone, Debug, PartialEq)]
@@ -48,6 +49,8 @@
     pub retry_slack: f64,
     /// Time within which orders of two holders must not interleave.
     pub order_guard_ms: u64,
+    /// Bounds of the rule for quotas of teams; `None` where there are no teams.
+    pub quota: Option<team_quota::QuotaBounds>,
     /// Whether running answers end when the key of their request is removed.
     pub ends_revoked_answers: bool,
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,5 +14,7 @@
 pub mod metrics;
 pub mod settings;
 pub mod store;
+pub mod team_metrics;
+pub mod team_tokens;
 pub mod traffic;
 pub mod view;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -10,6 +10,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::team_metrics;
+
 type Label = [(&'static str, String); 1];
 type KindAndOutcome = [(&'static str, String); 2];
 type StoreCall = [(&'static str, String); 3];
@@ -42,6 +44,8 @@
     /// Keys of all teams.
     pub team_keys: Gauge,
     key_refusals: Family<Label, Counter>,
+    /// Quotas of teams.
+    pub teams_quota: team_metrics::TeamMetrics,
 }
 
 impl Metrics {
@@ -82,6 +86,7 @@
         let key_refusals = Family::default();
         let help = "Requests refused because of their key, by reason";
         registry.register("key_refusals", help, key_refusals.clone());
+        let teams_quota = team_metrics::TeamMetrics::new(&mut registry);
         let registry = Mutex::new(registry);
         Self {
             registry,
@@ -98,6 +103,7 @@
             teams,
             team_keys,
             key_refusals,
+            teams_quota,
         }
     }
 
--- a/crates/edge/src/traffic/caller.rs
+++ b/crates/edge/src/traffic/caller.rs
@@ -14,6 +14,7 @@
 use super::request_record::RequestRecord;
 use super::revocation_watch::RevocationWatch;
 use super::shared_state::SharedState;
+use super::team_charge::TeamCharge;
 use crate::clock;
 use crate::dialect;
 
@@ -38,6 +39,8 @@
     access: team::Access,
     /// Resolves if running answers end with their key and the key is removed.
     pub(super) revocation: RevocationWatch,
+    /// What the request costs its team.
+    pub(super) charge: TeamCharge,
 }
 
 impl Destination {
@@ -69,7 +72,8 @@
         let key = shared.dialect.decode_key(&head.headers);
         let Some(ingress) = &destination.ingress else {
             let (access, revocation) = (team::Access::Unrestricted, RevocationWatch::default());
-            return Ok(Self { key, access, revocation });
+            let charge = TeamCharge::default();
+            return Ok(Self { key, access, revocation, charge });
         };
         let route = destination.route.as_deref();
         let access = ingress.authorize(route, key.as_ref()).map_err(|refusal| {
@@ -80,7 +84,8 @@
             shared.key_refusal_log.record(key.as_ref(), reason, route, version, now_ms);
             Refusal::rejected(StatusCode::UNAUTHORIZED, KEY_REFUSED)
         })?;
-        let mut caller = Self { key, access, revocation: RevocationWatch::default() };
+        let (revocation, charge) = Default::default();
+        let mut caller = Self { key, access, revocation, charge };
         caller.watch_revocation(shared);
         Ok(caller)
     }
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -30,6 +30,7 @@
 mod server;
 mod shared_state;
 mod stream_relay;
+mod team_charge;
 mod worker_request;
 mod worker_search;
 
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -29,6 +29,7 @@
 use super::retry_decision::RetryDecision;
 use super::shared_state::SharedState;
 use super::stream_relay::StreamRelay;
+use super::team_charge::TeamCharge;
 use super::worker_request;
 use super::worker_search::Target;
 use crate::clock;
@@ -127,7 +128,7 @@
     async fn admit(
         shared: Arc<SharedState<Dialect>>,
         destination: Destination,
-        caller: Caller,
+        mut caller: Caller,
         (head, facts): (request::Parts, dialect::RequestMetadata),
         body: Incoming,
         record: &mut RequestRecord,
@@ -144,13 +145,15 @@
         record.set_team(caller.access().team());
         record.set_adapter(facts.adapter.as_ref());
         record.set_prompt_segments(&facts.prompt_segments);
+        let timeout_ms = facts.deadline_ms.unwrap_or(DEFAULT_TIMEOUT_MS).min(route.timeout_ms);
+        let (team, size) = (caller.access().team(), facts.size);
+        caller.charge = TeamCharge::take(&shared, team, size, timeout_ms).await?;
         let service = route.service(rand::random());
         let service = service.ok_or(Refusal::not_executed("no service", RETRY_AFTER_MS))?.clone();
         shared.count_request(&service, received_ms);
         if let Some(adapter) = &facts.adapter {
             shared.chooser.lock().popularity.record_request(adapter, received_ms);
         }
-        let timeout_ms = facts.deadline_ms.unwrap_or(DEFAULT_TIMEOUT_MS).min(route.timeout_ms);
         let deadline_ms = received_ms + timeout_ms;
         record.set_timeout(timeout_ms);
         let body = request_body::read(body, ingress.limits(), timeout_ms).await?;
@@ -209,6 +212,7 @@
             permit.consume();
         }
         record.record_attempt(&target.decision);
+        self.caller.charge.record_sent();
         let request = self.worker_request(target, last_event_id, now_ms);
         let (adapter, work) = (self.facts.adapter.as_ref(), self.facts.size_or_default());
         let chooser = &self.shared.chooser;
--- a/crates/edge/src/traffic/retry_decision.rs
+++ b/crates/edge/src/traffic/retry_decision.rs
@@ -42,6 +42,7 @@
     ) -> RetryDecision {
         match error {
             AttemptError::NotSent(reason) => {
+                self.release_charge();
                 record.record_attempt_failure(worker, reason);
                 self.excluded.push(worker.clone());
                 RetryDecision::Retry
@@ -83,6 +84,7 @@
         head: &response::Parts,
         record: &RequestRecord,
     ) -> RetryDecision {
+        self.release_charge();
         let result = if facts.is_misdirected { "misdirected" } else { "worker-refused" };
         record.record_attempt_failure(worker, result);
         if head.status == StatusCode::BAD_REQUEST {
--- a/crates/edge/src/traffic/shared_state.rs
+++ b/crates/edge/src/traffic/shared_state.rs
@@ -17,6 +17,7 @@
 use crate::control;
 use crate::host;
 use crate::metrics;
+use crate::team_tokens::TeamTokens;
 use crate::view;
 
 /// Share of the platform's retry budget that daemons use; the rest covers requests that the platform
@@ -43,6 +44,8 @@
     pub control: Sender<control::Message>,
     /// Metrics of the daemon.
     pub metrics: Arc<metrics::Metrics>,
+    /// Tokens of teams.
+    pub team_tokens: Arc<TeamTokens>,
     /// Requests whose answers end when their key is removed.
     pub running_requests: Arc<RunningRequests>,
     /// Log of refused keys.
@@ -53,6 +56,7 @@
 
 impl<Dialect> SharedState<Dialect> {
     /// Creates the state; it has no connections and no recorded requests yet.
+    #[allow(clippy::too_many_arguments)]
     pub fn new(
         dialect: Arc<Dialect>,
         host: Arc<host::Host>,
@@ -61,6 +65,7 @@
         chooser: Arc<Mutex<dispatch::Chooser>>,
         control: Sender<control::Message>,
         metrics: Arc<metrics::Metrics>,
+        team_tokens: Arc<TeamTokens>,
     ) -> Self {
         let crash_watch = Arc::new(CrashWatch::new(control.clone()));
         Self {
@@ -73,6 +78,7 @@
             crash_watch,
             control,
             metrics,
+            team_tokens,
             running_requests: Arc::default(),
             key_refusal_log: KeyRefusalLog::default(),
             retry_budgets: Mutex::default(),
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -10,6 +10,7 @@
 mod rows;
 mod suspect_segment;
 mod table_state;
+mod team_quota;
 mod worker_crash;
 mod worker_limit;
 
@@ -30,6 +31,7 @@
 pub use rows::{Lease, UnansweredOrders, WorkerHolder};
 pub use suspect_segment::SuspectSegment;
 pub use table_state::TableState;
+pub use team_quota::{TeamGrant, TeamLoan, TeamShareRequest};
 pub use worker_crash::WorkerCrash;
 pub use worker_limit::WorkerLimit;
 
@@ -72,6 +74,15 @@
     /// Workers that stated lately that they are leaving.
     #[prost(message, repeated, tag = "12")]
     pub leaving: Vec<LeavingWorker>,
+    /// Shares in the rates of teams that the sender lends to the receiver.
+    #[prost(message, repeated, tag = "13")]
+    pub team_loans: Vec<TeamLoan>,
+    /// Requests for shares in the rates of teams.
+    #[prost(message, repeated, tag = "14")]
+    pub team_share_requests: Vec<TeamShareRequest>,
+    /// Responses to the receiver's requests for shares.
+    #[prost(message, repeated, tag = "15")]
+    pub team_grants: Vec<TeamGrant>,
 }
 
 /// Adapters that the sender uses on one worker.
