--- a/crates/domain/src/team_quota/mod.rs
+++ b/crates/domain/src/team_quota/mod.rs
@@ -13,6 +13,7 @@
 mod outbox;
 mod shares;
 mod team_limit;
+#[allow(clippy::module_inception)]
 mod team_quota;
 mod team_quotas;
 mod token_bucket;
--- a/crates/domain/src/team_quota/team_quotas.rs
+++ b/crates/domain/src/team_quota/team_quotas.rs
@@ -13,9 +13,9 @@
 /// Bytes per millisecond that renewals of loans may use: 1.25 KB/s of the 3 KB/s for all control.
 const LOAN_BYTES_PER_MS: f64 = 1.25;
 /// Measured size of a datagram without loans, with the headers of UDP and IP.
-const DATAGRAM_BYTES: f64 = 85.0;
+const DATAGRAM_BYTES: f64 = 70.0;
 /// Measured size of one loan.
-const LOAN_BYTES: f64 = 27.0;
+const LOAN_BYTES: f64 = 23.0;
 /// Change of a share that is logged, as a part of the last logged share.
 const LOGGED_CHANGE: f64 = 0.25;
 /// Shortest time between two log lines of one team.
--- a/crates/edge/src/control/team_quotas.rs
+++ b/crates/edge/src/control/team_quotas.rs
@@ -15,6 +15,11 @@
 /// Bounds of the rule if the platform's settings have none.
 pub(super) const DEFAULT_BOUNDS: team_quota::QuotaBounds =
     team_quota::QuotaBounds { window_ms: 8_000, overage: 0.1, slack_tokens: 0.0 };
+/// Time from the start in which daemons with a lease count as live without having been heard of.
+const NEW_MS: u64 = 4_000;
+/// Time from the start after which a daemon sends its state to all others once more. Those that started
+/// a little later have missed the first one, and reports between regions are up to 8 s apart.
+const ANNOUNCE_MS: u64 = 2_000;
 const PPM: f64 = 1e6;
 
 impl<Dialect> ControlState<Dialect>
@@ -53,7 +58,14 @@
             return;
         }
         let own = self.lease_manager.host();
-        let live = self.peers.iter().filter(|(_, peer)| peer.is_live(now_ms) && !peer.is_leaving);
+        // Daemons that started together have not heard of all others yet, and would choose different
+        // exchanges: after a loss of power, four daemons served 47 of 60 requests at half of the rate.
+        let is_new = now_ms < self.lease_manager.started_ms + NEW_MS;
+        let live = self.peers.iter().filter(|(host, peer)| {
+            let is_expected =
+                is_new && peer.received_ms.is_none() && !self.lease_manager.is_lease_expired(host);
+            !peer.is_leaving && (peer.is_live(now_ms) || is_expected)
+        });
         let live = live.map(|(host, _)| host.clone()).chain([own.clone()]).collect();
         // The same daemons own shares as have permits for workers with a limit.
         let owners = self.lease_manager.has_read_rows().then(|| {
@@ -73,6 +85,15 @@
         quotas.set_clock(clock);
         quotas.set_daemons(live, owners, now_ms);
         drop(quotas);
+        if owners.is_some()
+            && !self.has_announced
+            && now_ms >= self.lease_manager.started_ms + ANNOUNCE_MS
+        {
+            self.has_announced = true;
+            let state = self.daemon_state(None, now_ms);
+            let receivers = self.peers.addresses(|_| true);
+            self.send_state(state, receivers);
+        }
         self.send_team_messages(now_ms);
     }
 
