Keep a cut-off daemon from using its share while the others divide it

A daemon counts as an owner until its lease has expired for 6 s; one that has had no lease for 5 s and hears less than half of the others uses a twentieth of its share.

--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -61,6 +61,8 @@
     pub(super) quota_bounds: team_quota::QuotaBounds,
     /// Version of the configuration whose limits of teams apply.
     pub(super) limits_version: Option<u64>,
+    /// Time at which this daemon last held its lease.
+    pub(super) last_lease_ms: u64,
     /// Whether the other daemons were told of this one some time after its start.
     pub(super) has_announced: bool,
     pub(super) started_unix_ms: u64,
@@ -115,6 +117,7 @@
             team_tokens: Arc::new(team_tokens),
             quota_bounds: DEFAULT_BOUNDS,
             limits_version: None,
+            last_lease_ms: 0,
             has_announced: false,
             started_unix_ms,
             sequence: 0,
--- a/crates/edge/src/control/lease_manager.rs
+++ b/crates/edge/src/control/lease_manager.rs
@@ -130,8 +130,18 @@
 
     /// Returns whether a daemon had no valid lease when the rows were last read.
     pub fn is_lease_expired(&self, host: &name::HostName) -> bool {
+        self.is_lease_expired_for(host, 0)
+    }
+
+    /// Returns whether the lease of a daemon had expired for some time when the rows were last read.
+    pub fn is_lease_expired_for(&self, host: &name::HostName, guard_ms: u64) -> bool {
         let lease = self.leases.get(host);
-        lease.is_none_or(|(row, _)| row.expires_store_ms < self.rows_store_ms)
+        lease.is_none_or(|(row, _)| row.expires_store_ms + guard_ms < self.rows_store_ms)
+    }
+
+    /// Returns whether this daemon holds its lease.
+    pub fn is_lease_valid(&self, now_ms: u64) -> bool {
+        self.lease.is_valid(now_ms)
     }
 
     /// Iterates over the leases as last read.
--- a/crates/edge/src/control/team_quotas.rs
+++ b/crates/edge/src/control/team_quotas.rs
@@ -20,6 +20,13 @@
 /// Time from the start after which a daemon sends its state to all others once more. Those that started
 /// a little later have missed the first one, and reports between regions are up to 8 s apart.
 const ANNOUNCE_MS: u64 = 2_000;
+/// Time without a valid lease after which a daemon that does not hear half of the others counts as cut
+/// off. The store is away for up to 9 s, in which a lease of 12 s may be invalid for 3 s.
+const LOST_LEASE_MS: u64 = 5_000;
+/// Time after the expiry of its lease for which a daemon still owns a share.
+const OWNER_GUARD_MS: u64 = 6_000;
+/// Part of its share that a daemon uses while it is cut off: the others divide the whole among them.
+const CUT_OFF_DIVISOR: usize = 20;
 const PPM: f64 = 1e6;
 
 impl<Dialect> ControlState<Dialect>
@@ -66,14 +73,16 @@
                 is_new && peer.received_ms.is_none() && !self.lease_manager.is_lease_expired(host);
             !peer.is_leaving && (peer.is_live(now_ms) || is_expected)
         });
-        let live = live.map(|(host, _)| host.clone()).chain([own.clone()]).collect();
-        // The same daemons own shares as have permits for workers with a limit.
-        let owners = self.lease_manager.has_read_rows().then(|| {
-            let others = self.peers.iter().filter(|(host, peer)| {
-                !peer.is_leaving
-                    && (peer.is_live(now_ms) || !self.lease_manager.is_lease_expired(host))
-            });
-            others.count() + 1
+        let live = live.map(|(host, _)| host.clone()).chain([own.clone()]);
+        let live: Vec<_> = live.collect();
+        let owners = self.lease_manager.has_read_rows().then(|| self.count_owners(now_ms));
+        if self.lease_manager.is_lease_valid(now_ms) {
+            self.last_lease_ms = now_ms;
+        }
+        let lost_lease_ms = self.last_lease_ms.max(self.lease_manager.started_ms) + LOST_LEASE_MS;
+        let owners = owners.map(|owners| {
+            let is_cut_off = now_ms > lost_lease_ms && 2 * live.len() <= owners;
+            if is_cut_off { owners * CUT_OFF_DIVISOR } else { owners }
         });
         let clock = self.lease_manager.store_clock();
         let bounds = clock.min_ahead_ms(now_ms).zip(clock.ahead_ms(now_ms));
@@ -97,6 +106,19 @@
         self.send_team_messages(now_ms);
     }
 
+    /// Returns the number of daemons that own shares, including this one.
+    ///
+    /// A daemon counts until it has left, or until its lease has expired for so long that it has noticed
+    /// it if it is cut off.
+    fn count_owners(&self, now_ms: u64) -> usize {
+        let others = self.peers.iter().filter(|(host, peer)| {
+            let is_owner = peer.is_live(now_ms)
+                || !self.lease_manager.is_lease_expired_for(host, OWNER_GUARD_MS);
+            !peer.is_leaving && is_owner
+        });
+        others.count() + 1
+    }
+
     /// Sends the loans and requests that are due, one datagram for each receiver.
     pub(super) fn send_team_messages(&mut self, now_ms: u64) {
         let outbox = self.team_tokens.quotas.lock().due_messages(now_ms);
--- a/crates/wire/tests/team_quota.rs
+++ b/crates/wire/tests/team_quota.rs
@@ -3,8 +3,8 @@
 use jasminetack_domain::name;
 use jasminetack_domain::team_quota;
 use jasminetack_wire::fleet;
-use prost::Message;
 use proptest::prelude::*;
+use prost::Message;
 
 /// Sizes from which the interval of loans is computed (`team_quota::TeamQuotas`).
 const MAX_DATAGRAM_BYTES: usize = 70;
