--- a/crates/domain/tests/team_quota/rules.rs
+++ b/crates/domain/tests/team_quota/rules.rs
@@ -176,3 +176,47 @@
     let mut quotas = daemon(0, 1, Some(1));
     assert_eq!(quotas.charge(&name::TeamName::from("other"), 10, false, START_MS), None);
 }
+
+fn share_request(sent_ms: u64, granted_ms: u64) -> Message {
+    let request =
+        ShareRequest { team: team(), share: 0.4, min_share: 0.0, tokens: 0.0, sent_ms, granted_ms };
+    Message { requests: vec![request], ..Message::default() }
+}
+
+/// Returns an exchange that holds a share of 0.5 for some time, and nothing of its own.
+fn exchange_with_loan(duration_ms: u64) -> TeamQuotas {
+    let mut quotas = daemon(0, 4, None);
+    let until_store_ms = START_MS + duration_ms;
+    let loan = Loan { team: team(), share: 0.5, tokens: 0.0, until_store_ms };
+    let message = Message { loans: vec![loan], ..Message::default() };
+    quotas.receive(&host(3), 1, 1, &message, START_MS);
+    quotas
+}
+
+fn granted(response: &Message) -> f64 {
+    response.grants.iter().map(|grant| grant.share).sum()
+}
+
+#[test]
+fn an_exchange_grants_no_more_than_it_holds() {
+    let mut quotas = exchange_with_loan(9_000);
+    let first = quotas.receive(&host(1), 1, 1, &share_request(50, 0), START_MS);
+    let second = quotas.receive(&host(2), 1, 1, &share_request(50, 0), START_MS);
+    assert!((granted(&first) - 0.4).abs() < 1e-9, "{first:?}");
+    assert!((granted(&second) - 0.1).abs() < 1e-9, "{second:?}");
+    // Half each from now on, but only once the first daemon has received its smaller grant.
+    let first = quotas.receive(&host(1), 1, 2, &share_request(550, 50), START_MS + 500);
+    assert!((granted(&first) - 0.25).abs() < 1e-9, "{first:?}");
+    let second = quotas.receive(&host(2), 1, 2, &share_request(551, 50), START_MS + 501);
+    assert!((granted(&second) - 0.1).abs() < 1e-9, "{second:?}");
+    quotas.receive(&host(1), 1, 3, &share_request(600, 550), START_MS + 550);
+    let second = quotas.receive(&host(2), 1, 3, &share_request(602, 551), START_MS + 552);
+    assert!((granted(&second) - 0.25).abs() < 1e-9, "{second:?}");
+}
+
+#[test]
+fn an_exchange_grants_nothing_for_longer_than_it_holds_it() {
+    let mut quotas = exchange_with_loan(1_000);
+    let response = quotas.receive(&host(1), 1, 1, &share_request(50, 0), START_MS);
+    assert_eq!(granted(&response), 0.0);
+}
