Predict Retry-After from the exchange and the demand as well

A daemon without a share sent callers away until its twentieth of a share would pay their request (tokens_of_the_exchange_count_in_the_predicted_time), and callers of a hot team came back at once, most in vain (the_predicted_time_grows_with_the_demand). Each fails without its part.

--- a/crates/domain/src/team_quota/demand.rs
+++ b/crates/domain/src/team_quota/demand.rs
@@ -30,6 +30,11 @@
         self.updated_ms = self.updated_ms.max(now_ms);
     }
 
+    /// Returns the average.
+    pub(super) fn tokens_per_ms(&self, now_ms: u64) -> f64 {
+        self.tokens_per_ms * self.decay(now_ms)
+    }
+
     /// Returns the average, less what is left to single tokens from the exchange.
     pub(super) fn steady_tokens_per_ms(&self, now_ms: u64) -> f64 {
         let decay = self.decay(now_ms);
--- a/crates/domain/src/team_quota/team_quota.rs
+++ b/crates/domain/src/team_quota/team_quota.rs
@@ -37,6 +37,8 @@
 const FULL: f64 = 0.99;
 /// Share above which a full bucket admits any request; at most one daemon can have it.
 const MAJORITY: f64 = 0.5;
+/// Time by which callers are spread for each multiple of the rate that they demand beyond it.
+const SPREAD_MS: f64 = 100.0;
 /// Longest predicted time until tokens are available.
 const MAX_AVAILABLE_IN_MS: f64 = 60_000.0;
 
@@ -126,11 +128,7 @@
             }
             return Admission::AwaitTokens;
         }
-        let rate = self.shares.usable(now_ms) * self.limit.rate_per_ms();
-        // A request that costs more than the bucket holds is admitted when it is full.
-        let missing = cost.min(self.capacity(now_ms)).max(1.0) - self.bucket.available();
-        let available_in_ms = (missing / rate).clamp(1.0, MAX_AVAILABLE_IN_MS);
-        Admission::Refused { available_in_ms: available_in_ms as u64 }
+        Admission::Refused { available_in_ms: self.available_in_ms(cost, now_ms) }
     }
 
     /// Returns the tokens of a request that was not executed.
@@ -268,6 +266,22 @@
         })
     }
 
+    /// Predicts when tokens for a request will be available, from the own bucket or the exchange.
+    ///
+    /// Callers beyond the rate are spread over a time that grows with the demand, as most of them would
+    /// be refused again.
+    fn available_in_ms(&self, cost: f64, now_ms: u64) -> u64 {
+        let team_rate = self.limit.rate_per_ms();
+        let rate = self.shares.usable(now_ms) * team_rate;
+        let missing = (cost - self.bucket.available()).max(1.0);
+        let wait_ms = self.exhausted_until_ms.saturating_sub(now_ms) as f64;
+        let earliest_ms = (missing / rate).min(wait_ms + missing / team_rate);
+        let excess = self.demand.tokens_per_ms(now_ms) / rate - 1.0;
+        let has_share = self.shares.usable(now_ms) >= self.min_useful_share();
+        let spread_ms = if has_share { excess.max(0.0) * SPREAD_MS } else { 0.0 };
+        (earliest_ms + spread_ms).clamp(1.0, MAX_AVAILABLE_IN_MS) as u64
+    }
+
     /// Returns whether the last request to the exchange was lost, or its response did not suffice.
     fn must_request_again(&self, now_ms: u64) -> bool {
         let is_over = |sent_ms| sent_ms <= self.granted_ms || now_ms >= sent_ms + RESPONSE_MS;
--- a/crates/domain/tests/team_quota/rules.rs
+++ b/crates/domain/tests/team_quota/rules.rs
@@ -220,3 +220,45 @@
     let response = quotas.receive(&host(1), 1, 1, &share_request(50, 0), START_MS);
     assert_eq!(granted(&response), 0.0);
 }
+
+/// Returns the predicted time until tokens are available at one of 70 daemons, with a share borrowed
+/// from the exchange, after requests at a multiple of the rate of the daemon.
+fn predicted_ms(share: f64, demand: f64) -> u64 {
+    let mut quotas = daemon(0, 2, Some(70));
+    let mut sequence = 0;
+    let mut predicted = 0;
+    for at_ms in (START_MS..START_MS + 4_000).step_by(10) {
+        let mut message = grant(0.0, at_ms);
+        (message.grants[0].share, message.grants[0].is_exhausted) = (share, true);
+        sequence += 1;
+        quotas.receive(&host(1), 1, sequence, &message, at_ms);
+        let cost = (100_000.0 * (share + 1.0 / 70.0) * demand / 100.0) as u64;
+        if let Some(Admission::Refused { available_in_ms }) =
+            quotas.charge(&team(), cost, false, at_ms)
+        {
+            predicted = available_in_ms;
+        }
+    }
+    predicted
+}
+
+/// Guards against callers of a hot team that return at once, most of them in vain.
+#[test]
+fn the_predicted_time_grows_with_the_demand() {
+    let (slight, hot) = (predicted_ms(0.5, 1.5), predicted_ms(0.5, 7.0));
+    assert!((1..=200).contains(&slight), "{slight} ms");
+    assert!((400..=1_000).contains(&hot), "{hot} ms");
+}
+
+/// Guards against a daemon that sends callers away until what it kept of its share pays a request.
+#[test]
+fn tokens_of_the_exchange_count_in_the_predicted_time() {
+    let mut quotas = daemon(0, 2, Some(70));
+    quotas.due_messages(START_MS);
+    let mut message = grant(0.0, START_MS);
+    (message.grants[0].share, message.grants[0].is_exhausted) = (0.0, true);
+    quotas.receive(&host(1), 1, 1, &message, START_MS);
+    let charged = quotas.charge(&team(), 1_500, false, START_MS);
+    let Some(Admission::Refused { available_in_ms }) = charged else { panic!("{charged:?}") };
+    assert!((100..=1_000).contains(&available_in_ms), "{available_in_ms} ms");
+}
