--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, StatusCode};
-use jasminetack_domain::{dispatch, locality, name, placement, team, upstream};
+use jasminetack_domain::{dispatch, ingress, locality, name, placement, team, upstream};
 use jasminetack_edge::{control, dialect, metrics, store, view};
 use jasminetack_wire::fleet;
 use parking_lot::Mutex;
@@ -17,7 +17,17 @@
 /// Time of all calls unless a test needs another.
 pub const NOW_MS: u64 = 10_000;
 
-/// Codec of entries that state nothing but the name of a worker.
+/// Key of the operator's entry that `NameDialect` decodes as a configuration with teams; any other one is
+/// a configuration without. The value is the version.
+pub const CONFIGURATION_WITH_TEAMS: &str = "config-with-teams";
+
+const CLIENT_LIMITS: ingress::ClientLimits = ingress::ClientLimits {
+    max_header_bytes: 16_384,
+    max_body_bytes: 4_096,
+    idle_timeout_ms: 15_000,
+};
+
+/// Codec of entries that state nothing but the name of a worker or the version of a configuration.
 pub struct NameDialect;
 
 impl dialect::Dialect for NameDialect {
@@ -62,10 +72,13 @@
 
     fn decode_operator_entry(
         &self,
-        _key: &str,
-        _value: &[u8],
+        key: &str,
+        value: &[u8],
     ) -> Result<dialect::OperatorEntry, dialect::DecodeError> {
-        Ok(dialect::OperatorEntry::Other)
+        let teams = (key == CONFIGURATION_WITH_TEAMS).then(team::TeamDirectory::default);
+        let (version, limits) = (u64::from(value[0]), CLIENT_LIMITS);
+        let ingress = ingress::Ingress::new(version, [], [], limits, teams);
+        Ok(dialect::OperatorEntry::Ingress(ingress))
     }
 
     fn encode_order(
