Count daemons with expired leases for a time after the start

After a loss of power longer than a lease, each daemon owned the whole rate until it had heard of the others, and chose itself as the exchange.

--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -7,7 +7,6 @@
 use jasminetack_domain::name;
 use jasminetack_domain::placement;
 use jasminetack_domain::quarantine;
-use jasminetack_domain::team_quota;
 use jasminetack_domain::upstream;
 use jasminetack_wire::fleet;
 use parking_lot::Mutex;
@@ -22,7 +21,7 @@
 use super::peers::Peers;
 use super::publisher::Publisher;
 use super::removed_workers::RemovedWorkers;
-use super::team_quotas::DEFAULT_BOUNDS;
+use super::team_quotas::ShareOwners;
 use crate::clock;
 use crate::dialect;
 use crate::metrics;
@@ -58,13 +57,7 @@
     pub(super) chooser: Arc<Mutex<dispatch::Chooser>>,
     pub(super) metrics: Arc<metrics::Metrics>,
     pub(super) team_tokens: Arc<TeamTokens>,
-    pub(super) quota_bounds: team_quota::QuotaBounds,
-    /// Version of the configuration whose limits of teams apply.
-    pub(super) limits_version: Option<u64>,
-    /// Time at which this daemon last held its lease.
-    pub(super) last_lease_ms: u64,
-    /// Whether the other daemons were told of this one some time after its start.
-    pub(super) has_announced: bool,
+    pub(super) share_owners: ShareOwners,
     pub(super) started_unix_ms: u64,
     pub(super) sequence: u64,
     pub(super) is_shutting_down: bool,
@@ -115,10 +108,7 @@
             chooser,
             metrics,
             team_tokens: Arc::new(team_tokens),
-            quota_bounds: DEFAULT_BOUNDS,
-            limits_version: None,
-            last_lease_ms: 0,
-            has_announced: false,
+            share_owners: ShareOwners::default(),
             started_unix_ms,
             sequence: 0,
             is_shutting_down: false,
--- a/crates/edge/src/control/team_quotas.rs
+++ b/crates/edge/src/control/team_quotas.rs
@@ -13,11 +13,15 @@
 use crate::team_tokens::TeamTokens;
 
 /// Bounds of the rule if the platform's settings have none.
-pub(super) const DEFAULT_BOUNDS: team_quota::QuotaBounds =
+const DEFAULT_BOUNDS: team_quota::QuotaBounds =
     team_quota::QuotaBounds { window_ms: 8_000, overage: 0.1, slack_tokens: 0.0 };
-/// Time from the start in which daemons with a lease count as live without having been heard of.
+/// Time from the first reading of the lease rows in which daemons with a lease, also one that has
+/// expired, count without having been heard of.
 const NEW_MS: u64 = 4_000;
-/// Time from the start after which a daemon sends its state to all others once more. Those that started
+/// Time after the expiry of its lease for which a daemon counts then: after a loss of power, each daemon
+/// may read the rows before any other one has renewed its lease, and must not own the whole rate.
+const NEW_GUARD_MS: u64 = 600_000;
+/// Time from that reading after which a daemon sends its state to all others once more. Those that started
 /// a little later have missed the first one, and reports between regions are up to 8 s apart.
 const ANNOUNCE_MS: u64 = 2_000;
 /// Time without a valid lease after which a daemon that does not hear half of the others counts as cut
@@ -29,6 +33,32 @@
 const CUT_OFF_DIVISOR: usize = 20;
 const PPM: f64 = 1e6;
 
+/// What determines which daemons own shares, and how large they are.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ShareOwners {
+    bounds: team_quota::QuotaBounds,
+    /// Version of the configuration whose limits apply.
+    limits_version: Option<u64>,
+    /// Time at which the lease rows had first been read.
+    first_read_ms: Option<u64>,
+    /// Time at which this daemon last held its lease.
+    last_lease_ms: u64,
+    /// Whether the other daemons were told of this one some time after its start.
+    has_announced: bool,
+}
+
+impl Default for ShareOwners {
+    fn default() -> Self {
+        Self {
+            bounds: DEFAULT_BOUNDS,
+            limits_version: None,
+            first_read_ms: None,
+            last_lease_ms: 0,
+            has_announced: false,
+        }
+    }
+}
+
 impl<Dialect> ControlState<Dialect>
 where
     Dialect: dialect::Dialect,
@@ -36,7 +66,7 @@
     /// Sets the bounds of the rule for quotas.
     #[must_use]
     pub fn with_quota_bounds(mut self, bounds: Option<team_quota::QuotaBounds>) -> Self {
-        self.quota_bounds = bounds.unwrap_or(DEFAULT_BOUNDS);
+        self.share_owners.bounds = bounds.unwrap_or(DEFAULT_BOUNDS);
         self
     }
 
@@ -48,11 +78,11 @@
     /// Applies the limits of a new configuration; called before it is published.
     pub(super) fn update_team_limits(&mut self, now_ms: u64) {
         let Some(ingress) = self.catalog.ingress() else { return };
-        if self.limits_version == Some(ingress.version()) {
+        if self.share_owners.limits_version == Some(ingress.version()) {
             return;
         }
-        self.limits_version = Some(ingress.version());
-        let bounds = self.quota_bounds;
+        self.share_owners.limits_version = Some(ingress.version());
+        let bounds = self.share_owners.bounds;
         let teams = ingress.teams().into_iter().flat_map(|directory| directory.teams());
         let limits = teams.filter_map(|team| Some((team.name.clone(), limit(team, bounds)?)));
         self.team_tokens.quotas.lock().set_limits(limits, now_ms);
@@ -60,28 +90,25 @@
 
     /// Updates the daemons and the clock by which shares are divided, and sends what is due.
     pub(super) fn update_team_quotas(&mut self, now_ms: u64) {
-        let mut quotas = self.team_tokens.quotas.lock();
-        if quotas.is_empty() {
-            return;
+        let has_read_rows = self.lease_manager.has_read_rows();
+        if has_read_rows {
+            self.share_owners.first_read_ms.get_or_insert(now_ms);
         }
-        let own = self.lease_manager.host();
-        // Daemons that started together have not heard of all others yet, and would choose different
-        // exchanges: after a loss of power, four daemons served 47 of 60 requests at half of the rate.
-        let is_new = now_ms < self.lease_manager.started_ms + NEW_MS;
-        let live = self.peers.iter().filter(|(host, peer)| {
-            let is_expected =
-                is_new && peer.received_ms.is_none() && !self.lease_manager.is_lease_expired(host);
-            !peer.is_leaving && (peer.is_live(now_ms) || is_expected)
-        });
-        let live = live.map(|(host, _)| host.clone()).chain([own.clone()]);
-        let live: Vec<_> = live.collect();
-        let owners = self.lease_manager.has_read_rows().then(|| self.count_owners(now_ms));
         if self.lease_manager.is_lease_valid(now_ms) {
-            self.last_lease_ms = now_ms;
+            self.share_owners.last_lease_ms = now_ms;
+        }
+        if self.team_tokens.quotas.lock().is_empty() {
+            return;
         }
-        let lost_lease_ms = self.last_lease_ms.max(self.lease_manager.started_ms) + LOST_LEASE_MS;
-        let owners = owners.map(|owners| {
-            let is_cut_off = now_ms > lost_lease_ms && 2 * live.len() <= owners;
+        let first_read_ms = self.share_owners.first_read_ms;
+        let known_for_ms = first_read_ms.map_or(0, |first_ms| now_ms.saturating_sub(first_ms));
+        let is_new = known_for_ms < NEW_MS;
+        let live = self.live_daemons(is_new, now_ms);
+        let owners = has_read_rows.then(|| {
+            let owners = self.count_owners(is_new, now_ms);
+            let last_lease_ms = self.share_owners.last_lease_ms.max(self.lease_manager.started_ms);
+            let has_lost_lease = now_ms > last_lease_ms + LOST_LEASE_MS;
+            let is_cut_off = has_lost_lease && 2 * live.len() <= owners;
             if is_cut_off { owners * CUT_OFF_DIVISOR } else { owners }
         });
         let clock = self.lease_manager.store_clock();
@@ -91,14 +118,12 @@
             // A store that lags behind may have stated too early a time once.
             max_ahead_ms: max_ahead_ms.max(min_ahead_ms),
         });
+        let mut quotas = self.team_tokens.quotas.lock();
         quotas.set_clock(clock);
         quotas.set_daemons(live, owners, now_ms);
         drop(quotas);
-        if owners.is_some()
-            && !self.has_announced
-            && now_ms >= self.lease_manager.started_ms + ANNOUNCE_MS
-        {
-            self.has_announced = true;
+        if known_for_ms >= ANNOUNCE_MS && !self.share_owners.has_announced {
+            self.share_owners.has_announced = true;
             let state = self.daemon_state(None, now_ms);
             let receivers = self.peers.addresses(|_| true);
             self.send_state(state, receivers);
@@ -106,14 +131,30 @@
         self.send_team_messages(now_ms);
     }
 
+    /// Returns the daemons from which the exchanges are chosen, including this one.
+    ///
+    /// Daemons that started together have not heard of all others yet, and would choose different
+    /// exchanges: after a loss of power, four daemons served 47 of 60 requests at half of the rate.
+    fn live_daemons(&self, is_new: bool, now_ms: u64) -> Vec<name::HostName> {
+        let live = self.peers.iter().filter(|(host, peer)| {
+            let is_expected = is_new
+                && peer.received_ms.is_none()
+                && !self.lease_manager.is_lease_expired_for(host, NEW_GUARD_MS);
+            !peer.is_leaving && (peer.is_live(now_ms) || is_expected)
+        });
+        let own = self.lease_manager.host().clone();
+        live.map(|(host, _)| host.clone()).chain([own]).collect()
+    }
+
     /// Returns the number of daemons that own shares, including this one.
     ///
     /// A daemon counts until it has left, or until its lease has expired for so long that it has noticed
     /// it if it is cut off.
-    fn count_owners(&self, now_ms: u64) -> usize {
+    fn count_owners(&self, is_new: bool, now_ms: u64) -> usize {
+        let guard_ms = if is_new { NEW_GUARD_MS } else { OWNER_GUARD_MS };
         let others = self.peers.iter().filter(|(host, peer)| {
-            let is_owner = peer.is_live(now_ms)
-                || !self.lease_manager.is_lease_expired_for(host, OWNER_GUARD_MS);
+            let is_owner =
+                peer.is_live(now_ms) || !self.lease_manager.is_lease_expired_for(host, guard_ms);
             !peer.is_leaving && is_owner
         });
         others.count() + 1
--- a/crates/edge/tests/team_quotas.rs
+++ b/crates/edge/tests/team_quotas.rs
@@ -93,10 +93,22 @@
 fn a_silent_daemon_owns_its_share_until_its_lease_has_expired_for_some_time() {
     let now_ms = clock::now_ms();
     let mut daemon = daemon_with_teams(1, now_ms);
-    read_leases(&mut daemon, NOW_MS + LEASE_MS + 5_000, now_ms + 100);
-    assert_eq!(own_share(&mut daemon, now_ms + 200), 0.25);
-    read_leases(&mut daemon, NOW_MS + LEASE_MS + 7_000, now_ms + 300);
-    assert_eq!(own_share(&mut daemon, now_ms + 400), 1.0);
+    assert_eq!(own_share(&mut daemon, now_ms), 0.25);
+    read_leases(&mut daemon, NOW_MS + LEASE_MS + 5_000, now_ms + 4_100);
+    assert_eq!(own_share(&mut daemon, now_ms + 4_200), 0.25);
+    read_leases(&mut daemon, NOW_MS + LEASE_MS + 7_000, now_ms + 4_300);
+    assert_eq!(own_share(&mut daemon, now_ms + 4_400), 1.0);
+}
+
+/// Guards against daemons that each own the whole rate after a loss of power in which all leases have
+/// expired.
+#[test]
+fn a_daemon_that_has_just_started_counts_daemons_whose_leases_have_expired() {
+    let now_ms = clock::now_ms();
+    let mut daemon = daemon_with_teams(1, now_ms);
+    read_leases(&mut daemon, NOW_MS + LEASE_MS + 60_000, now_ms + 10);
+    assert_eq!(own_share(&mut daemon, now_ms + 20), 0.25);
+    assert_eq!(own_share(&mut daemon, now_ms + 4_900), 1.0);
 }
 
 /// Guards against one datagram for each team.
