Repeat loans sooner while an exchange is new

An exchange that starts at the same time ignores loans until it has read the configuration and the store's clock; the share was then idle until the next renewal. Seen in callers_are_served_at_once_after_all_daemons_were_killed, which failed in one of three runs of the file (48 of 60 served).

--- a/crates/domain/src/team_quota/team_quota.rs
+++ b/crates/domain/src/team_quota/team_quota.rs
@@ -142,10 +142,11 @@
     pub fn due_loan(
         &mut self,
         exchange: &name::HostName,
-        renewal_ms: u64,
+        interval_ms: u64,
+        duration_ms: u64,
         now_ms: u64,
     ) -> Option<(f64, f64)> {
-        let is_due = self.last_loan_ms.is_none_or(|sent_ms| now_ms >= sent_ms + renewal_ms);
+        let is_due = self.last_loan_ms.is_none_or(|sent_ms| now_ms >= sent_ms + interval_ms);
         if !is_due {
             return None;
         }
@@ -158,7 +159,7 @@
             return None;
         }
         self.advance(now_ms);
-        let until_ms = now_ms + loan_ms(renewal_ms);
+        let until_ms = now_ms + duration_ms;
         self.shares.lend(exchange, share, until_ms, now_ms);
         let tokens = (self.bucket.level() - self.capacity(now_ms)).max(0.0);
         self.bucket.take(tokens);
--- a/crates/domain/src/team_quota/team_quotas.rs
+++ b/crates/domain/src/team_quota/team_quotas.rs
@@ -16,6 +16,13 @@
 const DATAGRAM_BYTES: f64 = 70.0;
 /// Measured size of one loan.
 const LOAN_BYTES: f64 = 23.0;
+/// Factor by which loans to an exchange that was chosen in the last `NEW_EXCHANGE_MS` are renewed more often.
+///
+/// An exchange that has started at the same time ignores loans until it has read the configuration and
+/// the store's clock. With the usual interval, four daemons served 48 of 60 requests at half of the
+/// rate after a loss of power.
+const NEW_EXCHANGE_DIVISOR: u64 = 5;
+const NEW_EXCHANGE_MS: u64 = 3_000;
 /// Change of a share that is logged, as a part of the last logged share.
 const LOGGED_CHANGE: f64 = 0.25;
 /// Shortest time between two log lines of one team.
@@ -67,10 +74,20 @@
 struct Entry {
     quota: TeamQuota,
     exchange: Option<name::HostName>,
+    exchange_since_ms: u64,
     logged_share: f64,
     logged_ms: Option<u64>,
 }
 
+impl Entry {
+    fn set_exchange(&mut self, exchange: Option<name::HostName>, now_ms: u64) {
+        if exchange != self.exchange {
+            self.exchange = exchange;
+            self.exchange_since_ms = now_ms;
+        }
+    }
+}
+
 /// Quotas of all teams at one daemon.
 #[derive(Clone, Debug)]
 pub struct TeamQuotas {
@@ -119,7 +136,7 @@
             let entry = match previous.swap_remove(&team).or_else(removed) {
                 Some(mut entry) => {
                     entry.quota.set_limit(limit, now_ms);
-                    entry.exchange = choose_exchange(&team, &self.live);
+                    entry.set_exchange(choose_exchange(&team, &self.live), now_ms);
                     if let Some(own) = self.own_share {
                         entry.quota.set_own(own, now_ms);
                     }
@@ -147,7 +164,7 @@
         if live != self.live {
             self.live = live;
             for (team, entry) in &mut self.teams {
-                entry.exchange = choose_exchange(team, &self.live);
+                entry.set_exchange(choose_exchange(team, &self.live), now_ms);
             }
             self.update_renewal();
             self.received.retain(|host, _| self.live.binary_search(host).is_ok());
@@ -192,15 +209,19 @@
     /// Returns the messages that are due: loans to the exchanges and requests to them.
     pub fn due_messages(&mut self, now_ms: u64) -> Outbox {
         let mut outbox = Outbox::new();
+        let duration_ms = loan_ms(self.renewal_ms);
         for (team, entry) in &mut self.teams {
             let Some(exchange) = entry.exchange.clone() else { continue };
             let is_own = exchange == self.host;
+            let is_new = now_ms < entry.exchange_since_ms + NEW_EXCHANGE_MS;
+            let divisor = if is_new { NEW_EXCHANGE_DIVISOR } else { 1 };
+            let interval_ms = self.renewal_ms / divisor;
             if let Some(clock) = self.clock
                 && let Some((share, tokens)) =
-                    entry.quota.due_loan(&exchange, self.renewal_ms, now_ms)
+                    entry.quota.due_loan(&exchange, interval_ms, duration_ms, now_ms)
             {
-                let until_ms = now_ms + loan_ms(self.renewal_ms);
-                let until_store_ms = clock.earliest_store_ms(now_ms) + loan_ms(self.renewal_ms);
+                let until_ms = now_ms + duration_ms;
+                let until_store_ms = clock.earliest_store_ms(now_ms) + duration_ms;
                 let loan = Loan { team: team.clone(), share, tokens, until_store_ms };
                 if is_own {
                     let started = self.started_unix_ms;
@@ -291,8 +312,13 @@
         if let Some(own) = self.own_share {
             quota.set_own(own, now_ms);
         }
-        let exchange = choose_exchange(team, &self.live);
-        Entry { quota, exchange, logged_share: 0.0, logged_ms: None }
+        Entry {
+            quota,
+            exchange: choose_exchange(team, &self.live),
+            exchange_since_ms: now_ms,
+            logged_share: 0.0,
+            logged_ms: None,
+        }
     }
 
     /// Renews loans as often as the bytes for it allow.
