--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod slot_credit;
 pub mod table;
 pub mod team;
+pub mod team_quota;
 pub mod upstream;
 pub mod worker;
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -23,10 +23,12 @@
 use super::quarantine_rows::QuarantineRows;
 use super::removed_workers::RemovedWorkers;
 use super::slot_state::SlotState;
+use super::team_quotas::ShareOwners;
 use crate::clock;
 use crate::dialect;
 use crate::metrics;
 use crate::store;
+use crate::team_tokens::TeamTokens;
 
 /// Time without use after which an adapter may be evicted.
 ///
@@ -58,6 +60,8 @@
     pub(super) outputs: Outputs,
     pub(super) chooser: Arc<Mutex<dispatch::Chooser>>,
     pub(super) metrics: Arc<metrics::Metrics>,
+    pub(super) team_tokens: Arc<TeamTokens>,
+    pub(super) share_owners: ShareOwners,
     pub(super) started_unix_ms: u64,
     pub(super) sequence: u64,
     pub(super) is_shutting_down: bool,
@@ -87,6 +91,7 @@
         metrics: Arc<metrics::Metrics>,
         started_unix_ms: u64,
     ) -> Self {
+        let team_tokens = TeamTokens::new(identity.host.clone(), started_unix_ms);
         let operator = Freshness::new(&identity.host, store::Table::Operator.as_str());
         let workers = Freshness::new(&identity.host, store::Table::Workers.as_str());
         Self {
@@ -108,6 +113,8 @@
             outputs,
             chooser,
             metrics,
+            team_tokens: Arc::new(team_tokens),
+            share_owners: ShareOwners::default(),
             started_unix_ms,
             sequence: 0,
             is_shutting_down: false,
@@ -162,12 +169,14 @@
             self.rank_readers(now_ms);
             self.assignments.log_slot_counts();
             self.remove_unlisted_limits(now_ms);
+            self.report_team_shares(now_ms);
             self.chooser.lock().loads.expire(now_ms);
         }
         self.update_quarantine(now_ms);
         self.update_permit_schedule(now_ms);
         self.update_slot_brokers(now_ms);
         self.send_slot_messages();
+        self.update_team_quotas(now_ms);
         self.send_orders(now_ms);
         self.publish_changes(now_ms);
     }
@@ -206,6 +215,7 @@
             Message::WorkerLeaving { worker, started_unix_ms } => {
                 self.handle_leaving_worker(&worker, started_unix_ms, now_ms);
             }
+            Message::TeamTokensNeeded => self.send_team_messages(now_ms),
             Message::LimitChanged { worker, change } => {
                 self.handle_limit_change(&worker, change, now_ms);
             }
@@ -354,6 +364,7 @@
         if changed.is_none() {
             self.last_full_view_ms = now_ms;
         }
+        self.update_team_limits(now_ms);
         let (catalog, assignments, peers) = (&self.catalog, &self.assignments, &self.peers);
         self.publisher.publish(catalog, assignments, peers, changed, self.is_shutting_down, now_ms);
     }
--- a/crates/edge/src/control/lease_manager.rs
+++ b/crates/edge/src/control/lease_manager.rs
@@ -106,8 +106,9 @@
     }
 
     /// Records the store time returned by a call that was sent at `sent_ms`.
-    pub fn observe_clock(&mut self, store_ms: u64, sent_ms: u64) {
+    pub fn observe_clock(&mut self, store_ms: u64, sent_ms: u64, now_ms: u64) {
         self.clock.observe(store_ms, sent_ms);
+        self.clock.observe_receipt(store_ms, now_ms);
     }
 
     /// Returns the identity of this daemon.
@@ -127,8 +128,18 @@
 
     /// Returns whether a daemon had no valid lease when the rows were last read.
     pub fn is_lease_expired(&self, host: &name::HostName) -> bool {
+        self.is_lease_expired_for(host, 0)
+    }
+
+    /// Returns whether the lease of a daemon had expired for some time when the rows were last read.
+    pub fn is_lease_expired_for(&self, host: &name::HostName, guard_ms: u64) -> bool {
         let lease = self.leases.get(host);
-        lease.is_none_or(|(row, _)| row.expires_store_ms < self.rows_store_ms)
+        lease.is_none_or(|(row, _)| row.expires_store_ms + guard_ms < self.rows_store_ms)
+    }
+
+    /// Returns whether this daemon holds its lease.
+    pub fn is_lease_valid(&self, now_ms: u64) -> bool {
+        self.lease.is_valid(now_ms)
     }
 
     /// Iterates over the leases as last read.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -28,6 +28,7 @@
 mod store_job;
 mod store_replies;
 mod table_reads;
+mod team_quotas;
 mod worker_limits;
 mod writer;
 
--- a/crates/edge/src/control/quarantine_rows.rs
+++ b/crates/edge/src/control/quarantine_rows.rs
@@ -94,7 +94,7 @@
     pub(super) fn handle_quarantine_reply(&mut self, reply: QuarantineReply, now_ms: u64) {
         match reply {
             QuarantineReply::Rows(Ok(listing), sent_ms) => {
-                self.lease_manager.observe_clock(listing.store_ms, sent_ms);
+                self.lease_manager.observe_clock(listing.store_ms, sent_ms, now_ms);
                 self.apply_quarantine_rows(listing, now_ms);
             }
             QuarantineReply::Rows(Err(error), _) => {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -11,6 +11,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::team_metrics;
+
 type Label = [(&'static str, String); 1];
 type KindAndOutcome = [(&'static str, String); 2];
 type StoreCall = [(&'static str, String); 3];
@@ -49,6 +51,8 @@
     slot_calls: Family<Label, Counter>,
     /// Requests that wait for a slot at this daemon as their broker.
     pub waiting_slot_requests: Gauge,
+    /// Quotas of teams.
+    pub teams_quota: team_metrics::TeamMetrics,
 }
 
 impl Metrics {
@@ -104,6 +108,7 @@
         let waiting_slot_requests = Gauge::default();
         let help = "Requests that wait for a slot at this daemon as their broker";
         registry.register("waiting_slot_requests", help, waiting_slot_requests.clone());
+        let teams_quota = team_metrics::TeamMetrics::new(&mut registry);
         let registry = Mutex::new(registry);
         Self {
             registry,
@@ -125,6 +130,7 @@
             slot_decisions,
             slot_calls,
             waiting_slot_requests,
+            teams_quota,
         }
     }
 
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -34,6 +34,7 @@
 mod shared_state;
 mod slot_search;
 mod stream_relay;
+mod team_charge;
 mod worker_request;
 mod worker_search;
 
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -12,6 +12,7 @@
 mod slot_credits;
 mod suspect_segment;
 mod table_state;
+mod team_quota;
 mod worker_crash;
 mod worker_limit;
 
@@ -34,6 +35,7 @@
 pub use slot_credits::{ForeignCalls, SlotAnswer, SlotReport, SlotRequest, SlotReturn, SlotUse};
 pub use suspect_segment::SuspectSegment;
 pub use table_state::TableState;
+pub use team_quota::{TeamGrant, TeamLoan, TeamShareRequest};
 pub use worker_crash::WorkerCrash;
 pub use worker_limit::WorkerLimit;
 
@@ -76,6 +78,15 @@
     /// Workers that stated lately that they are leaving.
     #[prost(message, repeated, tag = "12")]
     pub leaving: Vec<LeavingWorker>,
+    /// Shares in the rates of teams that the sender lends to the receiver.
+    #[prost(message, repeated, tag = "13")]
+    pub team_loans: Vec<TeamLoan>,
+    /// Requests for shares in the rates of teams.
+    #[prost(message, repeated, tag = "14")]
+    pub team_share_requests: Vec<TeamShareRequest>,
+    /// Responses to the receiver's requests for shares.
+    #[prost(message, repeated, tag = "15")]
+    pub team_grants: Vec<TeamGrant>,
     /// Requests for slots that the receiver assigns.
     #[prost(message, repeated, tag = "16")]
     pub slot_requests: Vec<SlotRequest>,
