Give up orders that are repeated for a second without a known outcome

An order that always got an unspecified status was repeated every 30 ms for ever and blocked all other orders of the worker. After 1 s the number of accepted orders now counts as unknown: a report is read, and the order's adapter is delayed. Unspecified statuses for 1 s to the probe mean that preconditions are ignored; repeats after time-outs go on. A report is read only when no order awaits its answer, so the code for an order that is repeated across a report is removed.

--- a/crates/domain/src/placement/adapter_demand.rs
+++ b/crates/domain/src/placement/adapter_demand.rs
@@ -14,6 +14,8 @@
     pub confirmed_ms: u64,
     /// Time of the newest request.
     pub newest_ms: u64,
+    /// Time before which no load is started.
+    pub start_ms: u64,
     /// Number of requests.
     pub requests: u32,
 }
--- a/crates/domain/src/placement/adapter_slot.rs
+++ b/crates/domain/src/placement/adapter_slot.rs
@@ -6,8 +6,8 @@
 const BUSY_RETRY_MS: u64 = 25;
 /// Delay before an unanswered order is retried.
 const UNANSWERED_RETRY_MS: u64 = 30;
-/// Delay before an undelivered or rejected order is retried.
-const DEFAULT_RETRY_MS: u64 = 250;
+/// Delay before an undelivered, rejected or given up order is retried.
+pub(super) const DEFAULT_RETRY_MS: u64 = 250;
 /// Interval between polls of a load.
 const LOAD_POLL_MS: u64 = 30;
 /// Time during which the worker may still execute an unanswered order: the platform's documented
@@ -134,7 +134,7 @@
             self.accepted_ms.get_or_insert(now_ms);
             self.is_accepted = true;
         }
-        self.is_executing |= matches!(result, OrderResult::Accepted | OrderResult::Unanswered);
+        self.is_executing |= result == OrderResult::Accepted || result.is_unknown();
         self.next_order_ms = now_ms
             + match result {
                 OrderResult::Accepted => LOAD_POLL_MS,
@@ -142,7 +142,7 @@
                 OrderResult::Unanswered => UNANSWERED_RETRY_MS,
                 _ => DEFAULT_RETRY_MS,
             };
-        if result == OrderResult::Unanswered {
+        if result.is_unknown() {
             // Workers that check preconditions get here only with an answer.
             self.late_until_ms = now_ms + LATE_ORDER_WINDOW_MS;
         }
--- a/crates/domain/src/placement/answers.rs
+++ b/crates/domain/src/placement/answers.rs
@@ -1,6 +1,7 @@
 //! State changes of a placement caused by order results.
 
 use super::order_purpose::OrderPurpose;
+use super::reception::Reception;
 use super::sent_order::SentOrder;
 use super::sequence_effect::SequenceEffect;
 use super::{FinishedLoad, Order, OrderResult, Placement, PreconditionSupport, SlotState};
@@ -22,17 +23,24 @@
 impl Placement {
     /// Applies the result of an order; returns the adapter load that it completed, if any.
     ///
-    /// An order without an answer is repeated before any other order is sent, if the worker checks
-    /// preconditions.
+    /// An order without an answer is repeated before any other order is sent, for a limited time, if the
+    /// worker checks preconditions.
     pub fn apply_order_result(
         &mut self,
         order: &Order,
         result: OrderResult,
         now_ms: u64,
     ) -> Option<FinishedLoad> {
-        let Some(sent) = self.sequence.receive(order, result, now_ms) else {
-            self.record_unanswered(order);
-            return None;
+        let sent = match self.sequence.receive(order, result, now_ms) {
+            Reception::Answered(sent) => sent,
+            Reception::Open => {
+                self.record_unanswered(order);
+                return None;
+            }
+            Reception::GivenUp => {
+                self.give_up(order, now_ms);
+                return None;
+            }
         };
         if matches!(sent.purpose, OrderPurpose::Probe | OrderPurpose::ProbeControl) {
             self.apply_probe_result(sent.purpose, result, now_ms);
@@ -60,6 +68,14 @@
         }
     }
 
+    /// Lets other orders go first once a report tells the state of the worker.
+    fn give_up(&mut self, order: &Order, now_ms: u64) {
+        match order.adapter() {
+            Some(adapter) => self.given_up = Some(adapter.clone()),
+            None => self.base_order_ms = now_ms + BASE_POLL_MS,
+        }
+    }
+
     fn apply_probe_result(&mut self, purpose: OrderPurpose, result: OrderResult, now_ms: u64) {
         self.sequence.apply_probe_result(purpose, result, now_ms);
         if self.precondition_support() != PreconditionSupport::Checked {
@@ -93,7 +109,9 @@
             // An earlier copy may have been accepted.
             OrderResult::Refused if sent.was_unanswered || is_unload => SequenceEffect::Unknown,
             OrderResult::Refused | OrderResult::NotSent => SequenceEffect::Unchanged,
-            OrderResult::Misdirected | OrderResult::Unanswered => SequenceEffect::Unknown,
+            OrderResult::Misdirected | OrderResult::Unanswered | OrderResult::Unspecified => {
+                SequenceEffect::Unknown
+            }
         }
     }
 
--- a/crates/domain/src/placement/mod.rs
+++ b/crates/domain/src/placement/mod.rs
@@ -16,6 +16,7 @@
 mod planned_order;
 mod planning;
 mod precondition_support;
+mod reception;
 mod report_age;
 mod reports;
 mod sent_order;
--- a/crates/domain/src/placement/order_result.rs
+++ b/crates/domain/src/placement/order_result.rs
@@ -17,9 +17,17 @@
     NotSent,
     /// No answer; the worker may still execute the order several seconds later.
     Unanswered,
+    /// An answer whose meaning is not specified; the worker may have accepted the order.
+    Unspecified,
 }
 
 impl OrderResult {
+    /// Returns whether the result leaves open if the worker accepts or accepted the order.
+    #[must_use]
+    pub fn is_unknown(self) -> bool {
+        matches!(self, Self::Unanswered | Self::Unspecified)
+    }
+
     /// Returns the name used in logs.
     #[must_use]
     pub fn as_str(self) -> &'static str {
@@ -31,6 +39,7 @@
             Self::Refused => "refused",
             Self::NotSent => "not-sent",
             Self::Unanswered => "unanswered",
+            Self::Unspecified => "unspecified",
         }
     }
 }
--- a/crates/domain/src/placement/order_sequence.rs
+++ b/crates/domain/src/placement/order_sequence.rs
@@ -1,6 +1,7 @@
 //! Number of orders that a worker has accepted, and the order that awaits its answer.
 
 use super::order_purpose::OrderPurpose;
+use super::reception::Reception;
 use super::report_age::ReportAge;
 use super::sent_order::SentOrder;
 use super::sequence_effect::SequenceEffect;
@@ -10,6 +11,9 @@
 const UNANSWERED_RETRY_MS: u64 = 30;
 /// Delay before an unanswered order whose repeat could not be sent is repeated again.
 const NOT_SENT_RETRY_MS: u64 = 250;
+/// Time for which an order is repeated until a report has to tell whether it was accepted. Repeats block
+/// all other orders of the worker.
+const MAX_REPEATS_MS: u64 = 1_000;
 /// Precondition of the order that tells whether a worker checks preconditions: more orders than any
 /// worker accepts in its life, and within the range of a 32-bit integer.
 const IMPOSSIBLE_PRECONDITION: u64 = 2_000_000_000;
@@ -21,7 +25,8 @@
 /// The slots of a placement describe the worker at this number. An order with this number as its
 /// precondition is therefore executed in the state in which it was decided, or not at all, however late
 /// it is. At most one order awaits an answer, and an unanswered one is repeated with the same
-/// precondition, so that all its copies together take effect once.
+/// precondition, so that all its copies together take effect once. An order that was given up and those
+/// that follow at the same number exclude each other: only one of them advances it.
 #[derive(Clone, Debug)]
 pub(super) struct OrderSequence {
     support: PreconditionSupport,
@@ -76,11 +81,6 @@
         self.sent.is_some()
     }
 
-    /// Returns the order that awaits its answer or must be repeated.
-    pub fn sent_order(&self) -> Option<&Order> {
-        self.sent.as_ref().map(|sent| &sent.order)
-    }
-
     /// Returns the purpose of the probe's next order, if it is due.
     pub fn next_probe(&self, now_ms: u64) -> Option<OrderPurpose> {
         let purpose = if self.is_probed { OrderPurpose::ProbeControl } else { OrderPurpose::Probe };
@@ -100,6 +100,8 @@
             precondition,
             awaits_answer: true,
             was_unanswered: false,
+            unknown_since_ms: None,
+            unspecified_since_ms: None,
             next_ms: now_ms,
         });
         PlannedOrder { order, precondition }
@@ -115,27 +117,48 @@
         Some(PlannedOrder { order: sent.order.clone(), precondition: sent.precondition })
     }
 
-    /// Records a result; returns the order if it is answered, and `None` if it must be repeated or was
-    /// not awaited.
-    pub fn receive(
-        &mut self,
-        order: &Order,
-        result: OrderResult,
-        now_ms: u64,
-    ) -> Option<SentOrder> {
+    /// Records the result of an order.
+    pub fn receive(&mut self, order: &Order, result: OrderResult, now_ms: u64) -> Reception {
         let is_tracked = self.is_tracked();
-        let sent = self.sent.as_mut().filter(|sent| sent.awaits_answer && sent.order == *order)?;
+        let awaited = self.sent.as_mut();
+        let Some(sent) = awaited.filter(|sent| sent.awaits_answer && sent.order == *order) else {
+            return Reception::Open;
+        };
         sent.awaits_answer = false;
-        if result == OrderResult::Unanswered && is_tracked {
-            sent.was_unanswered = true;
-            sent.next_ms = now_ms + UNANSWERED_RETRY_MS;
-            return None;
+        if result.is_unknown() && is_tracked {
+            return self.receive_unknown(result, now_ms);
         }
         if result == OrderResult::NotSent && sent.was_unanswered {
             sent.next_ms = now_ms + NOT_SENT_RETRY_MS;
-            return None;
+            return Reception::Open;
         }
-        self.sent.take()
+        self.sent.take().map_or(Reception::Open, Reception::Answered)
+    }
+
+    /// Records a result that does not tell whether the worker accepted the order.
+    fn receive_unknown(&mut self, result: OrderResult, now_ms: u64) -> Reception {
+        let Some(sent) = self.sent.as_mut() else { return Reception::Open };
+        sent.was_unanswered = true;
+        sent.next_ms = now_ms + UNANSWERED_RETRY_MS;
+        let is_over = |since_ms: u64| now_ms.saturating_sub(since_ms) >= MAX_REPEATS_MS;
+        let is_unknown_long = is_over(*sent.unknown_since_ms.get_or_insert(now_ms));
+        if result == OrderResult::Unspecified {
+            sent.unspecified_since_ms.get_or_insert(now_ms);
+        }
+        if matches!(sent.purpose, OrderPurpose::Probe | OrderPurpose::ProbeControl) {
+            // No other order may be sent before the probe is answered. A worker that answers nothing
+            // may be frozen; one that answers with unspecified statuses does not know the probe.
+            if sent.unspecified_since_ms.is_some_and(is_over) {
+                self.stop_tracking();
+            }
+            return Reception::Open;
+        }
+        if !is_unknown_long {
+            return Reception::Open;
+        }
+        self.count = None;
+        self.unexplained = self.sent.take().map(|sent| sent.order);
+        Reception::GivenUp
     }
 
     /// Applies the effect of the answer to an order to the number of accepted orders.
@@ -188,19 +211,15 @@
         now_ms.saturating_sub(self.confirmed_ms) >= MAX_REPORT_AGE_MS
     }
 
-    /// Adopts a reported number; returns the order that the report explains: one whose answer did not
-    /// tell, or one without an answer that can no longer take effect, as its precondition is lower.
+    /// Adopts a reported number; returns the order that the report explains: one whose answers did not
+    /// tell whether it was executed.
     pub fn adopt(&mut self, reported: u64, now_ms: u64) -> Option<Order> {
         self.set_count(reported, now_ms);
-        let is_over = |sent: &SentOrder| {
-            sent.purpose != OrderPurpose::Probe
-                && sent.precondition.is_some_and(|precondition| precondition < reported)
-        };
-        let over = self.sent.take_if(|sent| is_over(sent));
-        self.unexplained.take().or(over.map(|sent| sent.order))
+        self.unexplained.take()
     }
 
-    /// Stops to rely on preconditions, as the worker no longer states how many orders it accepted.
+    /// Stops to rely on preconditions: the worker does not state how many orders it accepted, or does not
+    /// answer orders that have one.
     pub fn stop_tracking(&mut self) {
         self.support = PreconditionSupport::Ignored;
         self.sent = None;
--- a/crates/domain/src/placement/placement.rs
+++ b/crates/domain/src/placement/placement.rs
@@ -45,6 +45,8 @@
     /// Predicted time until a further load starts, as of the last decision.
     pub(super) load_wait_ms: u32,
     pub(super) local_copies: IndexMap<name::AdapterName, (), FxBuildHasher>,
+    /// Adapter whose order was given up and is delayed after the next report.
+    pub(super) given_up: Option<name::AdapterName>,
     pub(super) unrecorded: UnrecordedOrders,
     /// Whether orders without a record may have loaded adapters that no slot accounts for.
     pub(super) has_unreported: bool,
@@ -72,6 +74,7 @@
             turnover: LoadTurnover::default(),
             load_wait_ms: 0,
             local_copies: IndexMap::default(),
+            given_up: None,
             unrecorded,
             has_unreported: unrecorded.until_ms > now_ms,
         };
@@ -109,6 +112,7 @@
             confirmed_ms: now_ms,
             newest_ms: now_ms,
             requests: 0,
+            start_ms: now_ms,
         };
         let demand = self.demands.entry(adapter.name().clone()).or_insert(new);
         demand.version = demand.version.max(adapter.version());
--- a/crates/domain/src/placement/planning.rs
+++ b/crates/domain/src/placement/planning.rs
@@ -106,6 +106,7 @@
         let mut started = Vec::new();
         let mut waiting: Vec<_> =
             self.demands.iter().map(|(name, demand)| (name.clone(), *demand)).collect();
+        waiting.retain(|(_, demand)| demand.start_ms <= now_ms);
         waiting.sort_by_key(|(_, demand)| demand.rank(now_ms));
         let capacity = self.capacity(now_ms);
         for (name, demand) in waiting {
--- a/crates/domain/src/placement/reports.rs
+++ b/crates/domain/src/placement/reports.rs
@@ -1,5 +1,6 @@
 //! Reports of a worker to its holder.
 
+use super::adapter_slot::DEFAULT_RETRY_MS;
 use super::report_age::ReportAge;
 use super::{AdapterSlot, Order, Placement, SlotState, UnrecordedOrders, WorkerState};
 use crate::adapter;
@@ -97,6 +98,7 @@
                 self.has_base_model |= reported.has_base_model;
                 self.drop_unlisted(reported, now_ms);
                 self.merge_listed(reported, has_advanced, now_ms);
+                self.delay_given_up(now_ms);
                 settled.map_or(ReportOutcome::Adopted, |order| ReportOutcome::Settled {
                     is_executed: reported.is_as_ordered(&order),
                     order,
@@ -105,6 +107,18 @@
         }
     }
 
+    /// Delays the order that was given up, so that others go first.
+    fn delay_given_up(&mut self, now_ms: u64) {
+        let Some(adapter) = self.given_up.take() else { return };
+        let retry_ms = now_ms + DEFAULT_RETRY_MS;
+        if let Some(slot) = self.slots.get_mut(&adapter) {
+            slot.next_order_ms = retry_ms;
+        }
+        if let Some(demand) = self.demands.get_mut(&adapter) {
+            demand.start_ms = retry_ms;
+        }
+    }
+
     /// Adds the adapters that no slot accounts for.
     fn add_unknown(&mut self, reported: &WorkerState, now_ms: u64) {
         for adapter in &reported.resident {
@@ -118,13 +132,12 @@
     }
 
     /// Removes the slots of adapters that the worker neither holds nor loads; loads that it did not
-    /// accept become demands again, except one that must be repeated.
+    /// accept become demands again.
     fn drop_unlisted(&mut self, reported: &WorkerState, now_ms: u64) {
-        let repeated = self.sequence.sent_order().and_then(|order| order.adapter()).cloned();
         let mut unordered = Vec::new();
         self.slots.retain(|name, slot| {
             let mut listed = reported.resident.iter().chain(&reported.loading);
-            if repeated.as_ref() == Some(name) || listed.any(|adapter| adapter.name() == name) {
+            if listed.any(|adapter| adapter.name() == name) {
                 return true;
             }
             if slot.state == SlotState::Loading {
@@ -140,15 +153,11 @@
     /// Brings the slots of the adapters that the worker holds or loads in line with the report.
     fn merge_listed(&mut self, reported: &WorkerState, has_advanced: bool, now_ms: u64) {
         self.add_unknown(reported, now_ms);
-        let repeated = self.sequence.sent_order().and_then(|order| order.adapter()).cloned();
         let mut superseded = Vec::new();
         let resident = reported.resident.iter().map(|adapter| (adapter, true));
         let listed = resident.chain(reported.loading.iter().map(|adapter| (adapter, false)));
         for (adapter, is_resident) in listed {
             let Some(slot) = self.slots.get_mut(adapter.name()) else { continue };
-            if repeated.as_ref() == Some(adapter.name()) {
-                continue;
-            }
             match slot.state {
                 SlotState::Resident => {}
                 // The worker still waits for the requests that use the adapter.
--- a/crates/domain/src/placement/sent_order.rs
+++ b/crates/domain/src/placement/sent_order.rs
@@ -16,6 +16,10 @@
     pub awaits_answer: bool,
     /// Whether the order was sent before and got no answer.
     pub was_unanswered: bool,
+    /// Time of the first result that does not tell whether the worker accepted the order.
+    pub unknown_since_ms: Option<u64>,
+    /// Time of the first answer with an unspecified status.
+    pub unspecified_since_ms: Option<u64>,
     /// Time of the next repeat.
     pub next_ms: u64,
 }
--- a/crates/domain/tests/late_orders/properties.rs
+++ b/crates/domain/tests/late_orders/properties.rs
@@ -18,6 +18,8 @@
     Lost,
     /// Orders are left unanswered and executed after the time.
     Late(u64),
+    /// Nothing is answered for two seconds, and each order is executed after the time.
+    Silent(u64),
     /// The holder is killed with an order on its way, which is executed after the time.
     Killed(u64),
     /// The worker restarts under its name, which its holder sees.
@@ -29,6 +31,7 @@
         8 => Just(Step::Answered),
         2 => Just(Step::Lost),
         2 => (2_000_u64..12_000).prop_map(Step::Late),
+        1 => (2_000_u64..12_000).prop_map(Step::Silent),
         1 => (2_000_u64..12_000).prop_map(Step::Killed),
         1 => Just(Step::Restarted),
     ]
@@ -56,15 +59,23 @@
                 let unrecorded = placement::UnrecordedOrders::after_restart(now_ms);
                 holder = Holder::with_report(&worker.report(now_ms), unrecorded, now_ms);
             }
-            for _ in 0..4 {
-                let Some(planned) = holder.plan(&worker, now_ms) else { break };
+            let (rounds, round_ms) = if let Step::Silent(_) = step { (40, 50) } else { (4, 0) };
+            for _ in 0..rounds {
+                now_ms += round_ms;
+                worker.advance(now_ms);
+                let Some(planned) = holder.plan(&worker, now_ms) else {
+                    if round_ms > 0 {
+                        continue;
+                    }
+                    break;
+                };
                 let result = match step {
                     Step::Answered | Step::Restarted => worker.execute(&planned, now_ms),
                     Step::Lost => {
                         worker.execute(&planned, now_ms);
                         placement::OrderResult::Unanswered
                     }
-                    Step::Late(delay_ms) => {
+                    Step::Late(delay_ms) | Step::Silent(delay_ms) => {
                         worker.delay(&planned, now_ms + delay_ms);
                         placement::OrderResult::Unanswered
                     }
--- a/crates/domain/tests/late_orders/rules.rs
+++ b/crates/domain/tests/late_orders/rules.rs
@@ -361,3 +361,65 @@
     holder.load_all(&mut worker, &["a0"], START_MS + 1_000);
     assert_eq!(holder.reports, 2);
 }
+
+/// Answers the probe and orders that a worker gets for three seconds; those for `failing` get `result`.
+/// Returns the adapters that the worker holds then.
+fn run_with_failing_adapter(result: placement::OrderResult) -> Worker {
+    let mut worker = Worker::new(true);
+    let mut holder = Holder::claim(&worker, START_MS);
+    holder.run(&mut worker, START_MS);
+    for now_ms in (START_MS..START_MS + 3_000).step_by(10) {
+        worker.advance(now_ms);
+        for adapter in ["failing", "a0", "a1"] {
+            holder.request(adapter, now_ms);
+        }
+        let Some(planned) = holder.plan(&worker, now_ms) else { continue };
+        let is_failing = planned.order == placement::Order::Load(adapter_ref("failing"));
+        let result = if is_failing { result } else { worker.execute(&planned, now_ms) };
+        if is_failing && result == placement::OrderResult::Unanswered {
+            worker.delay(&planned, now_ms + 2_000);
+        }
+        holder.apply(&planned, result, now_ms);
+    }
+    worker
+}
+
+/// Guards against an order that is never answered, or always with an unspecified status, and keeps
+/// all others of the worker from being sent.
+#[test]
+fn an_order_that_is_never_answered_does_not_block_the_others() {
+    for result in [placement::OrderResult::Unspecified, placement::OrderResult::Unanswered] {
+        let worker = run_with_failing_adapter(result);
+        for adapter in ["a0", "a1"] {
+            assert!(worker.adapters.contains_key(adapter), "{result:?}: {:?}", worker.adapters);
+        }
+        assert!(!worker.is_overfilled);
+    }
+}
+
+/// Guards against a worker that gets no orders because it answers the probe with a status that the
+/// protocol does not specify.
+#[test]
+fn a_probe_with_unspecified_answers_means_that_preconditions_are_ignored() {
+    let mut worker = Worker::new(false);
+    let mut holder = Holder::claim(&worker, START_MS);
+    let mut probe = |result, now_ms| {
+        if let Some(planned) = holder.plan(&worker, now_ms) {
+            holder.apply(&planned, result, now_ms);
+        }
+        holder.placement.precondition_support()
+    };
+    for now_ms in (START_MS..START_MS + 3_000).step_by(30) {
+        let support = probe(placement::OrderResult::Unanswered, now_ms);
+        assert_eq!(support, placement::PreconditionSupport::Unknown, "it may be frozen");
+    }
+    for now_ms in (START_MS + 3_000..START_MS + 5_000).step_by(30) {
+        probe(placement::OrderResult::Unspecified, now_ms);
+    }
+    let support = holder.placement.precondition_support();
+    assert_eq!(support, placement::PreconditionSupport::Ignored);
+    let now_ms = START_MS + WINDOW_MS;
+    holder.request("a0", now_ms);
+    holder.run(&mut worker, now_ms);
+    assert!(worker.adapters.contains_key("a0"));
+}
