Send the probe for preconditions twice

A worker that ignores preconditions, was busy for the probe and free for the control order was taken for one that checks them. After 409 and 200, the impossible precondition is sent once more, and only a second 409 counts. Two tests that list the orders of a claim expect the third one.

--- a/crates/domain/src/placement/answers.rs
+++ b/crates/domain/src/placement/answers.rs
@@ -42,7 +42,7 @@
                 return None;
             }
         };
-        if matches!(sent.purpose, OrderPurpose::Probe | OrderPurpose::ProbeControl) {
+        if sent.purpose.is_probe() {
             self.apply_probe_result(sent.purpose, result, now_ms);
             return None;
         }
--- a/crates/domain/src/placement/order_purpose.rs
+++ b/crates/domain/src/placement/order_purpose.rs
@@ -13,4 +13,13 @@
     /// Tells whether the worker refused the probe for another reason: the same load, with the
     /// precondition that holds.
     ProbeControl,
+    /// The probe once more: the worker may have been busy for the first one and free for the control.
+    SecondProbe,
+}
+
+impl OrderPurpose {
+    /// Returns whether the order tells whether the worker checks preconditions.
+    pub fn is_probe(self) -> bool {
+        matches!(self, Self::Probe | Self::ProbeControl | Self::SecondProbe)
+    }
 }
--- a/crates/domain/src/placement/order_sequence.rs
+++ b/crates/domain/src/placement/order_sequence.rs
@@ -35,7 +35,8 @@
     /// Last known number; the worker's number is not below it unless the worker restarted.
     confirmed: u64,
     confirmed_ms: u64,
-    is_probed: bool,
+    /// The next order that tells whether the worker checks preconditions.
+    probe: OrderPurpose,
     next_probe_ms: u64,
     sent: Option<SentOrder>,
     /// Order whose answer does not tell whether it was executed.
@@ -55,7 +56,7 @@
             count: reported,
             confirmed: reported.unwrap_or(0),
             confirmed_ms: now_ms,
-            is_probed: false,
+            probe: OrderPurpose::Probe,
             next_probe_ms: now_ms,
             sent: None,
             unexplained: None,
@@ -83,14 +84,13 @@
 
     /// Returns the purpose of the probe's next order, if it is due.
     pub fn next_probe(&self, now_ms: u64) -> Option<OrderPurpose> {
-        let purpose = if self.is_probed { OrderPurpose::ProbeControl } else { OrderPurpose::Probe };
-        (self.next_probe_ms <= now_ms).then_some(purpose)
+        (self.next_probe_ms <= now_ms).then_some(self.probe)
     }
 
     /// Records that an order is sent.
     pub fn send(&mut self, order: Order, purpose: OrderPurpose, now_ms: u64) -> PlannedOrder {
         let precondition = match purpose {
-            OrderPurpose::Probe => Some(IMPOSSIBLE_PRECONDITION),
+            OrderPurpose::Probe | OrderPurpose::SecondProbe => Some(IMPOSSIBLE_PRECONDITION),
             _ if self.is_tracked() => self.count,
             _ => None,
         };
@@ -145,7 +145,7 @@
         if result == OrderResult::Unspecified {
             sent.unspecified_since_ms.get_or_insert(now_ms);
         }
-        if matches!(sent.purpose, OrderPurpose::Probe | OrderPurpose::ProbeControl) {
+        if sent.purpose.is_probe() {
             // No other order may be sent before the probe is answered. A worker that answers nothing
             // may be frozen; one that answers with unspecified statuses does not know the probe.
             if sent.unspecified_since_ms.is_some_and(is_over) {
@@ -178,15 +178,20 @@
     pub fn apply_probe_result(&mut self, purpose: OrderPurpose, result: OrderResult, now_ms: u64) {
         match (purpose, result) {
             (_, OrderResult::NotSent) => self.next_probe_ms = now_ms + NOT_SENT_RETRY_MS,
-            (OrderPurpose::Probe, OrderResult::Busy) => self.is_probed = true,
+            (OrderPurpose::Probe, OrderResult::Busy) => self.probe = OrderPurpose::ProbeControl,
+            (OrderPurpose::ProbeControl, OrderResult::Applied) => {
+                self.probe = OrderPurpose::SecondProbe;
+            }
+            (OrderPurpose::SecondProbe, OrderResult::Busy) => {
+                self.support = PreconditionSupport::Checked;
+            }
             // A worker that does not know preconditions may also refuse an order that has one.
             (
-                OrderPurpose::Probe,
+                OrderPurpose::Probe | OrderPurpose::SecondProbe,
                 OrderResult::Applied | OrderResult::Accepted | OrderResult::Refused,
             ) => self.support = PreconditionSupport::Ignored,
-            (_, OrderResult::Applied) => self.support = PreconditionSupport::Checked,
             _ => {
-                self.is_probed = false;
+                self.probe = OrderPurpose::Probe;
                 self.count = None;
             }
         }
--- a/crates/domain/tests/late_orders/rules.rs
+++ b/crates/domain/tests/late_orders/rules.rs
@@ -206,9 +206,10 @@
     worker.adapters.insert("a0".to_owned(), 0);
     let mut holder = Holder::claim(&worker, START_MS);
     let sent = holder.run(&mut worker, START_MS);
-    assert_eq!(names(&sent), ["load-base:m", "load-base:m"]);
+    assert_eq!(names(&sent), ["load-base:m"; 3]);
     assert_ne!(sent[0].precondition, Some(worker.sequence));
     assert_eq!(sent[1].precondition, Some(worker.sequence));
+    assert_eq!(sent[2].precondition, sent[0].precondition);
     let support = holder.placement.precondition_support();
     assert_eq!(support, placement::PreconditionSupport::Checked);
     let now_ms = holder.load_all(&mut worker, &["a1", "a2", "a3"], START_MS);
@@ -237,6 +238,20 @@
     assert_eq!(support, placement::PreconditionSupport::Ignored);
 }
 
+/// Guards against the same verdict if the worker is busy for the probe and free for the control order.
+#[test]
+fn a_worker_that_is_busy_only_for_the_first_probe_is_not_taken_for_one_that_checks() {
+    let mut worker = Worker::new(false);
+    let mut holder = Holder::claim(&worker, START_MS);
+    let probe = holder.plan(&worker, START_MS).expect("a probe");
+    holder.apply(&probe, placement::OrderResult::Busy, START_MS);
+    let sent = holder.run(&mut worker, START_MS);
+    assert_eq!(names(&sent), ["load-base:m", "load-base:m"]);
+    assert_eq!(sent[1].precondition, probe.precondition);
+    let support = holder.placement.precondition_support();
+    assert_eq!(support, placement::PreconditionSupport::Ignored);
+}
+
 /// Guards against adapter orders before it is known how far the worker can be filled.
 #[test]
 fn an_unanswered_probe_is_repeated_before_adapters_are_loaded() {
@@ -248,7 +263,8 @@
     assert_eq!(holder.plan(&worker, START_MS + 230), Some(probe.clone()));
     let result = worker.execute(&probe, START_MS + 230);
     holder.apply(&probe, result, START_MS + 230);
-    assert_eq!(names(&holder.run(&mut worker, START_MS + 230)), ["load-base:m", "load:a0@0"]);
+    let sent = names(&holder.run(&mut worker, START_MS + 230));
+    assert_eq!(sent, ["load-base:m", "load-base:m", "load:a0@0"]);
 }
 
 /// Guards against lower throughput: only the answers are awaited one by one, not the loads.
