--- a/crates/domain/src/placement/answers.rs
+++ b/crates/domain/src/placement/answers.rs
@@ -46,6 +46,10 @@
             self.apply_probe_result(sent.purpose, result, now_ms);
             return None;
         }
+        let is_base_load = matches!(order, Order::LoadBase(_));
+        if is_base_load && result == OrderResult::Refused {
+            self.sequence.refuse_base_load();
+        }
         let effect = self.effect(&sent, result, now_ms);
         self.sequence.apply(order, effect, now_ms);
         match order {
--- a/crates/domain/src/placement/order_sequence.rs
+++ b/crates/domain/src/placement/order_sequence.rs
@@ -197,6 +197,14 @@
         }
     }
 
+    /// Records that the worker refused to load its base model. Unless it is known to check
+    /// preconditions, it may refuse orders that have one, and would never hold its base model.
+    pub fn refuse_base_load(&mut self) {
+        if self.support == PreconditionSupport::Unknown {
+            self.stop_tracking();
+        }
+    }
+
     /// Returns what a reported number says of the worker.
     pub fn compare(&self, reported: u64, now_ms: u64) -> ReportAge {
         match (reported < self.confirmed, self.is_settled(now_ms)) {
--- a/crates/domain/tests/late_orders/rules.rs
+++ b/crates/domain/tests/late_orders/rules.rs
@@ -439,3 +439,24 @@
     holder.run(&mut worker, now_ms);
     assert!(worker.adapters.contains_key("a0"));
 }
+
+/// Claims a worker that lacks its base model.
+fn claim_without_base_model(worker: &Worker) -> Holder {
+    let report = placement::WorkerState { has_base_model: false, ..worker.report(START_MS) };
+    Holder::with_report(&report, placement::UnrecordedOrders::default(), START_MS)
+}
+
+/// Guards against a base model that is never loaded, as the worker refuses orders with preconditions.
+#[test]
+fn a_refused_base_load_means_that_preconditions_are_ignored() {
+    let mut worker = Worker::new(false);
+    let mut holder = claim_without_base_model(&worker);
+    let load = holder.plan(&worker, START_MS).expect("a load of the base model");
+    assert_eq!(load.precondition, Some(worker.sequence));
+    holder.apply(&load, placement::OrderResult::Refused, START_MS);
+    let support = holder.placement.precondition_support();
+    assert_eq!(support, placement::PreconditionSupport::Ignored);
+    let sent = holder.run(&mut worker, START_MS + 500);
+    assert_eq!(sent[0].precondition, None);
+    assert!(holder.placement.has_base_model());
+}
