Ignore reports from before the end of a long base model load

The number changes when the worker accepts the load, and its end may be seconds later. A report read after a 409 just after the end, without the model, was taken for a restart and discarded the slots.

--- a/crates/domain/src/placement/answers.rs
+++ b/crates/domain/src/placement/answers.rs
@@ -122,7 +122,7 @@
     fn apply_base_load_result(&mut self, result: OrderResult, now_ms: u64) {
         self.base_order_ms = now_ms + BASE_POLL_MS;
         match result {
-            OrderResult::Applied => self.has_base_model = true,
+            OrderResult::Applied => self.mark_base_model_loaded(now_ms),
             OrderResult::Accepted => self.is_base_accepted = true,
             OrderResult::Refused | OrderResult::NotSent => self.base_ordered_ms = None,
             _ => {}
--- a/crates/domain/src/placement/order_sequence.rs
+++ b/crates/domain/src/placement/order_sequence.rs
@@ -18,7 +18,7 @@
 /// worker accepts in its life, and within the range of a 32-bit integer.
 const IMPOSSIBLE_PRECONDITION: u64 = 2_000_000_000;
 /// Age beyond which a report no longer lags behind: reports are some hundred milliseconds old.
-const MAX_REPORT_AGE_MS: u64 = 2_000;
+pub(super) const MAX_REPORT_AGE_MS: u64 = 2_000;
 
 /// What the holder knows of the number of orders that a worker accepted.
 ///
--- a/crates/domain/src/placement/placement.rs
+++ b/crates/domain/src/placement/placement.rs
@@ -32,6 +32,8 @@
     pub(super) limits: Limits,
     pub(super) sequence: OrderSequence,
     pub(super) has_base_model: bool,
+    /// Time since which the worker is known to hold its base model.
+    pub(super) base_known_ms: u64,
     /// Whether the worker accepted the load of its base model.
     pub(super) is_base_accepted: bool,
     pub(super) base_order_ms: u64,
@@ -65,6 +67,7 @@
             limits,
             sequence: OrderSequence::new(reported.sequence, now_ms),
             has_base_model: reported.has_base_model,
+            base_known_ms: now_ms,
             is_base_accepted: false,
             base_order_ms: now_ms,
             base_ordered_ms: None,
@@ -95,8 +98,11 @@
     }
 
     /// Records that the worker holds its base model.
-    pub fn mark_base_model_loaded(&mut self) {
-        self.has_base_model = true;
+    pub fn mark_base_model_loaded(&mut self, now_ms: u64) {
+        if !self.has_base_model {
+            self.has_base_model = true;
+            self.base_known_ms = now_ms;
+        }
     }
 
     /// Records that a request needs an adapter version on this worker; version 0 means the newest.
--- a/crates/domain/src/placement/reports.rs
+++ b/crates/domain/src/placement/reports.rs
@@ -1,6 +1,7 @@
 //! Reports of a worker to its holder.
 
 use super::adapter_slot::DEFAULT_RETRY_MS;
+use super::order_sequence::MAX_REPORT_AGE_MS;
 use super::report_age::ReportAge;
 use super::{AdapterSlot, Order, Placement, SlotState, UnrecordedOrders, WorkerState};
 use crate::adapter;
@@ -78,8 +79,12 @@
             return ReportOutcome::Adopted;
         };
         let has_lost_model = self.has_base_model && !reported.has_base_model;
+        // An older report than the end of the load does not list the model yet.
+        let is_model_settled = now_ms.saturating_sub(self.base_known_ms) >= MAX_REPORT_AGE_MS;
         let age = match self.sequence.compare(sequence, now_ms) {
-            ReportAge::Current if has_lost_model && self.sequence.is_settled(now_ms) => {
+            ReportAge::Current
+                if has_lost_model && is_model_settled && self.sequence.is_settled(now_ms) =>
+            {
                 ReportAge::Restarted
             }
             ReportAge::Current if has_lost_model => ReportAge::Outdated,
@@ -95,7 +100,9 @@
             ReportAge::Current => {
                 let has_advanced = self.sequence.is_behind(sequence);
                 let settled = self.sequence.adopt(sequence, now_ms);
-                self.has_base_model |= reported.has_base_model;
+                if reported.has_base_model {
+                    self.mark_base_model_loaded(now_ms);
+                }
                 self.drop_unlisted(reported, now_ms);
                 self.merge_listed(reported, has_advanced, now_ms);
                 self.delay_given_up(now_ms);
--- a/crates/domain/tests/late_orders/rules.rs
+++ b/crates/domain/tests/late_orders/rules.rs
@@ -460,3 +460,26 @@
     assert_eq!(sent[0].precondition, None);
     assert!(holder.placement.has_base_model());
 }
+
+/// Guards against a restart that is assumed because a report is older than the end of the base load.
+#[test]
+fn a_report_from_before_the_end_of_a_long_base_load_is_outdated() {
+    let mut worker = Worker::new(true);
+    let mut holder = claim_without_base_model(&worker);
+    let load = holder.plan(&worker, START_MS).expect("a load of the base model");
+    holder.apply(&load, placement::OrderResult::Accepted, START_MS);
+    worker.sequence += 1;
+    let before_end = placement::WorkerState { has_base_model: false, ..worker.report(START_MS) };
+    let now_ms = START_MS + 5_000;
+    holder.run(&mut worker, now_ms);
+    let support = holder.placement.precondition_support();
+    assert_eq!(support, placement::PreconditionSupport::Checked);
+    holder.request("a0", now_ms);
+    let load = holder.plan(&worker, now_ms).expect("a load");
+    holder.apply(&load, placement::OrderResult::Busy, now_ms);
+    let outcome = holder.placement.apply_report(&before_end, now_ms + 100);
+    assert_eq!(outcome, placement::ReportOutcome::Outdated);
+    assert!(holder.placement.has_base_model());
+    let outcome = holder.placement.apply_report(&before_end, now_ms + 2_000);
+    assert_eq!(outcome, placement::ReportOutcome::Restarted);
+}
--- a/crates/edge/src/control/assignments.rs
+++ b/crates/edge/src/control/assignments.rs
@@ -89,7 +89,7 @@
         if let Some(placement) = &mut assignment.placement
             && upstream.base_models.contains(&placement.limits().base_model)
         {
-            placement.mark_base_model_loaded();
+            placement.mark_base_model_loaded(now_ms);
         }
     }
 
