--- a/crates/domain/src/placement/order_sequence.rs
+++ b/crates/domain/src/placement/order_sequence.rs
@@ -14,6 +14,9 @@
 /// Time for which an order is repeated until a report has to tell whether it was accepted. Repeats block
 /// all other orders of the worker.
 const MAX_REPEATS_MS: u64 = 1_000;
+/// Time after which an order without a result counts as unanswered: the task that sends it ended without
+/// one. Connecting and the request time out after 0.5 s together.
+const RESULT_TIMEOUT_MS: u64 = 1_000;
 /// Precondition of the order that tells whether a worker checks preconditions: more orders than any
 /// worker accepts in its life, and within the range of a 32-bit integer.
 const IMPOSSIBLE_PRECONDITION: u64 = 2_000_000_000;
@@ -99,6 +102,7 @@
             purpose,
             precondition,
             awaits_answer: true,
+            sent_ms: now_ms,
             was_unanswered: false,
             unknown_since_ms: None,
             unspecified_since_ms: None,
@@ -107,6 +111,14 @@
         PlannedOrder { order, precondition }
     }
 
+    /// Returns the order whose result should have arrived by now.
+    pub fn overdue(&self, now_ms: u64) -> Option<&Order> {
+        let is_overdue = |sent: &&SentOrder| {
+            sent.awaits_answer && now_ms.saturating_sub(sent.sent_ms) >= RESULT_TIMEOUT_MS
+        };
+        self.sent.as_ref().filter(is_overdue).map(|sent| &sent.order)
+    }
+
     /// Returns the unanswered order if it must be repeated now.
     pub fn repeat(&mut self, now_ms: u64) -> Option<PlannedOrder> {
         let sent = self.sent.as_mut()?;
@@ -114,6 +126,7 @@
             return None;
         }
         sent.awaits_answer = true;
+        sent.sent_ms = now_ms;
         Some(PlannedOrder { order: sent.order.clone(), precondition: sent.precondition })
     }
 
--- a/crates/domain/src/placement/planning.rs
+++ b/crates/domain/src/placement/planning.rs
@@ -3,7 +3,8 @@
 use super::order_purpose::OrderPurpose;
 use super::placement::MAX_LOADS_IN_FLIGHT;
 use super::{
-    AdapterSlot, FleetLoads, Order, Placement, PlannedOrder, PreconditionSupport, SlotState,
+    AdapterSlot, FleetLoads, Order, OrderResult, Placement, PlannedOrder, PreconditionSupport,
+    SlotState,
 };
 use crate::adapter;
 
@@ -31,6 +32,9 @@
     ) -> Option<PlannedOrder> {
         self.demands
             .retain(|_, demand| now_ms.saturating_sub(demand.confirmed_ms) < DEMAND_LIFETIME_MS);
+        if let Some(order) = self.sequence.overdue(now_ms).cloned() {
+            self.apply_order_result(&order, OrderResult::Unanswered, now_ms);
+        }
         if self.sequence.needs_report() {
             return None;
         }
--- a/crates/domain/src/placement/sent_order.rs
+++ b/crates/domain/src/placement/sent_order.rs
@@ -14,6 +14,8 @@
     pub precondition: Option<u64>,
     /// Whether a copy is on its way.
     pub awaits_answer: bool,
+    /// Time at which the last copy was sent.
+    pub sent_ms: u64,
     /// Whether the order was sent before and got no answer.
     pub was_unanswered: bool,
     /// Time of the first result that does not tell whether the worker accepted the order.
--- a/crates/domain/tests/late_orders/rules.rs
+++ b/crates/domain/tests/late_orders/rules.rs
@@ -483,3 +483,16 @@
     let outcome = holder.placement.apply_report(&before_end, now_ms + 2_000);
     assert_eq!(outcome, placement::ReportOutcome::Restarted);
 }
+
+/// Guards against a worker that gets no further order after the result of one was lost in the daemon.
+#[test]
+fn an_order_without_a_result_is_repeated_after_a_second() {
+    let mut worker = Worker::new(true);
+    let mut holder = Holder::claim(&worker, START_MS);
+    holder.run(&mut worker, START_MS);
+    holder.request("a0", START_MS);
+    let load = holder.plan(&worker, START_MS).expect("a load");
+    assert_eq!(holder.plan(&worker, START_MS + 999), None);
+    let repeat = [1_000, 1_030].map(|after_ms| holder.plan(&worker, START_MS + after_ms));
+    assert_eq!(repeat.into_iter().flatten().next(), Some(load));
+}
