--- a/crates/domain/src/placement/order_purpose.rs
+++ b/crates/domain/src/placement/order_purpose.rs
@@ -1,6 +1,6 @@
 //! Purposes of orders.
 
-/// OrderPurpose of an order.
+/// Purpose of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum OrderPurpose {
     /// Starts what it orders.
