--- a/crates/domain/src/placement/order_purpose.rs
+++ b/crates/domain/src/placement/order_purpose.rs
@@ -1,6 +1,6 @@
 //! Purposes of orders.
 
-/// OrderPurpose of an order.
+/// Purpose of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum OrderPurpose {
     /// Starts what it orders.
@@ -13,4 +13,13 @@
     /// Tells whether the worker refused the probe for another reason: the same load, with the
     /// precondition that holds.
     ProbeControl,
+    /// The probe once more: the worker may have been busy for the first one and free for the control.
+    SecondProbe,
+}
+
+impl OrderPurpose {
+    /// Returns whether the order tells whether the worker checks preconditions.
+    pub fn is_probe(self) -> bool {
+        matches!(self, Self::Probe | Self::ProbeControl | Self::SecondProbe)
+    }
 }
--- a/crates/domain/src/placement/placement.rs
+++ b/crates/domain/src/placement/placement.rs
@@ -32,6 +32,8 @@
     pub(super) limits: Limits,
     pub(super) sequence: OrderSequence,
     pub(super) has_base_model: bool,
+    /// Time since which the worker is known to hold its base model.
+    pub(super) base_known_ms: u64,
     /// Whether the worker accepted the load of its base model.
     pub(super) is_base_accepted: bool,
     pub(super) base_order_ms: u64,
@@ -45,6 +47,8 @@
     /// Predicted time until a further load starts, as of the last decision.
     pub(super) load_wait_ms: u32,
     pub(super) local_copies: IndexMap<name::AdapterName, (), FxBuildHasher>,
+    /// Adapter whose order was given up and is delayed after the next report.
+    pub(super) given_up: Option<name::AdapterName>,
     pub(super) unrecorded: UnrecordedOrders,
     /// Whether orders without a record may have loaded adapters that no slot accounts for.
     pub(super) has_unreported: bool,
@@ -63,6 +67,7 @@
             limits,
             sequence: OrderSequence::new(reported.sequence, now_ms),
             has_base_model: reported.has_base_model,
+            base_known_ms: now_ms,
             is_base_accepted: false,
             base_order_ms: now_ms,
             base_ordered_ms: None,
@@ -72,6 +77,7 @@
             turnover: LoadTurnover::default(),
             load_wait_ms: 0,
             local_copies: IndexMap::default(),
+            given_up: None,
             unrecorded,
             has_unreported: unrecorded.until_ms > now_ms,
         };
@@ -92,8 +98,11 @@
     }
 
     /// Records that the worker holds its base model.
-    pub fn mark_base_model_loaded(&mut self) {
-        self.has_base_model = true;
+    pub fn mark_base_model_loaded(&mut self, now_ms: u64) {
+        if !self.has_base_model {
+            self.has_base_model = true;
+            self.base_known_ms = now_ms;
+        }
     }
 
     /// Records that a request needs an adapter version on this worker; version 0 means the newest.
@@ -109,6 +118,7 @@
             confirmed_ms: now_ms,
             newest_ms: now_ms,
             requests: 0,
+            start_ms: now_ms,
         };
         let demand = self.demands.entry(adapter.name().clone()).or_insert(new);
         demand.version = demand.version.max(adapter.version());
