Leave rows of quarantined segments to three daemons first

Every daemon wrote a missing row, and deleted an outdated one, at its first read that showed it: with 400 daemons up to 400 transactions at once after an outage of the store or a restart of the fleet. The others now act only if their next read shows the same.

--- a/crates/edge/src/control/quarantine_rows.rs
+++ b/crates/edge/src/control/quarantine_rows.rs
@@ -9,6 +9,7 @@
 use prost::Message;
 
 use super::control_state::ControlState;
+use super::peers::Peer;
 use super::quarantine_job::{QuarantineJob, QuarantineReply};
 use super::store_job::StoreJob;
 use crate::dialect;
@@ -19,8 +20,8 @@
 /// Delay before a failed call is retried. A call takes up to 1.2 s while the store does not answer, and the
 /// lease must be renewed in between.
 const RETRY_DELAY_MS: u64 = 2_000;
-/// Daemons that write a quarantine at once. The others write it if it is missing when they read the rows, so
-/// that a decision of hundreds of daemons takes few writes.
+/// Daemons that write or delete a row at once. The others do so if two successive reads of the rows show the
+/// same, so that hundreds of daemons take few writes.
 const WRITERS: usize = 3;
 /// Time by which a row may end earlier than the quarantine here. Daemons that decide at the same time differ
 /// by less, and a renewed quarantine ends minutes later.
@@ -35,6 +36,8 @@
     versions: IndexMap<dispatch::SegmentId, u64>,
     /// Segments whose row is to agree with the quarantine.
     pending: IndexSet<dispatch::SegmentId>,
+    /// Segments whose row did not agree with the quarantine at the last read.
+    differing: IndexSet<dispatch::SegmentId>,
     /// Segment whose row is being written.
     writing: Option<dispatch::SegmentId>,
     next_write_ms: u64,
@@ -75,14 +78,14 @@
             // Of a quarantine that another daemon decided, that one writes the row.
             quarantine::SegmentChange::Quarantined { crashes: 0, .. } => {}
             quarantine::SegmentChange::Quarantined { segment, .. } => {
-                if self.is_quarantine_writer(*segment, now_ms) {
+                if self.is_quarantine_writer(*segment, |peer| peer.is_live(now_ms)) {
                     self.quarantine_rows.pending.insert(*segment);
                 }
             }
             quarantine::SegmentChange::Cleared(segment)
             | quarantine::SegmentChange::Released(segment) => {
                 if self.quarantine_rows.versions.contains_key(segment)
-                    && self.is_quarantine_writer(*segment, now_ms)
+                    && self.is_quarantine_writer(*segment, |peer| peer.is_live(now_ms))
                 {
                     self.quarantine_rows.pending.insert(*segment);
                 }
@@ -113,20 +116,33 @@
     fn apply_quarantine_rows(&mut self, listing: store::Listing, now_ms: u64) {
         self.quarantine_rows.is_reading = false;
         self.quarantine_rows.versions.clear();
-        for row in listing.rows.iter().take(MAX_ROWS) {
-            self.apply_quarantine_row(row, listing.store_ms, now_ms);
-        }
-        let active: Vec<_> = self.quarantine.active(now_ms).map(|(segment, _)| segment).collect();
-        for segment in active {
-            if !self.quarantine_rows.versions.contains_key(&segment) {
-                self.quarantine_rows.pending.insert(segment);
+        let rows = listing.rows.iter().take(MAX_ROWS);
+        let mut differing: IndexSet<_> = rows
+            .filter_map(|row| self.apply_quarantine_row(row, listing.store_ms, now_ms))
+            .collect();
+        let active = self.quarantine.active(now_ms).map(|(segment, _)| segment);
+        let versions = &self.quarantine_rows.versions;
+        differing.extend(active.filter(|segment| !versions.contains_key(segment)));
+        let differed = std::mem::take(&mut self.quarantine_rows.differing);
+        for segment in &differing {
+            // At the start, the other daemons are known from their leases before their first datagram.
+            let may_be_live = |peer: &Peer| peer.received_ms.is_none() || peer.is_live(now_ms);
+            if differed.contains(segment) || self.is_quarantine_writer(*segment, may_be_live) {
+                self.quarantine_rows.pending.insert(*segment);
             }
         }
+        self.quarantine_rows.differing = differing;
     }
 
-    /// Applies a row, and has it deleted if the quarantine is over or its segment was cleared.
-    fn apply_quarantine_row(&mut self, row: &store::Row, store_ms: u64, now_ms: u64) {
-        let Some(value) = &row.value else { return };
+    /// Applies a row. Returns its segment if the row is to be written or deleted: the quarantine was renewed
+    /// or is over, or its segment was cleared.
+    fn apply_quarantine_row(
+        &mut self,
+        row: &store::Row,
+        store_ms: u64,
+        now_ms: u64,
+    ) -> Option<dispatch::SegmentId> {
+        let value = row.value.as_ref()?;
         let (segment, verdict) = match fleet::QuarantineRow::decode_row(value) {
             Ok((segment, verdict)) if segment.to_string() == row.key => (segment, verdict),
             _ => {
@@ -134,7 +150,7 @@
                 spdlog::warn!(
                     "entry-refused table=quarantine key={key} problem=\"{problem}\" outcome=ignored"
                 );
-                return;
+                return None;
             }
         };
         self.quarantine_rows.versions.insert(segment, row.version);
@@ -150,9 +166,7 @@
             }
             None => self.quarantine.may_discard(segment, &verdict, store_ms, now_ms),
         };
-        if is_outdated {
-            self.quarantine_rows.pending.insert(segment);
-        }
+        is_outdated.then_some(segment)
     }
 
     fn apply_quarantine_write(
@@ -185,7 +199,8 @@
                     return;
                 };
                 for row in current.iter().filter(|row| row.key == key) {
-                    self.apply_quarantine_row(row, store_ms, now_ms);
+                    let outdated = self.apply_quarantine_row(row, store_ms, now_ms);
+                    self.quarantine_rows.pending.extend(outdated);
                 }
             }
             Err(error) => {
@@ -214,13 +229,20 @@
         Some(store::Transaction { conditions, writes: vec![store::Write { table, key, value }] })
     }
 
-    /// Returns whether this daemon is one of the first live ones in the order for a segment.
-    fn is_quarantine_writer(&self, segment: dispatch::SegmentId, now_ms: u64) -> bool {
+    /// Returns whether this daemon is one of the first in the order for a segment, among those that match a
+    /// predicate.
+    fn is_quarantine_writer<Predicate>(
+        &self,
+        segment: dispatch::SegmentId,
+        matches: Predicate,
+    ) -> bool
+    where
+        Predicate: Fn(&Peer) -> bool,
+    {
         let key = segment.to_string();
         let score = |host: &name::HostName| member::rendezvous::score(host.as_str(), &key);
         let own = score(self.lease_manager.host());
-        let earlier =
-            self.peers.iter().filter(|(host, peer)| peer.is_live(now_ms) && score(host) < own);
+        let earlier = self.peers.iter().filter(|(host, peer)| matches(peer) && score(host) < own);
         earlier.take(WRITERS).count() < WRITERS
     }
 }
--- a/crates/edge/tests/quarantine_rows.rs
+++ b/crates/edge/tests/quarantine_rows.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use jasminetack_domain::{dispatch, name, quarantine};
+use jasminetack_domain::{dispatch, member, name, quarantine};
 use jasminetack_edge::{control, store};
 use jasminetack_wire::fleet;
 use prost::Message;
@@ -20,12 +20,16 @@
 }
 
 fn row(remaining_ms: i64) -> store::Row {
+    row_of(DEADLY, remaining_ms)
+}
+
+fn row_of(segment: u64, remaining_ms: i64) -> store::Row {
     let until_store_ms = STORE_MS.saturating_add_signed(remaining_ms);
     let first_crash_store_ms = until_store_ms - 122_000;
     let verdict =
         quarantine::StoredVerdict { first_crash_store_ms, until_store_ms, duration_ms: 120_000 };
-    let value = fleet::QuarantineRow::new(DEADLY.into(), verdict).encode_to_vec();
-    store::Row { key: format!("{DEADLY:x}"), value: Some(value), version: VERSION }
+    let value = fleet::QuarantineRow::new(segment.into(), verdict).encode_to_vec();
+    store::Row { key: format!("{segment:x}"), value: Some(value), version: VERSION }
 }
 
 fn reply(daemon: &mut Daemon, reply: control::QuarantineReply) {
@@ -161,3 +165,62 @@
     assert_eq!(writes.len(), 1, "{writes:?}");
     assert_eq!(writes[0].conditions[0].version, VERSION);
 }
+
+/// Other daemons in a fleet where few write the row of a segment.
+const OTHERS: u8 = 40;
+
+/// Returns a daemon of a larger fleet, and a segment whose row it is, or is not, one of three to write.
+fn daemon_and_segment(is_writer: bool) -> (Daemon, u64) {
+    let mut daemon = Daemon::new(&["w1"]);
+    for index in 1..=OTHERS {
+        daemon.receive_state_of(index, fleet::DaemonState::default(), 1);
+    }
+    let is_own = |segment: &u64| {
+        let key = dispatch::SegmentId::from(*segment).to_string();
+        let own = member::rendezvous::score("own", &key);
+        let others =
+            (1..=OTHERS).map(|index| member::rendezvous::score(&format!("other-{index}"), &key));
+        others.filter(|score| *score < own).count() < 3
+    };
+    let segment = (DEADLY..).find(|segment| is_own(segment) == is_writer);
+    (daemon, segment.expect("a segment"))
+}
+
+fn quarantined_by_peer(segment: u64) -> fleet::DaemonState {
+    let quarantined = fleet::QuarantinedSegment {
+        segment,
+        first_crash_age_ms: 3_000,
+        remaining_ms: 100_000,
+        duration_ms: 120_000,
+    };
+    fleet::DaemonState { quarantined: vec![quarantined], ..fleet::DaemonState::default() }
+}
+
+/// Guards against hundreds of daemons that delete one row at the same moment, when the store comes back or
+/// all start.
+#[test]
+fn daemons_that_are_no_writers_delete_a_row_if_it_is_still_there_at_the_next_read() {
+    let (mut daemon, segment) = daemon_and_segment(false);
+    read_rows(&mut daemon, vec![row_of(segment, -120_000)]);
+    assert_eq!(take_writes(&mut daemon), []);
+    read_rows(&mut daemon, vec![row_of(segment, -120_000)]);
+    assert_eq!(take_writes(&mut daemon).len(), 1);
+    let (mut daemon, segment) = daemon_and_segment(true);
+    read_rows(&mut daemon, vec![row_of(segment, -120_000)]);
+    assert_eq!(take_writes(&mut daemon).len(), 1);
+}
+
+/// Guards against hundreds of daemons that write one missing row at the same moment.
+#[test]
+fn daemons_that_are_no_writers_write_a_row_if_it_is_still_missing_at_the_next_read() {
+    let (mut daemon, segment) = daemon_and_segment(false);
+    daemon.receive_state_of(1, quarantined_by_peer(segment), 2);
+    read_rows(&mut daemon, Vec::new());
+    assert_eq!(take_writes(&mut daemon), []);
+    read_rows(&mut daemon, Vec::new());
+    assert_eq!(take_writes(&mut daemon).len(), 1);
+    let (mut daemon, segment) = daemon_and_segment(true);
+    daemon.receive_state_of(1, quarantined_by_peer(segment), 2);
+    read_rows(&mut daemon, Vec::new());
+    assert_eq!(take_writes(&mut daemon).len(), 1);
+}
