Write quarantines that another daemon decided

A verdict of a daemon that is none of the three writers was in no row until the writers' next read, up to 60 s later, and lost if all daemons were killed before.

--- a/crates/edge/src/control/quarantine_rows.rs
+++ b/crates/edge/src/control/quarantine_rows.rs
@@ -42,6 +42,7 @@
     writing: Option<dispatch::SegmentId>,
     next_write_ms: u64,
     is_reading: bool,
+    was_read: bool,
     next_read_ms: u64,
 }
 
@@ -75,8 +76,11 @@
     /// Has the rows of changed segments written, if it is for this daemon to do so.
     pub(super) fn store_segment_change(&mut self, change: &quarantine::SegmentChange, now_ms: u64) {
         match change {
-            // Of a quarantine that another daemon decided, that one writes the row.
-            quarantine::SegmentChange::Quarantined { crashes: 0, .. } => {}
+            // The daemon that decided may be none of the writers. Before the first read it is not known which
+            // rows there are; that read shows the missing ones.
+            quarantine::SegmentChange::Quarantined { crashes: 0, segment }
+                if !self.quarantine_rows.was_read
+                    || self.quarantine_rows.versions.contains_key(segment) => {}
             quarantine::SegmentChange::Quarantined { segment, .. } => {
                 if self.is_quarantine_writer(*segment, |peer| peer.is_live(now_ms)) {
                     self.quarantine_rows.pending.insert(*segment);
@@ -115,6 +119,7 @@
 
     fn apply_quarantine_rows(&mut self, listing: store::Listing, now_ms: u64) {
         self.quarantine_rows.is_reading = false;
+        self.quarantine_rows.was_read = true;
         self.quarantine_rows.versions.clear();
         let rows = listing.rows.iter().take(MAX_ROWS);
         let mut differing: IndexSet<_> = rows
@@ -154,6 +159,7 @@
             }
         };
         self.quarantine_rows.versions.insert(segment, row.version);
+        self.quarantine_rows.pending.shift_remove(&segment);
         if let Some(change) =
             self.quarantine.apply_stored_verdict(segment, verdict, store_ms, now_ms)
         {
--- a/crates/edge/tests/quarantine_rows.rs
+++ b/crates/edge/tests/quarantine_rows.rs
@@ -224,3 +224,28 @@
     read_rows(&mut daemon, Vec::new());
     assert_eq!(take_writes(&mut daemon).len(), 1);
 }
+
+/// Guards against a verdict that is in no row for up to a read interval, and lost if all daemons are killed,
+/// since the daemon that decided is not one of those that write it.
+#[test]
+fn the_writers_write_what_another_daemon_decided() {
+    for is_writer in [true, false] {
+        let (mut daemon, segment) = daemon_and_segment(is_writer);
+        read_rows(&mut daemon, Vec::new());
+        daemon.receive_state_of(1, quarantined_by_peer(segment), 2);
+        daemon.state.tick(NOW_MS + 100);
+        let writes = take_writes(&mut daemon);
+        assert_eq!(writes.len(), usize::from(is_writer), "{writes:?}");
+        assert!(writes.iter().all(|write| write.conditions[0].version == 0));
+    }
+}
+
+/// Guards against a write of a row that is there already.
+#[test]
+fn a_quarantine_that_is_known_from_its_row_is_not_written_again() {
+    let (mut daemon, segment) = daemon_and_segment(true);
+    read_rows(&mut daemon, vec![row_of(segment, 100_000)]);
+    daemon.receive_state_of(1, quarantined_by_peer(segment), 2);
+    daemon.state.tick(NOW_MS + 100);
+    assert_eq!(take_writes(&mut daemon), []);
+}
