Count repeated and overtaken crash reports once

A repeated datagram added its requests to the crash again, and counted as another crash if it came more than 1.5 s after the first. A report that is not newer than its sender's latest datagram now adds nothing to a crash that the sender has reported, and is no further crash of a process whose crash is known.

--- a/crates/domain/src/quarantine/crash_log.rs
+++ b/crates/domain/src/quarantine/crash_log.rs
@@ -9,7 +9,7 @@
 use super::evidence::Evidence;
 use super::recorded_crash::RecordedCrash;
 use super::segment_crashes::SegmentCrashes;
-use super::{ONSET_MS, WorkerCrash};
+use super::{CrashReport, ONSET_MS, WorkerCrash};
 use crate::dispatch;
 
 /// Time for which a crash counts.
@@ -41,17 +41,39 @@
 }
 
 impl CrashLog {
-    /// Records a crash as one daemon saw it; `is_own` tells that it was this one.
-    pub fn record(&mut self, crash: &WorkerCrash, is_own: bool, now_ms: u64) {
+    /// Records a crash as this daemon saw it.
+    pub fn record(&mut self, crash: &WorkerCrash, now_ms: u64) {
+        if let Some(recorded) = self.crash_mut(crash, now_ms) {
+            recorded.add_own(crash);
+        }
+    }
+
+    /// Records a crash as another daemon saw it.
+    pub fn record_report(&mut self, report: &CrashReport, now_ms: u64) {
+        if !report.is_newest {
+            let is_same = |recorded: &&mut RecordedCrash| recorded.is_of_process(&report.crash);
+            if let Some(recorded) = self.crashes.iter_mut().rev().find(is_same) {
+                if !recorded.is_known_from(&report.from) {
+                    recorded.add_report(report);
+                }
+                return;
+            }
+        }
+        if let Some(recorded) = self.crash_mut(&report.crash, now_ms) {
+            recorded.add_report(report);
+        }
+    }
+
+    /// Returns the crash that is seen now, adding it if it is not known; `None` if the log cannot keep it.
+    fn crash_mut(&mut self, crash: &WorkerCrash, now_ms: u64) -> Option<&mut RecordedCrash> {
         let is_same = |recorded: &RecordedCrash| recorded.is_reported_by(crash, now_ms);
         if let Some(position) = self.crashes.iter().rposition(is_same) {
-            self.crashes[position].add_report(crash, is_own);
-            return;
+            return self.crashes.get_mut(position);
         }
         if self.crashes.len() >= MAX_CRASHES {
             let oldest_ms = self.crashes.front().map_or(0, |crash| crash.at_ms);
             if now_ms.saturating_sub(oldest_ms) < RECENT_MS {
-                return;
+                return None;
             }
             self.crashes.pop_front();
         }
@@ -59,11 +81,10 @@
         let of_moment =
             of_moment.take_while(|crash| now_ms.saturating_sub(crash.at_ms) < COMMON_CAUSE_MS);
         if of_moment.count() >= MAX_MOMENT_CRASHES {
-            return;
+            return None;
         }
-        let mut recorded = RecordedCrash::new(crash, now_ms);
-        recorded.add_report(crash, is_own);
-        self.crashes.push_back(recorded);
+        self.crashes.push_back(RecordedCrash::new(crash, now_ms));
+        self.crashes.back_mut()
     }
 
     /// Drops crashes that no longer count.
--- a/crates/domain/src/quarantine/mod.rs
+++ b/crates/domain/src/quarantine/mod.rs
@@ -8,6 +8,7 @@
 mod answer_counts;
 mod answered_segments;
 mod crash_log;
+mod crash_report;
 mod evidence;
 mod moment;
 mod peer_verdict;
@@ -22,6 +23,7 @@
 mod verdict;
 mod worker_crash;
 
+pub use crash_report::CrashReport;
 pub use peer_verdict::PeerVerdict;
 pub use quarantine::Quarantine;
 pub use segment_change::SegmentChange;
--- a/crates/domain/src/quarantine/quarantine.rs
+++ b/crates/domain/src/quarantine/quarantine.rs
@@ -7,7 +7,8 @@
 use super::crash_log::CrashLog;
 use super::evidence::Evidence;
 use super::{
-    ONSET_MS, PeerVerdict, SegmentChange, StoredVerdict, SurvivedAnswer, Verdict, WorkerCrash,
+    CrashReport, ONSET_MS, PeerVerdict, SegmentChange, StoredVerdict, SurvivedAnswer, Verdict,
+    WorkerCrash,
 };
 use crate::dispatch;
 
@@ -45,13 +46,13 @@
 impl Quarantine {
     /// Records the crash of a worker while it served requests of this daemon.
     pub fn record_crash(&mut self, crash: &WorkerCrash, now_ms: u64) {
-        self.crashes.record(crash, true, now_ms);
+        self.crashes.record(crash, now_ms);
         self.last_crash_ms = Some(now_ms);
     }
 
     /// Records the crash of a worker while it served requests of another daemon.
-    pub fn record_peer_crash(&mut self, crash: &WorkerCrash, now_ms: u64) {
-        self.crashes.record(crash, false, now_ms);
+    pub fn record_peer_crash(&mut self, report: &CrashReport, now_ms: u64) {
+        self.crashes.record_report(report, now_ms);
         self.last_crash_ms = Some(now_ms);
     }
 
--- a/crates/domain/src/quarantine/recorded_crash.rs
+++ b/crates/domain/src/quarantine/recorded_crash.rs
@@ -2,7 +2,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{SuspectSegment, WorkerCrash};
+use super::{CrashReport, SuspectSegment, WorkerCrash};
 use crate::dispatch;
 use crate::name;
 
@@ -17,6 +17,8 @@
 pub(super) struct RecordedCrash {
     worker: name::WorkerName,
     started_unix_ms: u64,
+    /// Other daemons that have reported it.
+    reported_by: IndexSet<name::HostName>,
     /// Time of the first report.
     pub at_ms: u64,
     /// Number of requests that may be the cause.
@@ -37,6 +39,7 @@
         Self {
             worker: crash.worker.clone(),
             started_unix_ms: crash.started_unix_ms,
+            reported_by: IndexSet::new(),
             at_ms: now_ms,
             requests: 0,
             own_requests: 0,
@@ -48,17 +51,33 @@
 
     /// Returns whether a report is of this crash.
     pub fn is_reported_by(&self, crash: &WorkerCrash, now_ms: u64) -> bool {
-        self.worker == crash.worker
-            && self.started_unix_ms == crash.started_unix_ms
-            && now_ms.saturating_sub(self.at_ms) < REPORT_SPREAD_MS
+        self.is_of_process(crash) && now_ms.saturating_sub(self.at_ms) < REPORT_SPREAD_MS
     }
 
-    /// Adds the requests of a report; `is_own` tells that this daemon sent them.
-    pub fn add_report(&mut self, crash: &WorkerCrash, is_own: bool) {
+    /// Returns whether a report is of a crash of the same process, as far as its start is known.
+    pub fn is_of_process(&self, crash: &WorkerCrash) -> bool {
+        self.worker == crash.worker && self.started_unix_ms == crash.started_unix_ms
+    }
+
+    /// Returns whether another daemon has reported the crash.
+    pub fn is_known_from(&self, from: &name::HostName) -> bool {
+        self.reported_by.contains(from)
+    }
+
+    /// Adds the requests of this daemon.
+    pub fn add_own(&mut self, crash: &WorkerCrash) {
+        self.own_requests = self.own_requests.saturating_add(crash.requests);
+        self.add(crash);
+    }
+
+    /// Adds the requests of another daemon.
+    pub fn add_report(&mut self, report: &CrashReport) {
+        self.reported_by.insert(report.from.clone());
+        self.add(&report.crash);
+    }
+
+    fn add(&mut self, crash: &WorkerCrash) {
         self.requests = self.requests.saturating_add(crash.requests);
-        if is_own {
-            self.own_requests = self.own_requests.saturating_add(crash.requests);
-        }
         for suspect in &crash.suspects {
             if suspect.position == 0 && self.first_segments.len() < MAX_SUSPECTS {
                 self.first_segments.insert(suspect.id);
--- a/crates/domain/tests/crash_evidence.rs
+++ b/crates/domain/tests/crash_evidence.rs
@@ -32,10 +32,20 @@
     crash
 }
 
+fn report(from: &str, is_newest: bool, crash: &quarantine::WorkerCrash) -> quarantine::CrashReport {
+    let from = name::HostName::from(from);
+    quarantine::CrashReport { from, is_newest, crash: crash.clone() }
+}
+
 fn quarantined(quarantine: &quarantine::Quarantine, now_ms: u64) -> Vec<u64> {
     quarantine.active(now_ms).map(|(segment, _)| segment.into()).collect()
 }
 
+fn quarantined_after(quarantine: &mut quarantine::Quarantine, now_ms: u64) -> Vec<u64> {
+    quarantine.update(now_ms);
+    quarantined(quarantine, now_ms)
+}
+
 /// Answers to sound requests with the first segment and one of 40 subjects, one every 50 ms.
 fn answer_sound_requests(quarantine: &mut quarantine::Quarantine, from_ms: u64, until_ms: u64) {
     for now_ms in (from_ms..until_ms).step_by(50) {
@@ -110,7 +120,7 @@
         let now_ms = 10_000 + 3_000 * round;
         let seen = crash(round, 1, &[&[FIRST, 20]]);
         with_answers.record_crash(&seen, now_ms);
-        without.record_peer_crash(&seen, now_ms);
+        without.record_peer_crash(&report("d1", true, &seen), now_ms);
         answer_sound_requests(&mut without, now_ms + 500, now_ms + 2_000);
         let segments = prompt(&[FIRST, 20]).into();
         let answer = quarantine::SurvivedAnswer { segments, started_ms: now_ms + 500 };
@@ -206,3 +216,46 @@
     println!("{refused} of {sound} sound requests refused");
     assert!(refused as f64 <= sound as f64 * MAX_REFUSED_SHARE, "{refused} of {sound}");
 }
+
+/// Guards against counting a report that the network repeats or delays as another crash: three crashes are
+/// too few, also if each report arrives twice.
+#[test]
+fn repeated_and_overtaken_reports_are_no_further_crashes() {
+    let mut quarantine = quarantine::Quarantine::default();
+    answer_sound_requests(&mut quarantine, 5_000, 10_000);
+    for worker in 0..3 {
+        let now_ms = 10_000 + 500 * worker;
+        let seen = crash(worker, 1, &[&[FIRST, DEADLY], &[FIRST, 100 + worker]]);
+        quarantine.record_peer_crash(&report("d1", true, &seen), now_ms);
+        // A repeat, and the report of a daemon whose later datagrams overtook it.
+        quarantine.record_peer_crash(&report("d1", false, &seen), now_ms + 1_600);
+        quarantine.record_peer_crash(&report("d2", false, &seen), now_ms + 1_700);
+    }
+    answer_sound_requests(&mut quarantine, 11_500, 14_000);
+    assert_eq!(quarantine.update(14_000), []);
+    // A fourth crash is sufficient.
+    let seen = crash(3, 1, &[&[FIRST, DEADLY], &[FIRST, 103]]);
+    quarantine.record_peer_crash(&report("d1", true, &seen), 14_300);
+    assert_eq!(quarantined_after(&mut quarantine, 14_400), [DEADLY]);
+}
+
+/// Guards against repeated reports that make a segment look frequent: with more requests on the
+/// crashed workers, each crash counts for less.
+#[test]
+fn a_repeated_report_adds_no_requests() {
+    let weigh = |repeats: u64| {
+        let mut quarantine = quarantine::Quarantine::default();
+        for worker in 0..5 {
+            let now_ms = 10_000 + 700 * worker;
+            let seen = crash(worker, 1, &[&[FIRST, DEADLY], &[FIRST, 100 + worker]]);
+            quarantine.record_peer_crash(&report("d1", true, &seen), now_ms);
+            for _ in 0..repeats {
+                quarantine.record_peer_crash(&report("d1", false, &seen), now_ms);
+            }
+            answer_sound_requests(&mut quarantine, now_ms + 50, now_ms + 650);
+        }
+        quarantined_after(&mut quarantine, 10_000 + CONTACT_MS)
+    };
+    assert_eq!(weigh(0), [DEADLY]);
+    assert_eq!(weigh(200), [DEADLY]);
+}
--- a/crates/domain/tests/replay/mod.rs
+++ b/crates/domain/tests/replay/mod.rs
@@ -293,7 +293,10 @@
                 if index == reporter {
                     daemon.record_crash(&crash, now_ms);
                 } else {
-                    daemon.record_peer_crash(&crash, now_ms);
+                    let from = name::HostName::from(format!("d{reporter}"));
+                    let crash = crash.clone();
+                    let report = quarantine::CrashReport { from, is_newest: true, crash };
+                    daemon.record_peer_crash(&report, now_ms);
                 }
             }
         }
--- a/crates/edge/src/control/datagrams.rs
+++ b/crates/edge/src/control/datagrams.rs
@@ -39,7 +39,8 @@
             }
         }
         self.apply_peer_uses(&datagram, now_ms);
-        self.apply_peer_crashes(&datagram, now_ms);
+        let is_newest = self.peers.observe_datagram(&datagram);
+        self.apply_peer_crashes(&datagram, is_newest, now_ms);
         self.apply_peer_limits(&datagram, now_ms);
         self.apply_peer_leaving(&datagram, now_ms);
         self.apply_peer_quotas(&datagram, now_ms);
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -46,6 +46,8 @@
     pub failure_timeout_ms: u64,
     started_unix_ms: u64,
     sequence: u64,
+    /// Start of the daemon and sequence number of the latest datagram, also of those without a state.
+    latest_datagram: (u64, u64),
 }
 
 impl Peer {
@@ -62,6 +64,7 @@
             failure_timeout_ms: MIN_FAILURE_TIMEOUT_MS,
             started_unix_ms: 0,
             sequence: 0,
+            latest_datagram: (0, 0),
         }
     }
 
@@ -120,6 +123,16 @@
         });
     }
 
+    /// Returns whether a datagram is newer than all others of its sender, as far as the sender is known.
+    pub fn observe_datagram(&mut self, datagram: &fleet::Datagram) -> bool {
+        let sent = (datagram.started_unix_ms, datagram.sequence);
+        let host = name::HostName::from(datagram.host.as_str());
+        let Some(peer) = self.peers.get_mut(&host) else { return false };
+        let is_newest = sent > peer.latest_datagram;
+        peer.latest_datagram = sent.max(peer.latest_datagram);
+        is_newest
+    }
+
     /// Applies the state of a daemon.
     ///
     /// Returns the workers whose holder or adapters changed, or `None` if the datagram is not newer
--- a/crates/edge/src/control/quarantined_segments.rs
+++ b/crates/edge/src/control/quarantined_segments.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 use jasminetack_domain::dispatch;
+use jasminetack_domain::name;
 use jasminetack_domain::quarantine;
 use jasminetack_wire::fleet;
 use rustc_hash::FxBuildHasher;
@@ -53,12 +54,20 @@
         self.apply_segment_changes(&changes, now_ms);
     }
 
-    /// Records the crashes that another daemon noticed.
-    pub(super) fn apply_peer_crashes(&mut self, datagram: &fleet::Datagram, now_ms: u64) {
+    /// Records the crashes that another daemon noticed; `is_newest` tells that no later datagram of that daemon
+    /// was received.
+    pub(super) fn apply_peer_crashes(
+        &mut self,
+        datagram: &fleet::Datagram,
+        is_newest: bool,
+        now_ms: u64,
+    ) {
         for crash in &datagram.crashes {
             let (from, worker) = (&datagram.host, &crash.worker);
             spdlog::info!("worker-crash-reported from={from} worker={worker}");
-            self.quarantine.record_peer_crash(&crash.into(), now_ms);
+            let from = name::HostName::from(from.as_str());
+            let report = quarantine::CrashReport { from, is_newest, crash: crash.into() };
+            self.quarantine.record_peer_crash(&report, now_ms);
         }
     }
 
--- a/crates/edge/tests/crash_reports.rs
+++ b/crates/edge/tests/crash_reports.rs
@@ -5,7 +5,7 @@
 use jasminetack_domain::{dispatch, name, quarantine};
 use jasminetack_edge::control;
 use jasminetack_wire::fleet;
-use support::Daemon;
+use support::{Daemon, NOW_MS};
 
 const DEADLY: u64 = 0xdead;
 const SOUND: u64 = 1;
@@ -49,3 +49,28 @@
     notice_crash(&mut daemon, "not-listed");
     assert!(take_crash_reports(&mut daemon).is_empty());
 }
+
+/// Guards against datagrams that the network repeats: each report counts once, and three crashes are too few
+/// for a quarantine.
+#[test]
+fn a_repeated_report_is_no_further_crash() {
+    let mut daemon = Daemon::new(&["w1"]);
+    for index in 0..3 {
+        let mut crash = quarantine::WorkerCrash::new(name::WorkerName::from("w1"), index);
+        let ids = [SOUND, DEADLY, u64::MAX];
+        crash.add_request(&ids.map(|id| dispatch::PromptSegment { id: id.into(), tokens: 1 }));
+        let datagram = fleet::Datagram {
+            host: "other-1".to_owned(),
+            started_unix_ms: 1,
+            sequence: 10 + index,
+            crashes: vec![fleet::WorkerCrash::from(&crash)],
+            ..fleet::Datagram::default()
+        };
+        for delay_ms in [0, 1_600] {
+            let message = control::Message::Datagram(Box::new(datagram.clone()));
+            daemon.state.receive(vec![message], NOW_MS + 300 * index + delay_ms);
+        }
+    }
+    daemon.state.tick(NOW_MS + 5_000);
+    assert!(!daemon.view.load().quarantined.contains_key(&dispatch::SegmentId::from(DEADLY)));
+}
