Don't multiply the answers of a daemon without requests on crashed workers

Its answers were multiplied by all requests on the crashed workers, the highest factor of all daemons, although its share of the requests was unknown: few answers could then refute that a sound segment is frequent.

--- a/crates/domain/src/quarantine/crash_log.rs
+++ b/crates/domain/src/quarantine/crash_log.rs
@@ -170,10 +170,13 @@
     }
 
     /// Returns by which factor the answers of all daemons are more than those of this one, by its share of
-    /// the requests on the crashed workers.
+    /// the requests on the crashed workers; 1 if it had none there, which says nothing of its share.
     fn fleet_factor(&self) -> f64 {
         let requests: u32 = self.crashes.iter().map(|crash| crash.requests).sum();
         let own: u32 = self.crashes.iter().map(|crash| crash.own_requests).sum();
+        if own == 0 {
+            return 1.0;
+        }
         // With few requests, the own share is uncertain; one more keeps the factor low.
         (f64::from(requests) / (f64::from(own) + 1.0)).max(1.0)
     }
--- a/crates/domain/tests/crash_evidence.rs
+++ b/crates/domain/tests/crash_evidence.rs
@@ -259,3 +259,20 @@
     assert_eq!(weigh(0), [DEADLY]);
     assert_eq!(weigh(200), [DEADLY]);
 }
+
+/// Guards against a daemon without a request on the crashed workers that multiplies its answers by all
+/// requests there: it knows nothing of its share, and these few answers are too little beside so many requests.
+#[test]
+fn a_daemon_without_requests_on_the_crashed_workers_does_not_multiply_its_answers() {
+    let mut quarantine = quarantine::Quarantine::default();
+    for worker in 0..5 {
+        let now_ms = 10_000 + 700 * worker;
+        let shared = [FIRST, 100 + worker];
+        let mut requests: Vec<&[u64]> = vec![&shared; 30];
+        requests.push(&[FIRST, 7_000]);
+        let seen = crash(worker, 1, &requests);
+        quarantine.record_peer_crash(&report("d1", true, &seen), now_ms);
+        answer_sound_requests(&mut quarantine, now_ms + 50, now_ms + 650);
+    }
+    assert_eq!(quarantined_after(&mut quarantine, 10_000 + CONTACT_MS), []);
+}
