Bound the wait for a decision on segments that crash workers

While a later segment of the same requests was in half of the crashes of the strongest one, without sufficient evidence, nothing was decided, on no segment and without bound.

--- a/crates/domain/src/quarantine/mod.rs
+++ b/crates/domain/src/quarantine/mod.rs
@@ -20,6 +20,7 @@
 mod stored_verdict;
 mod survived_answer;
 mod suspect_segment;
+mod undecided_segment;
 mod verdict;
 mod worker_crash;
 
--- a/crates/domain/src/quarantine/quarantine.rs
+++ b/crates/domain/src/quarantine/quarantine.rs
@@ -1,11 +1,12 @@
 //! Decision which segments are quarantined.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::answer_counts::AnswerCounts;
 use super::answered_segments::AnsweredSegments;
 use super::crash_log::CrashLog;
 use super::evidence::Evidence;
+use super::undecided_segment::UndecidedSegment;
 use super::{
     CrashReport, ONSET_MS, PeerVerdict, SegmentChange, StoredVerdict, SurvivedAnswer, Verdict,
     WorkerCrash,
@@ -21,6 +22,8 @@
 const DECISION_TIME_MS: u64 = 10_000;
 /// Interval of decisions, which take more processor time than all else here.
 const DECISION_INTERVAL_MS: u64 = 300;
+/// Segments that are undecided at one time; it bounds the processor time.
+const MAX_UNDECIDED: usize = 4;
 /// Time by which the first crash of a reported quarantine must be later than the last answer to a request
 /// with the segment. Times that daemons report differ by the delay of datagrams, and a segment that has
 /// just been cleared must not be quarantined again by a daemon that does not know it yet.
@@ -38,6 +41,8 @@
     answered: AnsweredSegments,
     answers: AnswerCounts,
     next_decision_ms: u64,
+    /// Segments that were undecided lately.
+    undecided: IndexMap<dispatch::SegmentId, UndecidedSegment>,
     verdicts: IndexMap<dispatch::SegmentId, Verdict>,
     /// Suspected segments that were cleared: the start of the answer, and when it was known.
     clearances: IndexMap<dispatch::SegmentId, (u64, u64)>,
@@ -81,6 +86,7 @@
         now_ms: u64,
     ) -> Option<SegmentChange> {
         self.answered.record(segment, started_ms);
+        self.undecided.swap_remove(&segment);
         // A single crash is no reason to tell the other daemons.
         let (dropped, crashes) = self.crashes.exonerate(segment, started_ms);
         if dropped > 0 && crashes > 1 && self.clearances.len() < MAX_CLEARANCES {
@@ -196,6 +202,8 @@
             return changes;
         }
         self.next_decision_ms = now_ms + DECISION_INTERVAL_MS;
+        self.undecided
+            .retain(|_, waiting| now_ms.saturating_sub(waiting.since_ms) < DECISION_TIME_MS);
         while self.verdicts.len() < MAX_VERDICTS
             && let Some(evidence) = self.strongest_evidence(now_ms)
         {
@@ -242,24 +250,49 @@
 
     /// Returns the evidence against the segment that explains most of the unexplained crashes, if it is
     /// sufficient.
-    fn strongest_evidence(&self, now_ms: u64) -> Option<Evidence> {
-        let is_known = |segment| self.verdicts.contains_key(&segment);
-        let mut evidence = self.crashes.evidence(is_known, &self.answered, &self.answers, now_ms);
-        evidence.retain(|evidence| {
-            now_ms.saturating_sub(evidence.first_crash_ms) >= MIN_OBSERVATION_MS
-        });
-        let sufficient: Vec<_> =
-            evidence.iter().filter(|evidence| evidence.is_sufficient()).collect();
-        let mut strongest = *sufficient.iter().max_by_key(|evidence| evidence.rank())?;
-        loop {
-            let parts = sufficient.iter().filter(|part| part.is_part_of(strongest));
-            match parts.max_by_key(|part| part.rank()) {
-                Some(part) => strongest = part,
-                None => break,
+    ///
+    /// While one is undecided, it is taken for the cause of its crashes, so that the segments that share them
+    /// wait too, and those of the other crashes don't.
+    fn strongest_evidence(&mut self, now_ms: u64) -> Option<Evidence> {
+        let mut undecided = IndexSet::new();
+        while undecided.len() < MAX_UNDECIDED {
+            let is_known = |segment: dispatch::SegmentId| {
+                self.verdicts.contains_key(&segment) || undecided.contains(&segment)
+            };
+            let mut evidence =
+                self.crashes.evidence(is_known, &self.answered, &self.answers, now_ms);
+            evidence.retain(|evidence| {
+                now_ms.saturating_sub(evidence.first_crash_ms) >= MIN_OBSERVATION_MS
+            });
+            let strongest = strongest_of(&evidence)?;
+            // The evidence against a segment that follows on this one may be sufficient with the next crash.
+            let parts = evidence.iter().filter(|part| part.is_main_part_of(strongest));
+            let Some(part_crashes) = parts.map(|part| part.crashes).max() else {
+                return Some(strongest.clone());
+            };
+            let segment = strongest.segment;
+            let new = || UndecidedSegment::new(now_ms);
+            let waiting = self.undecided.entry(segment).or_insert_with(new);
+            waiting.observe(part_crashes, now_ms);
+            if waiting.has_waited(now_ms) {
+                return Some(strongest.clone());
             }
+            undecided.insert(segment);
+        }
+        None
+    }
+}
+
+/// Returns the sufficient evidence against the segment that explains most of the crashes, or, if segments that
+/// follow on it explain enough of these, against one of them.
+fn strongest_of(evidence: &[Evidence]) -> Option<&Evidence> {
+    let sufficient: Vec<_> = evidence.iter().filter(|evidence| evidence.is_sufficient()).collect();
+    let mut strongest = *sufficient.iter().max_by_key(|evidence| evidence.rank())?;
+    loop {
+        let parts = sufficient.iter().filter(|part| part.is_part_of(strongest));
+        match parts.max_by_key(|part| part.rank()) {
+            Some(part) => strongest = part,
+            None => return Some(strongest),
         }
-        // The evidence against a segment that follows on this one may be sufficient with the next crash.
-        let is_undecided = evidence.iter().any(|part| part.is_main_part_of(strongest));
-        (!is_undecided).then(|| strongest.clone())
     }
 }
--- a/crates/domain/tests/crash_evidence.rs
+++ b/crates/domain/tests/crash_evidence.rs
@@ -276,3 +276,38 @@
     }
     assert_eq!(quarantined_after(&mut quarantine, 10_000 + CONTACT_MS), []);
 }
+
+/// Guards against a segment that is never decided, and blocks the decision on others, since one that follows on
+/// it is in most of its crashes, but in too few to be the cause.
+#[test]
+fn a_segment_that_may_have_a_deadly_part_is_decided_in_time_and_blocks_no_other() {
+    const PART: u64 = DEADLY + 1;
+    const INDEPENDENT: u64 = DEADLY + 2;
+    let mut quarantine = quarantine::Quarantine::default();
+    let mut independent_ms = None;
+    for now_ms in (5_000..18_500).step_by(5) {
+        let segments = prompt(&[FIRST, 100 + now_ms / 5 % 40]).into();
+        let answer = quarantine::SurvivedAnswer { segments, started_ms: now_ms - 400 };
+        quarantine.record_answer(&answer, now_ms);
+        if (10_000..15_000).contains(&now_ms) && now_ms % 500 == 0 {
+            let last: &[u64] = match (now_ms % 1_000, now_ms < 13_000) {
+                (0, true) => &[FIRST, DEADLY, PART],
+                (0, _) => &[FIRST, DEADLY],
+                _ => &[FIRST, INDEPENDENT],
+            };
+            let worker = now_ms / 500;
+            let seen = crash(worker, 1, &[last, &[FIRST, 100 + worker]]);
+            quarantine.record_crash(&seen, now_ms);
+        }
+        if now_ms % 100 == 0 {
+            quarantine.update(now_ms);
+            if quarantined(&quarantine, now_ms) == [INDEPENDENT] {
+                independent_ms.get_or_insert(now_ms);
+            }
+        }
+    }
+    let mut segments = quarantined(&quarantine, 18_500);
+    segments.sort_unstable();
+    assert_eq!(segments, [DEADLY, INDEPENDENT]);
+    assert!(independent_ms.is_some(), "the decision waited for that on the other segment");
+}
