Count comparable answers by the smaller set of first segments

Each of up to 1,200 counts was looked up for every first segment on the crashed workers, which may be hundreds, although most counts are of few.

--- a/crates/domain/src/quarantine/answer_counts.rs
+++ b/crates/domain/src/quarantine/answer_counts.rs
@@ -71,8 +71,13 @@
             return 0;
         }
         let of_bucket = |bucket: &IndexMap<dispatch::SegmentId, u32, FxBuildHasher>| {
+            // Crashed workers may have had hundreds of first segments, and most buckets have few or none.
+            if bucket.len() < first_segments.len() {
+                let counts = bucket.iter().filter(|(segment, _)| first_segments.contains(*segment));
+                return counts.map(|(_, count)| u64::from(*count)).sum::<u64>();
+            }
             let counts = first_segments.iter().filter_map(|segment| bucket.get(segment));
-            counts.map(|count| u64::from(*count)).sum::<u64>()
+            counts.map(|count| u64::from(*count)).sum()
         };
         self.buckets.range(from..until).map(of_bucket).sum()
     }
--- a/crates/domain/tests/crash_evidence.rs
+++ b/crates/domain/tests/crash_evidence.rs
@@ -311,3 +311,27 @@
     assert_eq!(segments, [DEADLY, INDEPENDENT]);
     assert!(independent_ms.is_some(), "the decision waited for that on the other segment");
 }
+
+/// Guards against miscounted answers if crashed workers had requests of many services: the answers of one of
+/// them are comparable, those of others are not.
+#[test]
+fn answers_of_one_of_many_services_on_crashed_workers_are_counted() {
+    let quarantined_beside = |answered: u64| {
+        let mut quarantine = quarantine::Quarantine::default();
+        for now_ms in (5_000..14_000).step_by(20) {
+            let segments = prompt(&[answered, 100 + now_ms / 20 % 40]).into();
+            let answer = quarantine::SurvivedAnswer { segments, started_ms: now_ms - 400 };
+            quarantine.record_answer(&answer, now_ms);
+            if (10_000..13_000).contains(&now_ms) && now_ms % 600 == 0 {
+                let mut crash = crash(now_ms, 1, &[&[FIRST, DEADLY]]);
+                for service in 2_000..2_020 {
+                    crash.add_request(&prompt(&[service, service + 1_000 + now_ms]));
+                }
+                quarantine.record_crash(&crash, now_ms);
+            }
+        }
+        quarantined_after(&mut quarantine, 14_000)
+    };
+    assert_eq!(quarantined_beside(2_003), [DEADLY]);
+    assert_eq!(quarantined_beside(5), []);
+}
