--- a/crates/domain/src/quarantine/mod.rs
+++ b/crates/domain/src/quarantine/mod.rs
@@ -8,6 +8,7 @@
 mod answer_counts;
 mod answered_segments;
 mod crash_log;
+mod crash_report;
 mod evidence;
 mod moment;
 mod peer_verdict;
@@ -19,9 +20,11 @@
 mod stored_verdict;
 mod survived_answer;
 mod suspect_segment;
+mod undecided_segment;
 mod verdict;
 mod worker_crash;
 
+pub use crash_report::CrashReport;
 pub use peer_verdict::PeerVerdict;
 pub use quarantine::Quarantine;
 pub use segment_change::SegmentChange;
--- a/crates/domain/tests/crash_evidence.rs
+++ b/crates/domain/tests/crash_evidence.rs
@@ -32,10 +32,20 @@
     crash
 }
 
+fn report(from: &str, is_newest: bool, crash: &quarantine::WorkerCrash) -> quarantine::CrashReport {
+    let from = name::HostName::from(from);
+    quarantine::CrashReport { from, is_newest, crash: crash.clone() }
+}
+
 fn quarantined(quarantine: &quarantine::Quarantine, now_ms: u64) -> Vec<u64> {
     quarantine.active(now_ms).map(|(segment, _)| segment.into()).collect()
 }
 
+fn quarantined_after(quarantine: &mut quarantine::Quarantine, now_ms: u64) -> Vec<u64> {
+    quarantine.update(now_ms);
+    quarantined(quarantine, now_ms)
+}
+
 /// Answers to sound requests with the first segment and one of 40 subjects, one every 50 ms.
 fn answer_sound_requests(quarantine: &mut quarantine::Quarantine, from_ms: u64, until_ms: u64) {
     for now_ms in (from_ms..until_ms).step_by(50) {
@@ -110,7 +120,7 @@
         let now_ms = 10_000 + 3_000 * round;
         let seen = crash(round, 1, &[&[FIRST, 20]]);
         with_answers.record_crash(&seen, now_ms);
-        without.record_peer_crash(&seen, now_ms);
+        without.record_peer_crash(&report("d1", true, &seen), now_ms);
         answer_sound_requests(&mut without, now_ms + 500, now_ms + 2_000);
         let segments = prompt(&[FIRST, 20]).into();
         let answer = quarantine::SurvivedAnswer { segments, started_ms: now_ms + 500 };
@@ -206,3 +216,122 @@
     println!("{refused} of {sound} sound requests refused");
     assert!(refused as f64 <= sound as f64 * MAX_REFUSED_SHARE, "{refused} of {sound}");
 }
+
+/// Guards against counting a report that the network repeats or delays as another crash: three crashes are
+/// too few, also if each report arrives twice.
+#[test]
+fn repeated_and_overtaken_reports_are_no_further_crashes() {
+    let mut quarantine = quarantine::Quarantine::default();
+    answer_sound_requests(&mut quarantine, 5_000, 10_000);
+    for worker in 0..3 {
+        let now_ms = 10_000 + 500 * worker;
+        let seen = crash(worker, 1, &[&[FIRST, DEADLY], &[FIRST, 100 + worker]]);
+        quarantine.record_peer_crash(&report("d1", true, &seen), now_ms);
+        // A repeat, and the report of a daemon whose later datagrams overtook it.
+        quarantine.record_peer_crash(&report("d1", false, &seen), now_ms + 1_600);
+        quarantine.record_peer_crash(&report("d2", false, &seen), now_ms + 1_700);
+    }
+    answer_sound_requests(&mut quarantine, 11_500, 14_000);
+    assert_eq!(quarantine.update(14_000), []);
+    // A fourth crash is sufficient.
+    let seen = crash(3, 1, &[&[FIRST, DEADLY], &[FIRST, 103]]);
+    quarantine.record_peer_crash(&report("d1", true, &seen), 14_300);
+    assert_eq!(quarantined_after(&mut quarantine, 14_400), [DEADLY]);
+}
+
+/// Guards against repeated reports that make a segment look frequent: with more requests on the
+/// crashed workers, each crash counts for less.
+#[test]
+fn a_repeated_report_adds_no_requests() {
+    let weigh = |repeats: u64| {
+        let mut quarantine = quarantine::Quarantine::default();
+        for worker in 0..5 {
+            let now_ms = 10_000 + 700 * worker;
+            let seen = crash(worker, 1, &[&[FIRST, DEADLY], &[FIRST, 100 + worker]]);
+            quarantine.record_peer_crash(&report("d1", true, &seen), now_ms);
+            for _ in 0..repeats {
+                quarantine.record_peer_crash(&report("d1", false, &seen), now_ms);
+            }
+            answer_sound_requests(&mut quarantine, now_ms + 50, now_ms + 650);
+        }
+        quarantined_after(&mut quarantine, 10_000 + CONTACT_MS)
+    };
+    assert_eq!(weigh(0), [DEADLY]);
+    assert_eq!(weigh(200), [DEADLY]);
+}
+
+/// Guards against a daemon without a request on the crashed workers that multiplies its answers by all
+/// requests there: it knows nothing of its share, and these few answers are too little beside so many requests.
+#[test]
+fn a_daemon_without_requests_on_the_crashed_workers_does_not_multiply_its_answers() {
+    let mut quarantine = quarantine::Quarantine::default();
+    for worker in 0..5 {
+        let now_ms = 10_000 + 700 * worker;
+        let shared = [FIRST, 100 + worker];
+        let mut requests: Vec<&[u64]> = vec![&shared; 30];
+        requests.push(&[FIRST, 7_000]);
+        let seen = crash(worker, 1, &requests);
+        quarantine.record_peer_crash(&report("d1", true, &seen), now_ms);
+        answer_sound_requests(&mut quarantine, now_ms + 50, now_ms + 650);
+    }
+    assert_eq!(quarantined_after(&mut quarantine, 10_000 + CONTACT_MS), []);
+}
+
+/// Guards against a segment that is never decided, and blocks the decision on others, since one that follows on
+/// it is in most of its crashes, but in too few to be the cause.
+#[test]
+fn a_segment_that_may_have_a_deadly_part_is_decided_in_time_and_blocks_no_other() {
+    const PART: u64 = DEADLY + 1;
+    const INDEPENDENT: u64 = DEADLY + 2;
+    let mut quarantine = quarantine::Quarantine::default();
+    let mut independent_ms = None;
+    for now_ms in (5_000..18_500).step_by(5) {
+        let segments = prompt(&[FIRST, 100 + now_ms / 5 % 40]).into();
+        let answer = quarantine::SurvivedAnswer { segments, started_ms: now_ms - 400 };
+        quarantine.record_answer(&answer, now_ms);
+        if (10_000..15_000).contains(&now_ms) && now_ms % 500 == 0 {
+            let last: &[u64] = match (now_ms % 1_000, now_ms < 13_000) {
+                (0, true) => &[FIRST, DEADLY, PART],
+                (0, _) => &[FIRST, DEADLY],
+                _ => &[FIRST, INDEPENDENT],
+            };
+            let worker = now_ms / 500;
+            let seen = crash(worker, 1, &[last, &[FIRST, 100 + worker]]);
+            quarantine.record_crash(&seen, now_ms);
+        }
+        if now_ms % 100 == 0 {
+            quarantine.update(now_ms);
+            if quarantined(&quarantine, now_ms) == [INDEPENDENT] {
+                independent_ms.get_or_insert(now_ms);
+            }
+        }
+    }
+    let mut segments = quarantined(&quarantine, 18_500);
+    segments.sort_unstable();
+    assert_eq!(segments, [DEADLY, INDEPENDENT]);
+    assert!(independent_ms.is_some(), "the decision waited for that on the other segment");
+}
+
+/// Guards against miscounted answers if crashed workers had requests of many services: the answers of one of
+/// them are comparable, those of others are not.
+#[test]
+fn answers_of_one_of_many_services_on_crashed_workers_are_counted() {
+    let quarantined_beside = |answered: u64| {
+        let mut quarantine = quarantine::Quarantine::default();
+        for now_ms in (5_000..14_000).step_by(20) {
+            let segments = prompt(&[answered, 100 + now_ms / 20 % 40]).into();
+            let answer = quarantine::SurvivedAnswer { segments, started_ms: now_ms - 400 };
+            quarantine.record_answer(&answer, now_ms);
+            if (10_000..13_000).contains(&now_ms) && now_ms % 600 == 0 {
+                let mut crash = crash(now_ms, 1, &[&[FIRST, DEADLY]]);
+                for service in 2_000..2_020 {
+                    crash.add_request(&prompt(&[service, service + 1_000 + now_ms]));
+                }
+                quarantine.record_crash(&crash, now_ms);
+            }
+        }
+        quarantined_after(&mut quarantine, 14_000)
+    };
+    assert_eq!(quarantined_beside(2_003), [DEADLY]);
+    assert_eq!(quarantined_beside(5), []);
+}
