Learn from calls that outlast their slot credits

An expired credit taught nothing, so a service whose calls take longer than the time to live of its credits was granted too many calls for ever. The broker keeps the workers of up to 512 expired credits and learns from the ends of their calls. The age at expiry counts as a duration if no other call of the worker has ended since the grant; otherwise a lost return is assumed, which must not lengthen predicted waits.

--- a/crates/domain/src/slot_credit/slot_broker.rs
+++ b/crates/domain/src/slot_credit/slot_broker.rs
@@ -17,6 +17,9 @@
 /// Time for which the caller of a refused request is known as returning.
 const REFUSED_TTL_MS: u64 = 3_000;
 const MAX_REFUSED: usize = 512;
+/// Most expired credits whose call may still end. A worker has 6 slots or so, so these are the calls of
+/// some 10 s even if all credits of a service expire.
+const MAX_EXPIRED: usize = 512;
 
 /// Entry of a worker that may get calls.
 #[derive(Clone, Copy, Debug)]
@@ -46,6 +49,7 @@
 struct Credit {
     worker: name::WorkerName,
     team: Option<name::TeamName>,
+    granted_ms: u64,
     expires_ms: u64,
 }
 
@@ -58,6 +62,8 @@
     waiting: WaitingRequests,
     /// Callers of refused requests, with the time until which they count as returning; oldest first.
     refused: IndexMap<u64, u64, FxBuildHasher>,
+    /// Workers of expired credits whose calls have not ended; oldest first.
+    expired: IndexMap<RequestKey, name::WorkerName, FxBuildHasher>,
     counts: BrokerCounts,
 }
 
@@ -111,10 +117,15 @@
     }
 
     /// Applies the end of a call, or of a request that no longer waits, and assigns the slot that it
-    /// leaves.
+    /// leaves. The end of a call whose credit has expired only teaches.
     pub fn finish(&mut self, key: &RequestKey, end: CallEnd, now_ms: u64) -> Vec<Answer> {
         self.waiting.remove(key);
-        let Some(credit) = self.credits.swap_remove(key) else { return Vec::new() };
+        let Some(credit) = self.credits.swap_remove(key) else {
+            if let Some(worker) = self.expired.shift_remove(key) {
+                self.learn(&worker, end, now_ms);
+            }
+            return Vec::new();
+        };
         self.release_team_slot(&credit.team);
         if let Some(slots) = self.workers.get_mut(&credit.worker) {
             slots.finish(end, now_ms);
@@ -157,12 +168,16 @@
         }
         let expired = self.credits.extract_if(.., |_, credit| credit.expires_ms <= now_ms);
         let expired: Vec<_> = expired.collect();
-        for (_, credit) in expired {
+        for (key, credit) in expired {
             self.counts.expired += 1;
             self.release_team_slot(&credit.team);
             if let Some(slots) = self.workers.get_mut(&credit.worker) {
-                slots.remove_credit();
+                slots.expire_credit(credit.granted_ms, now_ms);
+            }
+            if self.expired.len() >= MAX_EXPIRED {
+                self.expired.shift_remove_index(0);
             }
+            self.expired.insert(key, credit.worker);
         }
         for slots in self.workers.values_mut() {
             slots.expire(now_ms);
@@ -235,7 +250,8 @@
         *self.slots_in_use.entry(team.clone()).or_default() += 1;
         self.refused.shift_remove(&caller_hash);
         self.counts.granted += 1;
-        self.credits.insert(key.clone(), Credit { worker: worker.clone(), team, expires_ms });
+        let credit = Credit { worker: worker.clone(), team, granted_ms: now_ms, expires_ms };
+        self.credits.insert(key.clone(), credit);
         Answer { key, decision: Decision::Granted(worker.clone()) }
     }
 
--- a/crates/domain/src/slot_credit/worker_slots.rs
+++ b/crates/domain/src/slot_credit/worker_slots.rs
@@ -46,6 +46,8 @@
     /// Time until which the worker gets no call after a failure.
     failed_until_ms: u64,
     call_ms: Option<f64>,
+    /// Time at which the last call was executed.
+    done_ms: u64,
 }
 
 impl WorkerSlots {
@@ -64,6 +66,7 @@
             failures: 0,
             failed_until_ms: 0,
             call_ms: None,
+            done_ms: 0,
         }
     }
 
@@ -111,7 +114,19 @@
     }
 
     /// Removes a credit that has expired.
-    pub(super) fn remove_credit(&mut self) {
+    ///
+    /// Its age is a lower bound of the call's duration, unless the return was lost or the daemon killed.
+    /// That is assumed if another call has ended since the grant, so that it does not lengthen predicted
+    /// waits.
+    pub(super) fn expire_credit(&mut self, granted_ms: u64, now_ms: u64) {
+        self.remove_credit();
+        let (age_ms, mean_ms) = (now_ms.saturating_sub(granted_ms) as f64, self.call_ms());
+        if self.done_ms <= granted_ms && age_ms > mean_ms {
+            self.call_ms = Some(mean_ms + (age_ms - mean_ms) * CALL_TIME_WEIGHT);
+        }
+    }
+
+    fn remove_credit(&mut self) {
         self.credits = self.credits.saturating_sub(1);
     }
 
@@ -143,6 +158,7 @@
                 let took_ms = took_ms as f64;
                 let mean_ms = self.call_ms.unwrap_or(took_ms);
                 self.call_ms = Some(mean_ms + (took_ms - mean_ms) * CALL_TIME_WEIGHT);
+                self.done_ms = now_ms;
                 self.rejections = 0;
                 self.failures = 0;
             }
--- a/crates/domain/tests/slot_credit.rs
+++ b/crates/domain/tests/slot_credit.rs
@@ -193,6 +193,52 @@
     assert_eq!(broker.take_counts().expired, 1);
 }
 
+/// Guards against a worker whose calls outlast their credits and that is granted too many calls for ever,
+/// because the broker learns from none of them.
+#[test]
+fn a_call_that_outlasts_its_credit_lengthens_the_next_ones() {
+    let mut broker = broker(1, 2);
+    fill(&mut broker, 2);
+    broker.finish(&key("d1", 1_000), CallEnd::Done { took_ms: 30 }, NOW_MS + 30);
+    let expired_ms = NOW_MS + 601;
+    broker.expire(expired_ms);
+    assert_eq!(broker.credit_count(), 0);
+    broker.finish(&key("d1", 1_001), CallEnd::Done { took_ms: 800 }, NOW_MS + 800);
+    // A repeated return teaches nothing more.
+    let late_ms = NOW_MS + 801;
+    broker.finish(&key("d1", 1_001), CallEnd::Done { took_ms: 100_000 }, late_ms);
+    broker.request(request(1), late_ms);
+    broker.expire(late_ms + 900);
+    assert_eq!(broker.credit_count(), 1, "the credit lives for ten times 107 ms");
+    broker.expire(late_ms + 1_100);
+    assert_eq!(broker.credit_count(), 0);
+}
+
+/// Guards against credits that expire too early until the first long call ends.
+#[test]
+fn an_expiry_without_any_end_of_a_call_lengthens_the_next_credits() {
+    let mut broker = broker(1, 1);
+    fill(&mut broker, 1);
+    let expired_ms = NOW_MS + 601;
+    broker.expire(expired_ms);
+    assert_eq!(granted(&broker.request(request(1), expired_ms)), [1]);
+    broker.expire(expired_ms + 1_100);
+    assert_eq!(broker.credit_count(), 1, "calls of this worker take longer than 60 ms");
+}
+
+/// Guards against longer predicted waits when returns are lost or a daemon is killed.
+#[test]
+fn an_expiry_teaches_nothing_while_other_calls_end() {
+    let mut broker = broker(1, 2);
+    fill(&mut broker, 2);
+    broker.finish(&key("d1", 1_000), CallEnd::Done { took_ms: 30 }, NOW_MS + 30);
+    let expired_ms = NOW_MS + 601;
+    broker.expire(expired_ms);
+    broker.request(request(1), expired_ms);
+    broker.expire(expired_ms + 500);
+    assert_eq!(broker.credit_count(), 0, "the time to live is still the shortest");
+}
+
 /// Guards against two credits for one call after a duplicated datagram.
 #[test]
 fn a_repeated_request_gets_the_same_credit() {
