Count the calls of a worker whose entry returns

A worker whose entry lapsed for a moment came back with no credits in use while the broker still held some, so its slots were granted a second time.

--- a/crates/domain/src/slot_credit/slot_broker.rs
+++ b/crates/domain/src/slot_credit/slot_broker.rs
@@ -76,9 +76,11 @@
         let mut known = std::mem::take(&mut self.workers);
         for capacity in workers {
             let WorkerCapacity { worker, slots, started_unix_ms } = capacity;
-            let mut current = known
-                .swap_remove(worker)
-                .unwrap_or_else(|| WorkerSlots::new(slots, started_unix_ms));
+            let mut current = known.swap_remove(worker).unwrap_or_else(|| {
+                // The entry may have lapsed for a moment, during which calls go on.
+                let calls = self.credits.values().filter(|credit| credit.worker == *worker).count();
+                WorkerSlots::new(slots, started_unix_ms, u32::try_from(calls).unwrap_or(u32::MAX))
+            });
             current.update(slots, started_unix_ms);
             self.workers.insert(worker.clone(), current);
         }
--- a/crates/domain/src/slot_credit/worker_slots.rs
+++ b/crates/domain/src/slot_credit/worker_slots.rs
@@ -51,15 +51,15 @@
 }
 
 impl WorkerSlots {
-    /// Creates an idle worker.
-    pub(super) fn new(slots: u32, started_unix_ms: u64) -> Self {
+    /// Creates a worker without history that has calls with the given number of credits.
+    pub(super) fn new(slots: u32, started_unix_ms: u64, credits: u32) -> Self {
         Self {
             slots,
             queued: 0,
             calls_when_full: 0,
             has_rejected: false,
             started_unix_ms,
-            credits: 0,
+            credits,
             foreign_calls: IndexMap::new(),
             hidden: (0, 0),
             rejections: 0,
@@ -74,8 +74,7 @@
     pub(super) fn update(&mut self, slots: u32, started_unix_ms: u64) {
         self.slots = slots;
         if self.started_unix_ms != started_unix_ms {
-            let credits = self.credits;
-            *self = Self { credits, ..Self::new(slots, started_unix_ms) };
+            *self = Self::new(slots, started_unix_ms, self.credits);
         }
     }
 
--- a/crates/domain/tests/slot_credit.rs
+++ b/crates/domain/tests/slot_credit.rs
@@ -312,6 +312,18 @@
     assert_eq!(answers[0].decision, Decision::NoSlot { wait_ms: None });
 }
 
+/// Guards against slots that are assigned a second time when the entry of their worker lapses for a moment.
+#[test]
+fn a_worker_that_returns_still_has_its_calls() {
+    let mut broker = broker(1, 2);
+    fill(&mut broker, 2);
+    set_workers(&mut broker, 0, 2);
+    set_workers(&mut broker, 1, 2);
+    let answers = broker.request(request(1), NOW_MS);
+    assert!(matches!(answers[0].decision, Decision::Queued { .. }), "{answers:?}");
+    assert_eq!(drain(&mut broker, 1), [1]);
+}
+
 /// Guards against a new broker that assigns the slots of its predecessor's calls a second time.
 #[test]
 fn a_new_broker_learns_the_calls_in_flight_from_the_daemons() {
