--- a/crates/edge/src/control/actor.rs
+++ b/crates/edge/src/control/actor.rs
@@ -8,10 +8,10 @@
 use crate::clock;
 use crate::dialect;
 
-/// Interval of ticks while no adapter loads are waiting or in flight.
+/// Interval of ticks while no adapter loads are waiting or in flight and no requests wait for a slot.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval of ticks while adapter loads are waiting or in flight, short enough to notice finished
-/// loads promptly.
+/// Interval of ticks otherwise, short enough to notice finished loads promptly, and slots that become
+/// free by time.
 const BUSY_TICK_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Actor that owns the control state.
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -181,13 +181,14 @@
         self.publish_changes(now_ms);
     }
 
-    /// Returns whether adapter loads are waiting or in flight.
+    /// Returns whether adapter loads are waiting or in flight, or requests wait for a slot.
     pub fn is_busy(&self) -> bool {
-        self.assignments.iter().any(|(_, assignment)| {
+        let has_loads = self.assignments.iter().any(|(_, assignment)| {
             assignment.placement.as_ref().is_some_and(|placement| {
                 placement.loads_in_flight() > 0 || placement.summary().waiting_loads > 0
             })
-        })
+        });
+        has_loads || self.slots.waiting_count() > 0
     }
 
     fn handle(&mut self, message: Message, now_ms: u64) {
--- a/crates/edge/tests/slot_credits.rs
+++ b/crates/edge/tests/slot_credits.rs
@@ -94,6 +94,19 @@
     assert_eq!(take_message(&mut daemon), None);
 }
 
+/// Guards against waiting calls that notice only 100 ms later that a slot has become free by time.
+#[test]
+fn a_broker_with_waiting_requests_is_busy() {
+    let mut daemon = Daemon::new(&["w1"]);
+    daemon.receive_state(fleet::DaemonState { is_leaving: true, ..Default::default() }, 2);
+    let _answers: Vec<_> = (0..4).map(|number| ask(&mut daemon, number, "llm")).collect();
+    assert!(!daemon.state.is_busy());
+    let _waiting = ask(&mut daemon, 4, "llm");
+    assert!(daemon.state.is_busy());
+    daemon.receive(Message::SlotUnanswered(4));
+    assert!(!daemon.state.is_busy(), "the request was withdrawn");
+}
+
 /// Guards against a call that is woken twice, and against the return of a credit that is in use.
 #[test]
 fn a_repeated_answer_changes_nothing() {
