Ignore late answers of a broker's former process

Such an answer set the recorded process back, so the calls that the present one had granted were reported to it as unknown and counted twice.

--- a/crates/domain/src/slot_credit/credit_ledger.rs
+++ b/crates/domain/src/slot_credit/credit_ledger.rs
@@ -36,7 +36,7 @@
 pub struct CreditLedger<Waiter> {
     asked: IndexMap<u64, AskedCredit<Waiter>, FxBuildHasher>,
     held: IndexMap<u64, HeldCredit, FxBuildHasher>,
-    /// Start time of each broker's process, as of its last answer.
+    /// Start time of each broker's latest process that has answered.
     processes: FxHashMap<name::HostName, u64>,
 }
 
@@ -61,10 +61,13 @@
         self.asked.swap_remove(&number)
     }
 
-    /// Records the process that sent an answer.
+    /// Records the process that sent an answer; the answer of an earlier process of the host may be late.
     pub fn record_broker(&mut self, host: &name::HostName, started_unix_ms: u64) {
-        if self.processes.get(host) != Some(&started_unix_ms) {
-            self.processes.insert(host.clone(), started_unix_ms);
+        match self.processes.get_mut(host) {
+            Some(known) => *known = started_unix_ms.max(*known),
+            None => {
+                self.processes.insert(host.clone(), started_unix_ms);
+            }
         }
     }
 
--- a/crates/domain/tests/slot_credit.rs
+++ b/crates/domain/tests/slot_credit.rs
@@ -351,6 +351,19 @@
     assert_eq!(ledger.foreign_calls(&pool, &old), [(worker(0), 4)]);
 }
 
+/// Guards against calls that are reported as unknown to the broker that granted them, because an answer of
+/// its former process came late.
+#[test]
+fn a_late_answer_of_a_former_process_changes_nothing() {
+    let (pool, host) = (pool(), name::HostName::from("b1"));
+    let mut ledger = CreditLedger::<()>::default();
+    ledger.record_broker(&host, 2);
+    let broker = Some((host.clone(), 2));
+    ledger.hold(1, HeldCredit { pool: pool.clone(), worker: worker(0), broker });
+    ledger.record_broker(&host, 1);
+    assert!(ledger.foreign_calls(&pool, &host).is_empty());
+}
+
 fn pool() -> PoolKey {
     PoolKey { service: name::ServiceName::from("app"), region: name::RegionName::from("r") }
 }
