--- a/crates/domain/src/slot_credit/broker_directory.rs
+++ b/crates/domain/src/slot_credit/broker_directory.rs
@@ -60,6 +60,11 @@
         is_passed_over
     }
 
+    /// Forgets the unanswered requests of hosts that are not to be kept.
+    pub fn retain_hosts(&mut self, mut is_kept: impl FnMut(&name::HostName) -> bool) {
+        self.silent.retain(|host, _| is_kept(host));
+    }
+
     /// Records an answer of a broker.
     pub fn record_answer(&mut self, host: &name::HostName) {
         self.silent.remove(host);
--- a/crates/domain/src/slot_credit/credit_ledger.rs
+++ b/crates/domain/src/slot_credit/credit_ledger.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Forgets the processes of brokers that are not to be kept.
+    pub fn retain_brokers(&mut self, mut is_kept: impl FnMut(&name::HostName) -> bool) {
+        self.processes.retain(|host, _| is_kept(host));
+    }
+
     /// Adds a call in flight.
     pub fn hold(&mut self, number: u64, held: HeldCredit) {
         self.held.insert(number, held);
--- a/crates/domain/tests/slot_credit.rs
+++ b/crates/domain/tests/slot_credit.rs
@@ -401,6 +401,27 @@
     assert_eq!(directory.choose("app/r", [&broker], NOW_MS), Some(&broker));
 }
 
+/// Guards against state that grows with the names of all hosts that have ever been there.
+#[test]
+fn hosts_that_are_gone_are_forgotten() {
+    let (pool, hosts) = (pool(), ["kept", "gone"].map(name::HostName::from));
+    let (mut directory, mut ledger) = (BrokerDirectory::default(), CreditLedger::<()>::default());
+    for (number, host) in (1..).zip(&hosts) {
+        for at_ms in [NOW_MS, NOW_MS + 100, NOW_MS + 200] {
+            directory.record_unanswered(host, at_ms);
+        }
+        ledger.record_broker(host, 1);
+        let broker = Some((host.clone(), 1));
+        ledger.hold(number, HeldCredit { pool: pool.clone(), worker: worker(0), broker });
+    }
+    let is_kept = |host: &name::HostName| host.as_str() == "kept";
+    directory.retain_hosts(is_kept);
+    ledger.retain_brokers(is_kept);
+    assert_eq!(directory.choose("app/r", &hosts, NOW_MS + 200), Some(&hosts[1]));
+    let unknown = hosts.each_ref().map(|host| ledger.foreign_calls(&pool, host)[0].1);
+    assert_eq!(unknown, [1, 2], "no process is known of the host that is gone");
+}
+
 /// Guards against a refusal although a region could not be asked.
 #[test]
 fn a_call_is_refused_only_if_every_region_is_full() {
--- a/crates/edge/src/control/slot_state.rs
+++ b/crates/edge/src/control/slot_state.rs
@@ -139,6 +139,15 @@
         reports[index].set_foreign_calls(&calls);
     }
 
+    /// Forgets other daemons that are not known any more.
+    pub(super) fn retain_hosts(&mut self, is_known: impl Fn(&name::HostName) -> bool) {
+        let is_kept = |host: &name::HostName| *host == self.host || is_known(host);
+        self.ledger.retain_brokers(is_kept);
+        self.directory.retain_hosts(is_kept);
+        self.routes.retain(|_, (host, _)| is_kept(host));
+        self.informed.retain(|(host, _)| is_kept(host));
+    }
+
     /// Returns whether a host is this daemon.
     pub(super) fn is_self(&self, host: &name::HostName) -> bool {
         self.host == *host
--- a/crates/edge/src/control/store_replies.rs
+++ b/crates/edge/src/control/store_replies.rs
@@ -66,6 +66,7 @@
             is_new |= self.peers.add_from_lease(row);
         }
         self.peers.retain_listed(&listed, now_ms);
+        self.slots.retain_hosts(|host| self.peers.get(host).is_some());
         if is_new {
             // Daemons that know this one send it their states with their next reports.
             let state = self.daemon_state(None, now_ms);
