--- a/crates/domain/src/slot_credit/credit_request.rs
+++ b/crates/domain/src/slot_credit/credit_request.rs
@@ -12,7 +12,7 @@
     pub team: Option<name::TeamName>,
     /// Priority of the call; 0 is the most urgent.
     pub urgency: u8,
-    /// Hash of the caller's request identifier, the same when the caller returns after a refusal.
+    /// Hash of the request's method, address and body, the same when the caller returns after a refusal.
     pub caller_hash: u64,
     /// Time until which the call may wait for a slot.
     pub wait_until_ms: u64,
--- a/crates/wire/src/fleet/slot_credits.rs
+++ b/crates/wire/src/fleet/slot_credits.rs
@@ -22,7 +22,7 @@
     /// Priority of the call; 0 is the most urgent.
     #[prost(uint32, tag = "5")]
     pub urgency: u32,
-    /// Hash of the caller's request identifier.
+    /// Hash of the request's method, address and body.
     #[prost(fixed64, tag = "6")]
     pub caller_hash: u64,
     /// Time for which the call may wait.
