--- a/crates/domain/tests/slot_credit.rs
+++ b/crates/domain/tests/slot_credit.rs
@@ -1,5 +1,7 @@
 //! Tests of the broker of slots, the order of waiting requests and the choice of the broker.
 
+use std::collections::VecDeque;
+
 use jasminetack_domain::name;
 use jasminetack_domain::slot_credit::{
     Answer, BrokerDirectory, CallEnd, Conclusion, CreditLedger, CreditRequest, Decision,
@@ -324,6 +326,91 @@
     assert_eq!(drain(&mut broker, 1), [1]);
 }
 
+/// Worker with six slots that has as many calls as the broker allows.
+struct FullWorker {
+    broker: SlotBroker,
+    calls: VecDeque<u64>,
+    next_number: u64,
+    now_ms: u64,
+}
+
+impl FullWorker {
+    fn new() -> Self {
+        let mut worker =
+            Self { broker: broker(1, 6), calls: VecDeque::new(), next_number: 1, now_ms: NOW_MS };
+        worker.fill();
+        worker
+    }
+
+    fn fill(&mut self) {
+        loop {
+            let (number, wait_until_ms) = (self.next_number, self.now_ms);
+            let request = CreditRequest { wait_until_ms, ..request(number) };
+            if granted(&self.broker.request(request, self.now_ms)).is_empty() {
+                return;
+            }
+            self.calls.push_back(number);
+            self.next_number += 1;
+        }
+    }
+
+    /// Ends the oldest call and sends the next ones.
+    fn end_call(&mut self, end: CallEnd) {
+        let number = self.calls.pop_front().expect("a call");
+        self.broker.finish(&key("d1", number), end, self.now_ms);
+        self.fill();
+    }
+
+    fn end_calls(&mut self, count: usize) {
+        for _ in 0..count {
+            self.end_call(CallEnd::Done { took_ms: 30 });
+        }
+    }
+}
+
+/// Guards against capacity that is left unused at overload, and against a long queue at a worker that
+/// never rejects a call.
+#[test]
+fn a_worker_that_rejects_nothing_gets_up_to_half_of_its_slots_more() {
+    let mut worker = FullWorker::new();
+    assert_eq!(worker.calls.len(), 6);
+    worker.end_calls(7);
+    assert_eq!(worker.calls.len(), 6);
+    worker.end_calls(1);
+    assert_eq!(worker.calls.len(), 7);
+    worker.end_calls(1_000);
+    assert_eq!(worker.calls.len(), 9);
+}
+
+/// Guards against a worker that is sent as many calls again as it has rejected before.
+#[test]
+fn a_rejection_takes_one_of_the_calls_beyond_the_slots_back() {
+    let mut worker = FullWorker::new();
+    worker.end_calls(1_000);
+    worker.end_call(CallEnd::Full);
+    assert_eq!(worker.calls.len(), 8);
+    // The worker counts as full for the mean time of a call.
+    worker.now_ms += 100;
+    worker.fill();
+    assert_eq!(worker.calls.len(), 8);
+    worker.end_calls(95);
+    assert_eq!(worker.calls.len(), 8, "the limit is tried only once in a hundred calls");
+    worker.end_calls(1);
+    assert_eq!(worker.calls.len(), 9);
+}
+
+/// Guards against fewer calls than slots after rejections that have another cause.
+#[test]
+fn rejections_take_no_slots_away() {
+    let mut worker = FullWorker::new();
+    for _ in 0..10 {
+        worker.end_call(CallEnd::Full);
+        worker.now_ms += 2_000;
+        worker.fill();
+    }
+    assert_eq!(worker.calls.len(), 6);
+}
+
 /// Guards against a new broker that assigns the slots of its predecessor's calls a second time.
 #[test]
 fn a_new_broker_learns_the_calls_in_flight_from_the_daemons() {
--- a/crates/domain/tests/slot_credit_replay/main.rs
+++ b/crates/domain/tests/slot_credit_replay/main.rs
@@ -51,3 +51,16 @@
     let served = (after.calls - after.refused - after.lost) as f64;
     assert!(served > 0.85 * CAPACITY, "{served} of {CAPACITY}: {after:?}");
 }
+
+/// Guards against brokers that send too many calls beyond the slots in order to learn how many a worker
+/// accepts, or that learn nothing and leave capacity unused.
+#[test]
+fn hardly_one_in_a_hundred_calls_finds_the_limit_of_a_worker_at_overload() {
+    for seed in 5..=8 {
+        let outcome = Replay::new(true, OVERLOAD_MS, seed).run();
+        println!("seed={seed} {outcome:?}");
+        assert!(share(outcome.rejected, &outcome) < 0.01, "{outcome:?}");
+        let served = (outcome.calls - outcome.refused - outcome.lost) as f64;
+        assert!(served > 0.91 * CAPACITY, "{served} of {CAPACITY}: {outcome:?}");
+    }
+}
