--- a/crates/edge/src/control/actor.rs
+++ b/crates/edge/src/control/actor.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use stakker::{CX, after, call};
+use stakker::{CX, FixedTimerKey, after, call};
 
 use super::{ControlState, Message};
 use crate::clock;
@@ -17,6 +17,9 @@
 /// Actor that owns the control state.
 pub struct Actor<Dialect> {
     state: ControlState<Dialect>,
+    next_tick: FixedTimerKey,
+    /// Whether the next tick follows after the shorter interval.
+    is_busy: bool,
 }
 
 impl<Dialect> Actor<Dialect>
@@ -25,7 +28,7 @@
 {
     /// Wraps the control state; `init` starts the actor.
     pub fn new(state: ControlState<Dialect>) -> Self {
-        Self { state }
+        Self { state, next_tick: FixedTimerKey::default(), is_busy: false }
     }
 
     /// Starts the timers.
@@ -37,8 +40,13 @@
 
     fn tick(&mut self, cx: CX![]) {
         self.state.tick(clock::now_ms());
-        let interval = if self.state.is_busy() { BUSY_TICK_INTERVAL } else { IDLE_TICK_INTERVAL };
-        after!(interval, [cx], tick());
+        self.is_busy = self.state.is_busy();
+        self.schedule_tick(cx);
+    }
+
+    fn schedule_tick(&mut self, cx: CX![]) {
+        let interval = if self.is_busy { BUSY_TICK_INTERVAL } else { IDLE_TICK_INTERVAL };
+        self.next_tick = after!(interval, [cx], tick());
     }
 
     fn report(&mut self, cx: CX![]) {
@@ -48,7 +56,13 @@
     }
 
     /// Handles messages from other threads.
-    pub fn receive(&mut self, _cx: CX![], messages: Vec<Message>) {
+    pub fn receive(&mut self, cx: CX![], messages: Vec<Message>) {
         self.state.receive(messages, clock::now_ms());
+        if !self.is_busy && self.state.has_waiting_slot_requests() {
+            // A slot may become free by time before the tick that was scheduled without them.
+            cx.timer_del(self.next_tick);
+            self.is_busy = true;
+            self.schedule_tick(cx);
+        }
     }
 }
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -188,7 +188,12 @@
                 placement.loads_in_flight() > 0 || placement.summary().waiting_loads > 0
             })
         });
-        has_loads || self.slots.waiting_count() > 0
+        has_loads || self.has_waiting_slot_requests()
+    }
+
+    /// Returns whether requests wait for a slot at a broker on this daemon.
+    pub fn has_waiting_slot_requests(&self) -> bool {
+        self.slots.waiting_count() > 0
     }
 
     fn handle(&mut self, message: Message, now_ms: u64) {
--- a/crates/edge/tests/slot_credits.rs
+++ b/crates/edge/tests/slot_credits.rs
@@ -2,9 +2,13 @@
 
 mod support;
 
+use std::time::Instant;
+
 use jasminetack_domain::{name, slot_credit};
-use jasminetack_edge::control::{Message, SlotAsk, SlotReply};
+use jasminetack_edge::clock;
+use jasminetack_edge::control::{self, Message, SlotAsk, SlotReply};
 use jasminetack_wire::fleet;
+use stakker::{Stakker, actor, call, ret_nop};
 use support::{Daemon, NOW_MS};
 use tokio::sync::oneshot;
 
@@ -13,9 +17,8 @@
     slot_credit::PoolKey { service: name::ServiceName::from(service), region }
 }
 
-fn ask(daemon: &mut Daemon, number: u64, service: &str) -> oneshot::Receiver<SlotReply> {
-    let (reply, answer) = oneshot::channel();
-    let ask = SlotAsk {
+fn slot_ask(number: u64, service: &str, reply: oneshot::Sender<SlotReply>) -> SlotAsk {
+    SlotAsk {
         number,
         pool: pool(service),
         team: None,
@@ -24,8 +27,12 @@
         wait_until_ms: NOW_MS + 200,
         excluded: Vec::new(),
         reply,
-    };
-    daemon.receive(Message::SlotAsked(Box::new(ask)));
+    }
+}
+
+fn ask(daemon: &mut Daemon, number: u64, service: &str) -> oneshot::Receiver<SlotReply> {
+    let (reply, answer) = oneshot::channel();
+    daemon.receive(Message::SlotAsked(Box::new(slot_ask(number, service, reply))));
     answer
 }
 
@@ -107,6 +114,32 @@
     assert!(!daemon.state.is_busy(), "the request was withdrawn");
 }
 
+/// Guards against a waiting call that notices late that a slot has become free by time, because the next
+/// tick was planned before it came.
+#[test]
+fn the_next_tick_is_earlier_once_a_request_waits() {
+    let daemon = Daemon::new(&["w1"]);
+    let start = Instant::now();
+    let mut stakker = Stakker::new(start);
+    let actor = control::Actor::new(daemon.state);
+    let actor = actor!(stakker, <control::Actor<_>>::init(actor), ret_nop!());
+    stakker.run(start, false);
+    let idle_wait = stakker.next_wait(start).expect("a tick");
+    let mut answers = Vec::new();
+    let wait_until_ms = clock::now_ms() + 10_000;
+    let messages = (0..5).map(|number| {
+        let (reply, answer) = oneshot::channel();
+        answers.push(answer);
+        Message::SlotAsked(Box::new(SlotAsk { wait_until_ms, ..slot_ask(number, "llm", reply) }))
+    });
+    let messages = messages.collect();
+    call!([actor], receive(messages));
+    stakker.run(start, false);
+    assert!(matches!(answers[4].try_recv(), Ok(SlotReply::Queued(_))));
+    let busy_wait = stakker.next_wait(start).expect("a tick");
+    assert!(busy_wait < idle_wait / 2, "{busy_wait:?} instead of {idle_wait:?}");
+}
+
 /// Guards against a call that is woken twice, and against the return of a credit that is in use.
 #[test]
 fn a_repeated_answer_changes_nothing() {
