--- a/crates/domain/src/slot_credit/worker_slots.rs
+++ b/crates/domain/src/slot_credit/worker_slots.rs
@@ -46,24 +46,27 @@
     /// Time until which the worker gets no call after a failure.
     failed_until_ms: u64,
     call_ms: Option<f64>,
+    /// Time at which the last call was executed.
+    done_ms: u64,
 }
 
 impl WorkerSlots {
-    /// Creates an idle worker.
-    pub(super) fn new(slots: u32, started_unix_ms: u64) -> Self {
+    /// Creates a worker without history that has calls with the given number of credits.
+    pub(super) fn new(slots: u32, started_unix_ms: u64, credits: u32) -> Self {
         Self {
             slots,
             queued: 0,
             calls_when_full: 0,
             has_rejected: false,
             started_unix_ms,
-            credits: 0,
+            credits,
             foreign_calls: IndexMap::new(),
             hidden: (0, 0),
             rejections: 0,
             failures: 0,
             failed_until_ms: 0,
             call_ms: None,
+            done_ms: 0,
         }
     }
 
@@ -71,8 +74,7 @@
     pub(super) fn update(&mut self, slots: u32, started_unix_ms: u64) {
         self.slots = slots;
         if self.started_unix_ms != started_unix_ms {
-            let credits = self.credits;
-            *self = Self { credits, ..Self::new(slots, started_unix_ms) };
+            *self = Self::new(slots, started_unix_ms, self.credits);
         }
     }
 
@@ -111,7 +113,19 @@
     }
 
     /// Removes a credit that has expired.
-    pub(super) fn remove_credit(&mut self) {
+    ///
+    /// Its age is a lower bound of the call's duration, unless the return was lost or the daemon killed.
+    /// That is assumed if another call has ended since the grant, so that it does not lengthen predicted
+    /// waits.
+    pub(super) fn expire_credit(&mut self, granted_ms: u64, now_ms: u64) {
+        self.remove_credit();
+        let (age_ms, mean_ms) = (now_ms.saturating_sub(granted_ms) as f64, self.call_ms());
+        if self.done_ms <= granted_ms && age_ms > mean_ms {
+            self.call_ms = Some(mean_ms + (age_ms - mean_ms) * CALL_TIME_WEIGHT);
+        }
+    }
+
+    fn remove_credit(&mut self) {
         self.credits = self.credits.saturating_sub(1);
     }
 
@@ -143,6 +157,7 @@
                 let took_ms = took_ms as f64;
                 let mean_ms = self.call_ms.unwrap_or(took_ms);
                 self.call_ms = Some(mean_ms + (took_ms - mean_ms) * CALL_TIME_WEIGHT);
+                self.done_ms = now_ms;
                 self.rejections = 0;
                 self.failures = 0;
             }
--- a/crates/domain/tests/slot_credit.rs
+++ b/crates/domain/tests/slot_credit.rs
@@ -1,5 +1,7 @@
 //! Tests of the broker of slots, the order of waiting requests and the choice of the broker.
 
+use std::collections::VecDeque;
+
 use jasminetack_domain::name;
 use jasminetack_domain::slot_credit::{
     Answer, BrokerDirectory, CallEnd, Conclusion, CreditLedger, CreditRequest, Decision,
@@ -193,6 +195,52 @@
     assert_eq!(broker.take_counts().expired, 1);
 }
 
+/// Guards against a worker whose calls outlast their credits and that is granted too many calls for ever,
+/// because the broker learns from none of them.
+#[test]
+fn a_call_that_outlasts_its_credit_lengthens_the_next_ones() {
+    let mut broker = broker(1, 2);
+    fill(&mut broker, 2);
+    broker.finish(&key("d1", 1_000), CallEnd::Done { took_ms: 30 }, NOW_MS + 30);
+    let expired_ms = NOW_MS + 601;
+    broker.expire(expired_ms);
+    assert_eq!(broker.credit_count(), 0);
+    broker.finish(&key("d1", 1_001), CallEnd::Done { took_ms: 800 }, NOW_MS + 800);
+    // A repeated return teaches nothing more.
+    let late_ms = NOW_MS + 801;
+    broker.finish(&key("d1", 1_001), CallEnd::Done { took_ms: 100_000 }, late_ms);
+    broker.request(request(1), late_ms);
+    broker.expire(late_ms + 900);
+    assert_eq!(broker.credit_count(), 1, "the credit lives for ten times 107 ms");
+    broker.expire(late_ms + 1_100);
+    assert_eq!(broker.credit_count(), 0);
+}
+
+/// Guards against credits that expire too early until the first long call ends.
+#[test]
+fn an_expiry_without_any_end_of_a_call_lengthens_the_next_credits() {
+    let mut broker = broker(1, 1);
+    fill(&mut broker, 1);
+    let expired_ms = NOW_MS + 601;
+    broker.expire(expired_ms);
+    assert_eq!(granted(&broker.request(request(1), expired_ms)), [1]);
+    broker.expire(expired_ms + 1_100);
+    assert_eq!(broker.credit_count(), 1, "calls of this worker take longer than 60 ms");
+}
+
+/// Guards against longer predicted waits when returns are lost or a daemon is killed.
+#[test]
+fn an_expiry_teaches_nothing_while_other_calls_end() {
+    let mut broker = broker(1, 2);
+    fill(&mut broker, 2);
+    broker.finish(&key("d1", 1_000), CallEnd::Done { took_ms: 30 }, NOW_MS + 30);
+    let expired_ms = NOW_MS + 601;
+    broker.expire(expired_ms);
+    broker.request(request(1), expired_ms);
+    broker.expire(expired_ms + 500);
+    assert_eq!(broker.credit_count(), 0, "the time to live is still the shortest");
+}
+
 /// Guards against two credits for one call after a duplicated datagram.
 #[test]
 fn a_repeated_request_gets_the_same_credit() {
@@ -266,6 +314,103 @@
     assert_eq!(answers[0].decision, Decision::NoSlot { wait_ms: None });
 }
 
+/// Guards against slots that are assigned a second time when the entry of their worker lapses for a moment.
+#[test]
+fn a_worker_that_returns_still_has_its_calls() {
+    let mut broker = broker(1, 2);
+    fill(&mut broker, 2);
+    set_workers(&mut broker, 0, 2);
+    set_workers(&mut broker, 1, 2);
+    let answers = broker.request(request(1), NOW_MS);
+    assert!(matches!(answers[0].decision, Decision::Queued { .. }), "{answers:?}");
+    assert_eq!(drain(&mut broker, 1), [1]);
+}
+
+/// Worker with six slots that has as many calls as the broker allows.
+struct FullWorker {
+    broker: SlotBroker,
+    calls: VecDeque<u64>,
+    next_number: u64,
+    now_ms: u64,
+}
+
+impl FullWorker {
+    fn new() -> Self {
+        let mut worker =
+            Self { broker: broker(1, 6), calls: VecDeque::new(), next_number: 1, now_ms: NOW_MS };
+        worker.fill();
+        worker
+    }
+
+    fn fill(&mut self) {
+        loop {
+            let (number, wait_until_ms) = (self.next_number, self.now_ms);
+            let request = CreditRequest { wait_until_ms, ..request(number) };
+            if granted(&self.broker.request(request, self.now_ms)).is_empty() {
+                return;
+            }
+            self.calls.push_back(number);
+            self.next_number += 1;
+        }
+    }
+
+    /// Ends the oldest call and sends the next ones.
+    fn end_call(&mut self, end: CallEnd) {
+        let number = self.calls.pop_front().expect("a call");
+        self.broker.finish(&key("d1", number), end, self.now_ms);
+        self.fill();
+    }
+
+    fn end_calls(&mut self, count: usize) {
+        for _ in 0..count {
+            self.end_call(CallEnd::Done { took_ms: 30 });
+        }
+    }
+}
+
+/// Guards against capacity that is left unused at overload, and against a long queue at a worker that
+/// never rejects a call.
+#[test]
+fn a_worker_that_rejects_nothing_gets_up_to_half_of_its_slots_more() {
+    let mut worker = FullWorker::new();
+    assert_eq!(worker.calls.len(), 6);
+    worker.end_calls(7);
+    assert_eq!(worker.calls.len(), 6);
+    worker.end_calls(1);
+    assert_eq!(worker.calls.len(), 7);
+    worker.end_calls(1_000);
+    assert_eq!(worker.calls.len(), 9);
+}
+
+/// Guards against a worker that is sent as many calls again as it has rejected before.
+#[test]
+fn a_rejection_takes_one_of_the_calls_beyond_the_slots_back() {
+    let mut worker = FullWorker::new();
+    worker.end_calls(1_000);
+    worker.end_call(CallEnd::Full);
+    assert_eq!(worker.calls.len(), 8);
+    // The worker counts as full for the mean time of a call.
+    worker.now_ms += 100;
+    worker.fill();
+    assert_eq!(worker.calls.len(), 8);
+    worker.end_calls(95);
+    assert_eq!(worker.calls.len(), 8, "the limit is tried only once in a hundred calls");
+    worker.end_calls(1);
+    assert_eq!(worker.calls.len(), 9);
+}
+
+/// Guards against fewer calls than slots after rejections that have another cause.
+#[test]
+fn rejections_take_no_slots_away() {
+    let mut worker = FullWorker::new();
+    for _ in 0..10 {
+        worker.end_call(CallEnd::Full);
+        worker.now_ms += 2_000;
+        worker.fill();
+    }
+    assert_eq!(worker.calls.len(), 6);
+}
+
 /// Guards against a new broker that assigns the slots of its predecessor's calls a second time.
 #[test]
 fn a_new_broker_learns_the_calls_in_flight_from_the_daemons() {
@@ -293,6 +438,19 @@
     assert_eq!(ledger.foreign_calls(&pool, &old), [(worker(0), 4)]);
 }
 
+/// Guards against calls that are reported as unknown to the broker that granted them, because an answer of
+/// its former process came late.
+#[test]
+fn a_late_answer_of_a_former_process_changes_nothing() {
+    let (pool, host) = (pool(), name::HostName::from("b1"));
+    let mut ledger = CreditLedger::<()>::default();
+    ledger.record_broker(&host, 2);
+    let broker = Some((host.clone(), 2));
+    ledger.hold(1, HeldCredit { pool: pool.clone(), worker: worker(0), broker });
+    ledger.record_broker(&host, 1);
+    assert!(ledger.foreign_calls(&pool, &host).is_empty());
+}
+
 fn pool() -> PoolKey {
     PoolKey { service: name::ServiceName::from("app"), region: name::RegionName::from("r") }
 }
@@ -330,6 +488,27 @@
     assert_eq!(directory.choose("app/r", [&broker], NOW_MS), Some(&broker));
 }
 
+/// Guards against state that grows with the names of all hosts that have ever been there.
+#[test]
+fn hosts_that_are_gone_are_forgotten() {
+    let (pool, hosts) = (pool(), ["kept", "gone"].map(name::HostName::from));
+    let (mut directory, mut ledger) = (BrokerDirectory::default(), CreditLedger::<()>::default());
+    for (number, host) in (1..).zip(&hosts) {
+        for at_ms in [NOW_MS, NOW_MS + 100, NOW_MS + 200] {
+            directory.record_unanswered(host, at_ms);
+        }
+        ledger.record_broker(host, 1);
+        let broker = Some((host.clone(), 1));
+        ledger.hold(number, HeldCredit { pool: pool.clone(), worker: worker(0), broker });
+    }
+    let is_kept = |host: &name::HostName| host.as_str() == "kept";
+    directory.retain_hosts(is_kept);
+    ledger.retain_brokers(is_kept);
+    assert_eq!(directory.choose("app/r", &hosts, NOW_MS + 200), Some(&hosts[1]));
+    let unknown = hosts.each_ref().map(|host| ledger.foreign_calls(&pool, host)[0].1);
+    assert_eq!(unknown, [1, 2], "no process is known of the host that is gone");
+}
+
 /// Guards against a refusal although a region could not be asked.
 #[test]
 fn a_call_is_refused_only_if_every_region_is_full() {
