--- a/crates/domain/tests/review/differences.rs
+++ b/crates/domain/tests/review/differences.rs
@@ -276,7 +276,7 @@
 }
 
 #[test]
-fn the_begin_of_authentication_lists_the_teams_and_their_keys() {
+fn the_start_of_authentication_lists_the_teams_and_their_keys() {
     let mut without = draft();
     without.teams = None;
     let mut edited = draft();
