--- a/crates/domain/src/slot_credit/worker_slots.rs
+++ b/crates/domain/src/slot_credit/worker_slots.rs
@@ -18,8 +18,8 @@
 /// Calls that end while the worker is as full as it may be, after which it may get one more at once. A
 /// worker queues a few calls beyond its slots; a credit is held longer than the call occupies its slot.
 const CALLS_PER_INCREASE: u32 = 8;
-/// The same once the worker has rejected a call, so that hardly one in a hundred calls finds the limit.
-const CALLS_PER_LATER_INCREASE: u32 = 96;
+/// The same once the worker has rejected a call: well under one in a hundred calls finds the limit.
+const CALLS_PER_LATER_INCREASE: u32 = 192;
 /// Most calls beyond the slots, as a share of the slots: the last one waits for half of a call.
 const MAX_QUEUED_SHARE: f64 = 0.5;
 /// Limit of the exponent of both times.
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header;
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode, Version};
@@ -264,6 +264,14 @@
         self.observe_worker(upstream, facts, head.status, now_ms);
         if facts.is_not_executed {
             exchange.load.record_rejection(head.status);
+            // The broker knows now that the worker is full and assigns it again once a slot is free.
+            let is_full = head.status == StatusCode::SERVICE_UNAVAILABLE;
+            if !(target.is_assigned && is_full) {
+                self.excluded.push(worker.clone());
+            }
+            if body.is_end_stream() {
+                self.shared.pool.put(worker, exchange.connection, clock::now_ms());
+            }
             return Err(self.not_executed(worker, facts, &head, record));
         }
         self.possible_executions += 1;
--- a/crates/edge/src/traffic/retry_decision.rs
+++ b/crates/edge/src/traffic/retry_decision.rs
@@ -94,7 +94,6 @@
         if facts.is_misdirected {
             self.request_load(worker, true, clock::now_ms());
         }
-        self.excluded.push(worker.clone());
         RetryDecision::Retry
     }
 
--- a/crates/edge/src/traffic/slot_search.rs
+++ b/crates/edge/src/traffic/slot_search.rs
@@ -226,7 +226,8 @@
         };
         let state = dispatch::AdapterState::Resident;
         let (estimate, prefix) = Default::default();
-        Some(Target { upstream, decision, state, estimate, prefix })
+        let is_assigned = true;
+        Some(Target { upstream, decision, state, estimate, prefix, is_assigned })
     }
 
     /// Returns a hash that is the same when the caller repeats the request after a refusal; the request
--- a/crates/edge/src/traffic/worker_search.rs
+++ b/crates/edge/src/traffic/worker_search.rs
@@ -40,6 +40,8 @@
     pub(super) state: dispatch::AdapterState,
     pub(super) estimate: dispatch::Estimate,
     pub(super) prefix: dispatch::PrefixEstimate,
+    /// Whether a broker of slots has assigned the worker.
+    pub(super) is_assigned: bool,
 }
 
 /// Result of selecting a worker.
@@ -249,7 +251,15 @@
         let upstream = workers.iter().find(|worker| worker.upstream.name == decision.worker);
         let Some((chosen, upstream)) = chosen.zip(upstream) else { return Selection::NoWorker };
         let (state, upstream) = (chosen.adapter, Arc::clone(&upstream.upstream));
-        Selection::Worker(Box::new(Target { upstream, decision, state, estimate, prefix }))
+        let is_assigned = false;
+        Selection::Worker(Box::new(Target {
+            upstream,
+            decision,
+            state,
+            estimate,
+            prefix,
+            is_assigned,
+        }))
     }
 
     /// Returns the state of the adapter on a worker, or `None` when the worker cannot serve the request.
