--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -22,6 +22,7 @@
 mod quarantined_segments;
 mod removed_workers;
 mod reports;
+mod shutdown;
 mod slot_ask;
 mod slot_credits;
 mod slot_state;
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -37,6 +37,7 @@
 mod team_charge;
 mod worker_request;
 mod worker_search;
+mod worker_statements;
 
 pub use caller::end_revoked_answers;
 pub use datagram_socket::DatagramSocket;
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -15,6 +15,7 @@
 mod team_quota;
 mod worker_crash;
 mod worker_limit;
+mod worker_load;
 
 use std::net::SocketAddr;
 
@@ -38,6 +39,7 @@
 pub use team_quota::{TeamGrant, TeamLoan, TeamShareRequest};
 pub use worker_crash::WorkerCrash;
 pub use worker_limit::WorkerLimit;
+pub use worker_load::WorkerLoad;
 
 /// One datagram.
 #[derive(Clone, PartialEq, Message)]
@@ -184,23 +186,6 @@
     pub cleared: Vec<ClearedSegment>,
 }
 
-/// Load that the sender puts on one worker.
-#[derive(Clone, PartialEq, Message)]
-pub struct WorkerLoad {
-    /// The worker.
-    #[prost(string, tag = "1")]
-    pub worker: String,
-    /// Requests in flight.
-    #[prost(uint32, tag = "2")]
-    pub in_flight: u32,
-    /// Prompt tokens of requests whose response has not started.
-    #[prost(uint32, tag = "3")]
-    pub pending_prompt_tokens: u32,
-    /// Tokens that the requests take of the worker's memory.
-    #[prost(uint32, tag = "4")]
-    pub memory_tokens: u32,
-}
-
 /// The sender's use of one adapter.
 #[derive(Clone, PartialEq, Message)]
 pub struct AdapterUse {
@@ -310,28 +295,6 @@
     }
 }
 
-impl From<&dispatch::ReportedLoad> for WorkerLoad {
-    fn from(load: &dispatch::ReportedLoad) -> Self {
-        Self {
-            worker: load.worker.to_string(),
-            in_flight: load.in_flight,
-            pending_prompt_tokens: load.unread_tokens,
-            memory_tokens: load.memory_tokens,
-        }
-    }
-}
-
-impl From<&WorkerLoad> for dispatch::ReportedLoad {
-    fn from(load: &WorkerLoad) -> Self {
-        Self {
-            worker: name::WorkerName::from(load.worker.as_str()),
-            in_flight: load.in_flight,
-            unread_tokens: load.pending_prompt_tokens,
-            memory_tokens: load.memory_tokens,
-        }
-    }
-}
-
 impl From<&AdapterUse> for dispatch::AdapterUse {
     fn from(adapter_use: &AdapterUse) -> Self {
         Self { in_flight: adapter_use.in_flight, started: adapter_use.started }
