Show a request that runs twice after a second copy of its rejection

Case 6 of the second review: with slot credits, a worker that rejects with 503 is not excluded and its connection is kept, so that the same request may be sent on it once more. A second copy of the rejection bears the right Attempt-Id and is taken for the answer to that sending, which runs.

Nothing is fixed.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Case 6: exits with 1 if a request that may run once has run twice, 0 if none has, 2 if the case couldn't run.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+[ -x target/review-2/standins-2 ] && [ -x target/release/jasminetack-edge ] || exit 2
+timeout 118 target/review-2/standins-2 second-copies "$here/record.txt"
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
