Show a worker that late loads of its former process overfill

Two places are kept free for 13 s. Polls of loads are loads too, so that late ones wait at each number, and three successive ones were carried out while the holder, whose adapters were all in use, sent no order.

Nothing is fixed.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,9 +5,11 @@
 
 mod app_worker;
 mod client;
+mod engine_worker;
 mod fleet;
 mod http;
 mod json;
+mod late_loads;
 mod random;
 mod record;
 mod second_copies;
@@ -38,6 +40,7 @@
     std::fs::create_dir_all(&folder).expect("a temporary folder");
     let outcome = match case.as_str() {
         "second-copies" => second_copies::play(&folder, &record, has_trouble),
+        "late-loads" => late_loads::play(&folder, &record, has_trouble),
         _ => Outcome::NotRun(format!("there is no case {case}")),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -65,6 +65,12 @@
         self.rows.lock().expect("the rows").write(vec![(key, value)]);
     }
 
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        let key = (table.to_owned(), key.to_owned());
+        self.rows.lock().expect("the rows").write(vec![(key, None)]);
+    }
+
     fn serve(&self, stream: TcpStream) -> Option<()> {
         stream.set_nodelay(true).ok()?;
         let mut writer = stream.try_clone().ok()?;
