--- a/review/standins-2/late_loads.rs
+++ b/review/standins-2/late_loads.rs
@@ -1,4 +1,4 @@
-//! Case 7: three loads get no answer, the worker restarts under its name, and the loads are carried out when it has
+//! Case 8: three loads get no answer, the worker restarts under its name, and the loads are carried out when it has
 //! accepted as many orders as before.
 
 use std::path::Path;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,11 +5,13 @@
 
 mod app_worker;
 mod client;
+mod deadly_part;
 mod engine_worker;
 mod fleet;
 mod http;
 mod json;
 mod late_loads;
+mod model_worker;
 mod random;
 mod record;
 mod second_copies;
@@ -40,6 +42,12 @@
     std::fs::create_dir_all(&folder).expect("a temporary folder");
     let outcome = match case.as_str() {
         "second-copies" => second_copies::play(&folder, &record, has_trouble),
+        "deadly-part" => {
+            deadly_part::play(&folder, &record, has_trouble, &deadly_part::BESIDE_OTHER_CRASHES)
+        }
+        "answers-without-length" => {
+            deadly_part::play(&folder, &record, has_trouble, &deadly_part::ANSWERS_WITHOUT_LENGTH)
+        }
         "late-loads" => late_loads::play(&folder, &record, has_trouble),
         _ => Outcome::NotRun(format!("there is no case {case}")),
     };
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -1,14 +1,15 @@
 //! Record of what was sent, answered and run.
 
-use std::fs::File;
+use std::fs::{self, File};
 use std::io::{BufWriter, Write};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 use std::time::Instant;
 
 /// Record of one run of a case; each line begins with the seconds since its start.
 pub struct Record {
     file: Mutex<BufWriter<File>>,
+    path: PathBuf,
     started: Instant,
 }
 
@@ -16,7 +17,8 @@
     /// Creates the file of the record.
     pub fn create(path: &Path) -> Self {
         let file = File::create(path).expect("a writable folder");
-        Self { file: Mutex::new(BufWriter::new(file)), started: Instant::now() }
+        let file = Mutex::new(BufWriter::new(file));
+        Self { file, path: path.to_owned(), started: Instant::now() }
     }
 
     /// Returns the seconds since the start.
@@ -31,6 +33,12 @@
         let _ = writeln!(file, "{:.3} {text}", self.seconds());
     }
 
+    /// Returns the lines that were written so far.
+    pub fn read(&self) -> String {
+        self.flush();
+        fs::read_to_string(&self.path).unwrap_or_default()
+    }
+
     /// Writes all lines to the disk.
     pub fn flush(&self) {
         let _ = self.file.lock().expect("the record").flush();
