--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 11 and 12 with the toolchain alone.
+# Builds the stand-ins of the cases 11, 12 and 13 with the toolchain alone.
 set -e
 cd "$(dirname "$0")"
 mkdir -p build
--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -217,8 +217,14 @@
     for index in 0..daemons {
         started.push(Daemon::start(directory, index, address)?);
     }
+    wait_until_ready(&started, record)?;
+    Ok((store, started))
+}
+
+/// Waits until the daemons have been ready for `CONTACT`.
+pub fn wait_until_ready(daemons: &[Daemon], record: &Record) -> io::Result<()> {
     let begun = Instant::now();
-    while !started.iter().all(Daemon::is_ready) {
+    while !daemons.iter().all(Daemon::is_ready) {
         if begun.elapsed() > Duration::from_secs(15) {
             return Err(io::Error::other("the daemons did not become ready"));
         }
@@ -226,5 +232,5 @@
     }
     record.add("all daemons are ready");
     thread::sleep(CONTACT);
-    Ok((store, started))
+    Ok(())
 }
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the cases that are scripts: the platform's store, workers and clients.
 
+mod engine;
 mod fleet;
 mod http;
 mod json;
@@ -7,6 +8,7 @@
 mod slow_readers;
 mod store;
 mod system;
+mod two_models;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -26,6 +28,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let broken = match case.as_str() {
         "large-bodies" => large_bodies::run(&record, &directory, has_trouble),
+        "two-models" => two_models::run(&record, &directory, has_trouble),
         "slow-readers" => slow_readers::run(&record, &directory, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
