--- a/review/standins-3/large_bodies.rs
+++ b/review/standins-3/large_bodies.rs
@@ -18,8 +18,8 @@
 const PIECE_PAUSE: Duration = Duration::from_millis(45);
 const DEADLINE_MS: u64 = 10_000;
 /// Clients of each daemon as usual, and in a burst (x = 1.7).
-const USUAL_CLIENTS: usize = 22;
-const BURST_CLIENTS: usize = 37;
+const USUAL_CLIENTS: usize = 26;
+const BURST_CLIENTS: usize = 44;
 const ROUNDS: usize = 3;
 /// `MemoryMb` of the machines, above which the platform kills a process.
 const MEMORY_MB: u64 = 260;
