Send a rejected request again on a new connection only

Cause: a worker that a slot broker assigned and that rejects a request may get the same request again, on the same kept connection. A second copy of the rejection then stands where the next answer is expected and bears the right ID. The ID tells requests apart, not two sendings of one.

Change: the connection of such a rejection is closed.

--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -263,11 +263,15 @@
             exchange.load.record_rejection(head.status);
             // The broker knows now that the worker is full and assigns it again once a slot is free.
             let is_full = head.status == StatusCode::SERVICE_UNAVAILABLE;
-            if !(target.is_assigned && is_full) {
+            if target.is_assigned && is_full {
+                // A second copy of this rejection on the same connection would bear the ID of the request's
+                // next sending to the worker.
+                drop(exchange.connection);
+            } else {
                 self.excluded.push(worker.clone());
-            }
-            if body.is_end_stream() {
-                self.shared.pool.put(worker, exchange.connection, clock::now_ms());
+                if body.is_end_stream() {
+                    self.shared.pool.put(worker, exchange.connection, clock::now_ms());
+                }
             }
             return Err(self.not_executed(worker, facts, &head, record));
         }
--- a/crates/standins/src/fleet/second_response_worker.rs
+++ b/crates/standins/src/fleet/second_response_worker.rs
@@ -7,13 +7,16 @@
 use std::thread;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 
 use super::raw_request::RawRequest;
 
 /// Time that the worker takes for a request.
 const WORK_TIME: Duration = Duration::from_millis(40);
+/// Status line and headers of a rejection.
+const REJECTION: &str = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n\
+    Keep-Alive: timeout=5\r\nContent-Length: 0\r\n";
 
 /// Second response to a request, sent when the connection has received the next one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +27,8 @@
     NotExecutedWithoutId,
     /// The earlier request's response once more.
     Complete,
+    /// The rejection once more; the worker rejects each request when it gets it for the first time.
+    Rejection,
 }
 
 /// Stand-in for a worker of an app service whose connections carry second responses.
@@ -31,6 +36,7 @@
 pub struct SecondResponseWorker {
     kind: SecondResponse,
     executions: Mutex<IndexMap<String, usize>>,
+    rejected: Mutex<IndexSet<String>>,
     second_responses: AtomicUsize,
 }
 
@@ -46,6 +52,7 @@
         let worker = Arc::new(Self {
             kind,
             executions: Mutex::default(),
+            rejected: Mutex::default(),
             second_responses: AtomicUsize::new(0),
         });
         let accepting = Arc::clone(&worker);
@@ -74,11 +81,17 @@
         let mut previous: Option<String> = None;
         loop {
             let attempt_id = RawRequest::read(&mut stream).ok()?.attempt_id;
-            *self.executions.lock().entry(attempt_id.clone()).or_default() += 1;
             if let Some(previous) = previous.take() {
                 self.second_responses.fetch_add(1, Ordering::Relaxed);
                 stream.write_all(self.second_response(&previous).as_bytes()).ok()?;
             }
+            let is_first = || self.rejected.lock().insert(attempt_id.clone());
+            if self.kind == SecondResponse::Rejection && is_first() {
+                stream.write_all(rejection(&attempt_id).as_bytes()).ok()?;
+                previous = Some(attempt_id);
+                continue;
+            }
+            *self.executions.lock().entry(attempt_id.clone()).or_default() += 1;
             thread::sleep(WORK_TIME);
             stream.write_all(complete_response(&attempt_id).as_bytes()).ok()?;
             previous = Some(attempt_id);
@@ -86,16 +99,18 @@
     }
 
     fn second_response(&self, attempt_id: &str) -> String {
-        let refusal =
-            "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
         match self.kind {
-            SecondResponse::NotExecuted => format!("{refusal}Attempt-Id: {attempt_id}\r\n\r\n"),
-            SecondResponse::NotExecutedWithoutId => format!("{refusal}\r\n"),
+            SecondResponse::NotExecuted | SecondResponse::Rejection => rejection(attempt_id),
+            SecondResponse::NotExecutedWithoutId => format!("{REJECTION}\r\n"),
             SecondResponse::Complete => complete_response(attempt_id),
         }
     }
 }
 
+fn rejection(attempt_id: &str) -> String {
+    format!("{REJECTION}Attempt-Id: {attempt_id}\r\n\r\n")
+}
+
 fn complete_response(attempt_id: &str) -> String {
     let body = format!("done {attempt_id}");
     let length = body.len();
