Don't take the end of an answer in a crash for one that survived

Cause: an answer with neither a length nor chunks ends with its connection, and so it does when the worker crashes between two events. The relay counted that as an answer that survived, which clears the segment of all crashes.

--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -76,6 +76,7 @@
         let mut error = match result {
             Ok(response) => {
                 load.record_data(clock::now_ms());
+                answer.record_head(response.headers());
                 return Ok((response, Exchange { connection, load, answer }));
             }
             Err(error) => error,
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod second_response_worker;
 mod store;
 mod store_faults;
+mod stream_end;
 mod worker;
 mod worker_faults;
 mod worker_log;
--- a/crates/standins/src/fleet/worker.rs
+++ b/crates/standins/src/fleet/worker.rs
@@ -21,6 +21,7 @@
 use super::order_executor::OrderExecutor;
 use super::response_stream::{ResponseStream, end_with_connection, framed_response};
 use super::run_guard::RunGuard;
+use super::stream_end::StreamEnd;
 use super::worker_faults::{ResponseFraming, WorkerFaults};
 use super::worker_log::{Run, WorkerLog};
 use super::worker_messages;
@@ -266,17 +267,19 @@
             let response = framed_response(status, format!("done {attempt_id}"), faults.framing);
             return Some(worker_messages::with_identity_headers(response, response_attempt_id));
         }
-        if faults
+        let crashes = faults
             .crashes_on_segment
-            .is_some_and(|id| worker_messages::has_segment(&head.headers, id))
-        {
+            .is_some_and(|id| worker_messages::has_segment(&head.headers, id));
+        if crashes && faults.framing != ResponseFraming::UntilClose {
             time::sleep(self.config.event_interval).await;
             self.crash.notify_one();
             return None;
         }
         let (sender, receiver) = mpsc::channel(1);
         let label = adapter.unwrap_or_else(|| "base".to_owned());
-        tokio::spawn(self.stream(guard, label, resumed_after, faults.abort_stream_after, sender));
+        let end =
+            StreamEnd { abort_after: faults.abort_stream_after, crash_after: crashes.then_some(1) };
+        tokio::spawn(self.stream(guard, label, resumed_after, end, sender));
         let stream = ResponseStream { receiver };
         let body = StreamBody::new(stream).boxed();
         let mut response = Response::new(body);
@@ -291,7 +294,7 @@
         guard: RunGuard,
         label: String,
         resumed_after: u32,
-        abort_stream_after: Option<u32>,
+        end: StreamEnd,
         sender: mpsc::Sender<Result<Frame<Bytes>, io::Error>>,
     ) {
         for event in resumed_after + 1..=self.config.events {
@@ -299,7 +302,12 @@
                 () = time::sleep(self.config.event_interval) => {}
                 () = sender.closed() => return,
             }
-            if abort_stream_after.is_some_and(|limit| event - resumed_after > limit) {
+            let sent = event - resumed_after - 1;
+            if end.crash_after == Some(sent) {
+                self.crash.notify_one();
+                return;
+            }
+            if end.abort_after.is_some_and(|limit| sent >= limit) {
                 let partial_event = Bytes::from(format!("id: {event}\nda"));
                 let _ = sender.send(Ok(Frame::data(partial_event))).await;
                 let _ = sender.send(Err(io::Error::other("injected stream failure"))).await;
--- a/crates/standins/src/fleet/worker_faults.rs
+++ b/crates/standins/src/fleet/worker_faults.rs
@@ -43,7 +43,8 @@
     pub ignores_preconditions: bool,
     /// Requests to a plain service are executed and return status 500.
     pub returns_errors: bool,
-    /// Segment of a prompt on which the worker crashes when it starts to answer.
+    /// Segment of a prompt on which the worker crashes when it starts to answer: before the head, or after the
+    /// first event if its streams end with their connection.
     pub crashes_on_segment: Option<u64>,
     /// Requests per second that responses state as the worker's limit.
     pub stated_limit: Option<&'static str>,
