Load nothing on workers that ignore preconditions after a takeover

Cause: a holder that claims such a worker kept three slots free for 13 s, as many as one killed holder can have loads without an answer. If it is killed within that time as well, its successor keeps the same three slots for the loads of both.

Change: such a worker gets no further adapter until 13 s after the claim. All that its holders ordered then fits, however many were killed. A worker that no daemon held before has got no orders and can be filled at once.

The test for three kept slots is replaced by one for none to use, and the one for a worker that was never held expects no window: both are stricter on what may be loaded, or on when it must be.

--- a/crates/domain/src/placement/planning.rs
+++ b/crates/domain/src/placement/planning.rs
@@ -94,15 +94,17 @@
     }
 
     fn capacity(&self, now_ms: u64) -> usize {
-        let reserve = match self.sequence.support() {
+        let capacity = self.limits.adapter_capacity;
+        match self.sequence.support() {
             PreconditionSupport::Checked if now_ms < self.unrecorded.restart_until_ms => {
-                RESTART_RESERVE
+                capacity.saturating_sub(RESTART_RESERVE)
             }
-            PreconditionSupport::Checked => 0,
-            _ if self.has_unreported => MAX_LOADS_IN_FLIGHT,
-            _ => 0,
-        };
-        self.limits.adapter_capacity.saturating_sub(reserve)
+            PreconditionSupport::Checked => capacity,
+            // Each holder that was killed within the window may have left loads, so that no number of free
+            // slots is enough. What all of them ordered fits, as none has added to what it could not know.
+            _ if self.has_unreported => capacity.min(self.slots.len()),
+            _ => capacity,
+        }
     }
 
     fn start_loads(&mut self, fleet: FleetLoads, now_ms: u64) {
--- a/crates/domain/src/placement/unrecorded_orders.rs
+++ b/crates/domain/src/placement/unrecorded_orders.rs
@@ -18,7 +18,7 @@
 impl UnrecordedOrders {
     /// Returns the times for a worker that this daemon claims now and that started at
     /// `started_unix_ms`, according to its own clock; 0 means that the start is unknown. A worker that
-    /// no daemon held before, `was_held`, cannot have got orders in a previous process.
+    /// no daemon held before, `was_held`, has got no orders.
     #[must_use]
     pub fn after_claim(
         was_held: bool,
@@ -26,9 +26,11 @@
         now_unix_ms: u64,
         now_ms: u64,
     ) -> Self {
+        if !was_held {
+            return Self { until_ms: now_ms, restart_until_ms: now_ms };
+        }
         let safe_unix_ms = started_unix_ms + LATE_ORDER_WINDOW_MS + MAX_CLOCK_SKEW_MS;
         let left_ms = match started_unix_ms {
-            _ if !was_held => 0,
             0 => LATE_ORDER_WINDOW_MS,
             _ => safe_unix_ms.saturating_sub(now_unix_ms).min(LATE_ORDER_WINDOW_MS),
         };
--- a/crates/domain/tests/late_orders/rules.rs
+++ b/crates/domain/tests/late_orders/rules.rs
@@ -171,15 +171,14 @@
         assert_eq!(after(started_unix_ms).restart_until_ms, START_MS + WINDOW_MS);
     }
     let never_held = placement::UnrecordedOrders::after_claim(false, 0, EPOCH_MS, START_MS);
-    assert_eq!(never_held.until_ms, START_MS + WINDOW_MS);
+    assert_eq!(never_held.until_ms, START_MS, "no daemon has sent it an order");
     assert_eq!(never_held.restart_until_ms, START_MS);
 }
 
 /// Guards against an overfilled worker that executes whatever it was ever ordered.
 #[test]
-fn a_worker_that_ignores_preconditions_keeps_three_slots_and_its_adapters() {
+fn a_worker_that_ignores_preconditions_gets_no_other_adapters_after_a_takeover() {
     let mut worker = Worker::new(false);
-    worker.adapters.insert("a0".to_owned(), 0);
     let mut holder = Holder::claim(&worker, START_MS);
     assert_eq!(names(&holder.run(&mut worker, START_MS)), ["load-base:m"]);
     let support = holder.placement.precondition_support();
@@ -189,7 +188,7 @@
         assert_eq!(holder.run(&mut worker, at_ms), []);
     }
     // The window is over: another report shows what the late orders loaded.
-    for index in 1..=3 {
+    for index in 0..CAPACITY {
         worker.adapters.insert(format!("late{index}"), 0);
     }
     assert!(holder.placement.needs_report(START_MS + WINDOW_MS));
@@ -199,6 +198,46 @@
     assert!(!worker.is_overfilled);
 }
 
+/// Guards against the sum of what several killed holders ordered: each of them fills the free slots that it
+/// sees, and the worker executes the orders of all later.
+#[test]
+fn holders_that_are_killed_in_series_overfill_no_worker_that_ignores_preconditions() {
+    let mut worker = Worker::new(false);
+    let unrecorded = placement::UnrecordedOrders::after_claim(false, 0, EPOCH_MS, START_MS);
+    let mut holder = Holder::with_report(&worker.report(START_MS), unrecorded, START_MS);
+    let mut now_ms = START_MS + WINDOW_MS;
+    let late_ms = now_ms + 10_000;
+    holder.run(&mut worker, now_ms);
+    for round in 0..3 {
+        for index in 0..3 {
+            holder.request(&format!("a{round}{index}"), now_ms);
+        }
+        while let Some(planned) = holder.plan(&worker, now_ms) {
+            if matches!(planned.order, placement::Order::LoadBase(_)) {
+                let result = worker.execute(&planned, now_ms);
+                holder.apply(&planned, result, now_ms);
+                continue;
+            }
+            worker.delay(&planned, late_ms);
+            holder.apply(&planned, placement::OrderResult::Unanswered, now_ms);
+        }
+        now_ms += 700;
+        holder = Holder::claim(&worker, now_ms);
+    }
+    worker.advance(late_ms);
+    assert!(!worker.is_overfilled, "{:?}", worker.adapters);
+}
+
+/// Guards against a new worker that cannot be filled although no daemon has sent it an order.
+#[test]
+fn a_worker_that_ignores_preconditions_and_was_never_held_can_be_filled_at_once() {
+    let mut worker = Worker::new(false);
+    let unrecorded = placement::UnrecordedOrders::after_claim(false, 0, EPOCH_MS, START_MS);
+    let mut holder = Holder::with_report(&worker.report(START_MS), unrecorded, START_MS);
+    holder.load_all(&mut worker, &["a0", "a1", "a2", "a3"], START_MS);
+    assert_eq!(worker.adapters.len(), CAPACITY);
+}
+
 /// Guards against a window, a lost slot or a second report for a worker that needs none of them.
 #[test]
 fn a_worker_that_checks_preconditions_can_be_filled_at_once() {
