Find segments that crash workers beside frequent crashes of other causes

Cause: the evidence had to outweigh the number of ways in which the moments with the segment can be chosen from all moments of crashes. Each crash of a single worker raises that number, and so does a rack whose workers are noticed more than 150 ms apart, as on a slow machine.

Change: a second sufficient condition counts only the requests with the segment: none of five or more was spared, although most requests around each crash were. Three workers must have crashed, so that a session on one worker that keeps crashing is not quarantined.

Measured: two of three new tests failed before (never quarantined in eight crashes; four late requests where three are allowed), the third one fails without the condition on three workers.

--- a/crates/domain/src/quarantine/crash_log.rs
+++ b/crates/domain/src/quarantine/crash_log.rs
@@ -7,6 +7,8 @@
 use super::answer_counts::AnswerCounts;
 use super::answered_segments::AnsweredSegments;
 use super::evidence::Evidence;
+use super::moment::Moment;
+use super::observed_moment::ObservedMoment;
 use super::recorded_crash::RecordedCrash;
 use super::segment_crashes::SegmentCrashes;
 use super::{CrashReport, ONSET_MS, WorkerCrash};
@@ -30,7 +32,7 @@
 const MAX_CANDIDATES: usize = 32;
 /// Time in which requests of one clump are sent; the answers of this time before and after a crash show
 /// what was in the traffic then.
-const CLUMP_MS: u64 = 1_000;
+pub(super) const CLUMP_MS: u64 = 1_000;
 /// Time before a crash from which answers count: those that had not lasted for the onset broke off.
 const BEFORE_CRASH_MS: u64 = CLUMP_MS + ONSET_MS;
 
@@ -150,11 +152,16 @@
                 count as f64 * fleet_factor
             };
             let around = |at_ms: u64| count(at_ms.checked_sub(BEFORE_CRASH_MS), at_ms + CLUMP_MS);
-            let moments =
-                of_segment.moments.iter().map(|moment| (*moment, around(moment.at_ms))).collect();
+            let observe = |moment: &Moment| {
+                let answers = around(moment.at_ms);
+                let hit_share = self.hit_share(moment.at_ms, answers);
+                ObservedMoment { moment: *moment, answers, hit_share }
+            };
+            let moments = of_segment.moments.iter().map(observe).collect();
             all.push(Evidence {
                 segment: *segment,
                 moments,
+                workers: of_segment.workers.len(),
                 answers: count(first_crash_ms.checked_sub(BEFORE_CRASH_MS), now_ms),
                 was_answered: latest_ms.is_some(),
                 other_crashes: of_segment.other_crashes,
@@ -169,6 +176,20 @@
         all
     }
 
+    /// Returns the share of the requests around a moment that were on a worker when it crashed, for whatever
+    /// cause, beside `answers` that survived; 1 if the log has not kept all of these crashes.
+    fn hit_share(&self, at_ms: u64, answers: f64) -> f64 {
+        let around = self.crashes.iter().filter(|crash| {
+            crash.at_ms + BEFORE_CRASH_MS >= at_ms && crash.at_ms <= at_ms + CLUMP_MS
+        });
+        let hit: f64 = around.map(|crash| f64::from(crash.requests)).sum();
+        let of_moment =
+            self.crashes.iter().filter(|crash| crash.at_ms.abs_diff(at_ms) < COMMON_CAUSE_MS);
+        let is_sample =
+            of_moment.count() >= MAX_MOMENT_CRASHES || self.crashes.len() >= MAX_CRASHES;
+        if is_sample { 1.0 } else { hit / (hit + answers) }
+    }
+
     /// Returns by which factor the answers of all daemons are more than those of this one, by its share of
     /// the requests on the crashed workers; 1 if it had none there, which says nothing of its share.
     fn fleet_factor(&self) -> f64 {
--- a/crates/domain/src/quarantine/evidence.rs
+++ b/crates/domain/src/quarantine/evidence.rs
@@ -1,6 +1,8 @@
 //! What speaks against one segment.
 
-use super::moment::{Moment, ln_choices};
+use super::crash_log::CLUMP_MS;
+use super::moment::ln_choices;
+use super::observed_moment::ObservedMoment;
 use crate::dispatch;
 
 /// Probability of quarantining any sound segment when workers crash for another reason, if all of the
@@ -18,6 +20,9 @@
 /// Moments of crashes that are sufficient with fewer crashes: requests of one conversation may be on all
 /// workers of a rack, but hardly ever on workers that crash again and again.
 const MIN_MOMENTS: usize = 4;
+/// Workers that must have crashed with a segment for its requests to count one by one: those of a session go
+/// to the same worker, which may crash again and again for another reason.
+const MIN_WORKERS: usize = 3;
 /// Segments of one caller that are told apart if each crashes workers.
 const MAX_PARTS: usize = 4;
 /// Shares of the requests for which probabilities are computed are powers of one half to the half of an
@@ -28,8 +33,10 @@
 #[derive(Clone, Debug)]
 pub(super) struct Evidence {
     pub segment: dispatch::SegmentId,
-    /// Moments of the crashes, ascending, with the answers to other requests around each.
-    pub moments: Vec<(Moment, f64)>,
+    /// Moments of the crashes, ascending.
+    pub moments: Vec<ObservedMoment>,
+    /// Number of different workers that crashed with the segment.
+    pub workers: usize,
     /// Answers to comparable requests without the segment since shortly before the first of the crashes.
     pub answers: f64,
     /// Whether any request with the segment was ever answered.
@@ -54,7 +61,30 @@
     /// Returns whether the crashes cannot be explained by a sound segment.
     pub fn is_sufficient(&self) -> bool {
         (self.crashes >= MIN_CRASHES || self.moments.len() >= MIN_MOMENTS)
-            && self.weight() >= self.threshold()
+            && (self.weight() >= self.threshold() || self.was_no_request_spared())
+    }
+
+    /// Returns whether chance hardly lets each request with a sound segment be on a worker when it crashes.
+    ///
+    /// Only the requests with the segment count here, so that neither its share of all requests matters nor how
+    /// many crashes there are without it. Any of the segments may be hit like this that were in as many requests.
+    fn was_no_request_spared(&self) -> bool {
+        let (mut requests, mut weight, mut last_ms) = (0, 0.0, None);
+        for observed in &self.moments {
+            // Requests of one clump are hit together.
+            let at_ms = observed.moment.at_ms;
+            if last_ms.is_some_and(|last_ms| at_ms < last_ms + CLUMP_MS) {
+                continue;
+            }
+            last_ms = Some(at_ms);
+            requests += 1;
+            weight -= observed.hit_share.ln();
+        }
+        if requests < MIN_CRASHES || self.workers < MIN_WORKERS {
+            return false;
+        }
+        let segments = (self.answers / requests as f64).max(self.suspects as f64);
+        weight >= segments.max(1.0).ln() - FALSE_QUARANTINE_PROBABILITY.ln()
     }
 
     /// Returns whether the segment follows on another one that requests with it share, and accounts for so
@@ -97,12 +127,12 @@
     fn weight_of_constant_share(&self) -> f64 {
         let answers = self.answers;
         let as_many = |ln_absent| {
-            let moments = self.moments.iter().map(|(moment, _)| moment.ln_as_many(ln_absent));
+            let moments = self.moments.iter().map(|observed| observed.moment.ln_as_many(ln_absent));
             answers * ln_absent + moments.sum::<f64>()
         };
         let assumed = self.assumed_answers();
         let any = |ln_absent| {
-            let moments = self.moments.iter().map(|(moment, _)| moment.ln_any(ln_absent));
+            let moments = self.moments.iter().map(|observed| observed.moment.ln_any(ln_absent));
             (answers + assumed) * ln_absent + moments.sum::<f64>()
         };
         weight(as_many).max(weight(any))
@@ -110,7 +140,7 @@
 
     fn weight_of_clumps(&self) -> f64 {
         let assumed = self.assumed_answers();
-        let of_moment = |(moment, answers): &(Moment, f64)| {
+        let of_moment = |ObservedMoment { moment, answers, .. }: &ObservedMoment| {
             let as_many = |ln_absent| answers * ln_absent + moment.ln_as_many(ln_absent);
             let any = |ln_absent| (answers + assumed) * ln_absent + moment.ln_any(ln_absent);
             weight(as_many).max(weight(any))
--- a/crates/domain/src/quarantine/mod.rs
+++ b/crates/domain/src/quarantine/mod.rs
@@ -11,6 +11,7 @@
 mod crash_report;
 mod evidence;
 mod moment;
+mod observed_moment;
 mod peer_verdict;
 #[allow(clippy::module_inception)]
 mod quarantine;
--- a/crates/domain/src/quarantine/recorded_crash.rs
+++ b/crates/domain/src/quarantine/recorded_crash.rs
@@ -15,7 +15,7 @@
 /// Crash of a worker as all daemons saw it.
 #[derive(Clone, Debug)]
 pub(super) struct RecordedCrash {
-    worker: name::WorkerName,
+    pub worker: name::WorkerName,
     started_unix_ms: u64,
     /// Other daemons that have reported it.
     reported_by: IndexSet<name::HostName>,
--- a/crates/domain/src/quarantine/segment_crashes.rs
+++ b/crates/domain/src/quarantine/segment_crashes.rs
@@ -5,6 +5,7 @@
 use super::moment::Moment;
 use super::recorded_crash::RecordedCrash;
 use crate::dispatch;
+use crate::name;
 
 /// Crashes that had a request with one segment.
 pub(super) struct SegmentCrashes {
@@ -18,6 +19,8 @@
     pub requests: u32,
     /// Position of the segment in their prompts.
     pub position: u32,
+    /// Workers that crashed with the segment.
+    pub workers: IndexSet<name::WorkerName>,
     /// First segments of all requests on the workers.
     pub first_segments: IndexSet<dispatch::SegmentId>,
 }
@@ -32,6 +35,7 @@
             first_crash_ms: None,
             requests: 0,
             position: 0,
+            workers: IndexSet::new(),
             first_segments: IndexSet::new(),
         }
     }
@@ -43,6 +47,7 @@
         for crash in group {
             let Some(suspect) = crash.suspects.get(&self.segment) else { continue };
             workers_with += 1;
+            self.workers.insert(crash.worker.clone());
             self.first_crash_ms.get_or_insert(crash.at_ms);
             self.requests = self.requests.saturating_add(suspect.requests);
             self.position = self.position.max(suspect.position);
--- a/crates/domain/tests/crash_evidence.rs
+++ b/crates/domain/tests/crash_evidence.rs
@@ -152,6 +152,7 @@
             requests_per_s: 60,
             length_ms: 50_000,
             crash_interval_ms: 0,
+            sessions: 0,
             deadly_intervals_ms: vec![300, 1_700, 5_300],
         };
         let outcome = Replay::new(plan, seed).run();
@@ -178,6 +179,7 @@
                 requests_per_s: 4 * workers as u64,
                 length_ms: 88_000,
                 crash_interval_ms: 2_000,
+                sessions: 0,
                 deadly_intervals_ms: Vec::new(),
             };
             let outcome = Replay::new(plan, seed).run();
@@ -205,6 +207,7 @@
             requests_per_s: 100,
             length_ms: 60_000,
             crash_interval_ms: 4_000,
+            sessions: 0,
             deadly_intervals_ms: vec![2_500],
         };
         let outcome = Replay::new(plan, seed).run();
@@ -217,6 +220,76 @@
     assert!(refused as f64 <= sound as f64 * MAX_REFUSED_SHARE, "{refused} of {sound}");
 }
 
+/// Guards against a deadly segment of a small service that stays unknown while single workers crash for other
+/// reasons every few seconds: each of these crashes is one more in which a sound segment may be by chance.
+#[test]
+fn a_deadly_segment_of_a_small_service_is_found_beside_frequent_crashes_of_single_workers() {
+    for seed in 0..DAYS {
+        let plan = Plan {
+            workers: 6,
+            rack: 1,
+            domain: 2,
+            daemons: 3,
+            requests_per_s: 45,
+            length_ms: 100_000,
+            crash_interval_ms: 3_500,
+            sessions: 20,
+            deadly_intervals_ms: vec![8_000],
+        };
+        let outcome = Replay::new(plan, seed).run();
+        let late = late(&outcome, DEADLY);
+        assert!(late <= MAX_LATE, "seed {seed}: {late} of {:?}", outcome.deadly_ms);
+        assert!(outcome.wrong.is_empty(), "seed {seed}: {:?}", outcome.wrong);
+    }
+}
+
+/// Guards against racks that count as single crashes, since a busy machine notices their workers one after the
+/// other.
+#[test]
+fn crashes_of_groups_that_are_noticed_one_by_one_delay_no_quarantine() {
+    let mut quarantine = quarantine::Quarantine::default();
+    answer_sound_requests(&mut quarantine, 5_000, 9_000);
+    for round in 0..8 {
+        let start_ms = 10_000 + 5_000 * round;
+        let mut seen = crash(10 + round, start_ms, &[&[FIRST, DEADLY]]);
+        for subject in 100..106 {
+            seen.add_request(&prompt(&[FIRST, subject]));
+        }
+        quarantine.record_crash(&seen, start_ms);
+        for worker in 0..3 {
+            let subjects = [120 + 3 * round + worker, 145 + 3 * round + worker];
+            let seen = crash(worker, start_ms, &[&[FIRST, subjects[0]], &[FIRST, subjects[1]]]);
+            quarantine.record_crash(&seen, start_ms + 2_500 + 300 * worker);
+        }
+        answer_sound_requests(&mut quarantine, start_ms + 500, start_ms + 4_900);
+        quarantine.update(start_ms + 4_900);
+    }
+    // The fifth crash is at 30 s; three requests may follow after 34 s.
+    assert_eq!(quarantined(&quarantine, 49_900), [DEADLY]);
+}
+
+/// Guards against a sound session that is refused since its requests go to a worker that crashes again and
+/// again.
+#[test]
+fn a_session_on_a_worker_that_keeps_crashing_is_not_quarantined() {
+    let mut quarantine = quarantine::Quarantine::default();
+    for round in 0..8 {
+        let start_ms = 10_000 + 5_000 * round;
+        let seen = crash(round % 2, start_ms, &[&[FIRST, 7_000], &[FIRST, 100 + round]]);
+        quarantine.record_crash(&seen, start_ms);
+        let other = crash(2, start_ms, &[&[FIRST, 110 + round], &[FIRST, 120 + round]]);
+        quarantine.record_crash(&other, start_ms + 2_500);
+        for index in 0..12 {
+            let segments = prompt(&[FIRST, 200 + index]).into();
+            let started_ms = start_ms + 200 + 60 * index;
+            let answer = quarantine::SurvivedAnswer { segments, started_ms };
+            quarantine.record_answer(&answer, start_ms + 2_000);
+        }
+        quarantine.update(start_ms + 4_900);
+    }
+    assert_eq!(quarantined(&quarantine, 49_900), []);
+}
+
 /// Guards against counting a report that the network repeats or delays as another crash: three crashes are
 /// too few, also if each report arrives twice.
 #[test]
--- a/crates/domain/tests/replay/mod.rs
+++ b/crates/domain/tests/replay/mod.rs
@@ -14,6 +14,10 @@
 const SUBJECTS: u64 = 300;
 /// Third segments from here on are those of conversations, which send a few requests within seconds.
 const CONVERSATIONS: u64 = 1_000;
+/// Third segments from here on are those of sessions.
+const SESSIONS: u64 = 900_000;
+/// Time between two requests of a session.
+const SESSION_INTERVAL_MS: u64 = 4_000;
 /// Segments from here on crash workers.
 pub const DEADLY: u64 = 1_000_000;
 /// Time from a crash until its daemons have noticed it.
@@ -36,6 +40,8 @@
     pub length_ms: u64,
     /// Mean interval of crashes by other causes; 0 for none.
     pub crash_interval_ms: u64,
+    /// Sessions, each of which sends a request with its own segment every few seconds.
+    pub sessions: u64,
     /// Intervals of requests with segments that crash workers, from 5 s on.
     pub deadly_intervals_ms: Vec<u64>,
 }
@@ -140,6 +146,13 @@
                 self.waiting.push((now_ms + delay_ms, shared.clone(), false));
             }
         }
+        for session in 0..self.plan.sessions {
+            // A session's requests go to one worker while it is up, as their subject does.
+            if (now_ms + session * TICK_MS) % SESSION_INTERVAL_MS < TICK_MS {
+                let shared = vec![1, 100 + session % SUBJECTS, SESSIONS + session];
+                self.waiting.push((now_ms, shared, false));
+            }
+        }
         for index in 0..self.plan.deadly_intervals_ms.len() {
             let interval_ms = self.plan.deadly_intervals_ms[index];
             if now_ms > 5_000 && now_ms % interval_ms < TICK_MS {
