Refuse responses without a valid final status

Cause: hyper hands a 101 over as a response, and statuses above 599 too; the check of a response looked at its ID and signature only.

Change: a response whose status is not from 200 to 599 counts as none, so the execution is unknown. `attempt-failed` names it invalid-status.

--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -111,12 +111,26 @@
     })
 }
 
-/// Returns whether a response may be used: it belongs to the request, or the worker reports that the
-/// request was not executed.
+/// Returns why a response may not be used, if it may not.
+///
+/// hyper refuses statuses below 100; it passes on 101, which no request asks for, and those above 599.
+pub fn response_problem(
+    facts: dialect::ResponseMetadata,
+    head: &response::Parts,
+    connection: &Connection,
+) -> Option<&'static str> {
+    if !(200..600).contains(&head.status.as_u16()) {
+        return Some("invalid-status");
+    }
+    (!is_response_accepted(facts, head, connection)).then_some("answer-of-another-request")
+}
+
+/// Returns whether a response belongs to the request, or the worker reports that the request was not
+/// executed.
 ///
 /// Workers may send a second response to an earlier request, which arrives in place of this request's. So
 /// a report that names no request counts only on a connection without an earlier exchange.
-pub fn is_response_accepted(
+fn is_response_accepted(
     facts: dialect::ResponseMetadata,
     head: &response::Parts,
     connection: &Connection,
--- a/crates/edge/src/traffic/proxy_request.rs
+++ b/crates/edge/src/traffic/proxy_request.rs
@@ -254,9 +254,9 @@
         let (head, body) = response.into_parts();
         let facts = self.shared.dialect.decode_response(&head, &self.facts.request_id);
         record.set_limit(facts.limit_per_s);
-        if !attempt::is_response_accepted(facts, &head, &exchange.connection) {
+        if let Some(problem) = attempt::response_problem(facts, &head, &exchange.connection) {
             exchange.load.record_failure(clock::now_ms());
-            return Err(self.execution_unknown(worker, "answer-of-another-request", record));
+            return Err(self.execution_unknown(worker, problem, record));
         }
         self.observe_worker(upstream, facts, head.status, now_ms);
         if facts.is_not_executed {
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Tests inject faults at run time.
 
+mod broken_response_worker;
 mod endless_worker;
 mod http_server;
 mod order_executor;
@@ -20,6 +21,7 @@
 mod worker_messages;
 mod worker_orders;
 
+pub use broken_response_worker::{BrokenResponse, BrokenResponseWorker};
 pub use endless_worker::{EndlessBytes, EndlessWorker};
 pub use row_store::RowStore;
 pub use second_response_engine::SecondResponseEngine;
