Use one probability of a false quarantine, whatever else crashes

Cause: a smaller probability while workers crash without the segment doubles the correction for the ways to choose the moments. During a wave little is answered, and the daemons' evidence was 9 to 15 where 14 was asked for.

Change: 1 % in all cases; the second constant and its flag are gone.

--- a/crates/domain/src/quarantine/crash_log.rs
+++ b/crates/domain/src/quarantine/crash_log.rs
@@ -165,7 +165,6 @@
                 answers: count(first_crash_ms.checked_sub(BEFORE_CRASH_MS), now_ms),
                 was_answered: latest_ms.is_some(),
                 other_crashes: of_segment.other_crashes,
-                has_other_causes: *crashes < unexplained.len(),
                 suspects: crash_counts.len(),
                 first_crash_ms,
                 crashes: *crashes,
--- a/crates/domain/src/quarantine/evidence.rs
+++ b/crates/domain/src/quarantine/evidence.rs
@@ -5,13 +5,9 @@
 use super::observed_moment::ObservedMoment;
 use crate::dispatch;
 
-/// Probability of quarantining any sound segment when workers crash for another reason, if all of the
-/// crashes have the segment.
+/// Probability of quarantining any sound segment when workers crash for another reason. A sound segment costs
+/// few requests until an answer clears it, and one that is deadly all streams of a worker each time.
 const FALSE_QUARANTINE_PROBABILITY: f64 = 0.01;
-/// The same if there are crashes without the segment: workers crash for other reasons then, which gives
-/// chance more occasions. A sound segment costs few requests until an answer clears it, and one that is
-/// deadly all streams of a worker each time.
-const FALSE_QUARANTINE_PROBABILITY_BESIDE_OTHERS: f64 = 0.000_1;
 /// Requests without the segment that are assumed to have been answered if none with it ever was: a segment
 /// that is in most requests has been answered before. They count for each moment once, since workers that
 /// crash together may have requests of one caller.
@@ -44,8 +40,6 @@
     pub was_answered: bool,
     /// Crashes of single workers without the segment and without a known cause from the first moment on.
     pub other_crashes: u32,
-    /// Whether there is any crash without the segment and without a known cause.
-    pub has_other_causes: bool,
     /// Number of different segments that are suspected of crashes.
     pub suspects: usize,
     /// Time of the first crash.
@@ -116,13 +110,8 @@
     /// in the crashes by chance, and in any of the crashes that there were.
     fn threshold(&self) -> f64 {
         let moments = self.moments.len() as u32;
-        let probability = if self.has_other_causes {
-            FALSE_QUARANTINE_PROBABILITY_BESIDE_OTHERS
-        } else {
-            FALSE_QUARANTINE_PROBABILITY
-        };
         (self.suspects.max(1) as f64).ln() + ln_choices(moments + self.other_crashes, moments)
-            - probability.ln()
+            - FALSE_QUARANTINE_PROBABILITY.ln()
     }
 
     fn weight_of_constant_share(&self) -> f64 {
