--- /dev/null
+++ b/review/standins-4/case_holders.rs
@@ -0,0 +1,231 @@
+//! A drill of the store, and later a freeze of a machine that gives another worker its orders.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::Verdict;
+use crate::client;
+use crate::daemon::{self, Daemon};
+use crate::record::Record;
+use crate::store::Store;
+use crate::worker::{Order, Worker};
+
+/// `LeaseMs` and `ThawMs` of the settings.
+const LEASE_MS: u64 = 3_000;
+const THAW_MS: u64 = 300;
+/// Age of the copy when the store goes away, and the time for which it is away.
+const COPY_AGE: Duration = Duration::from_millis(4_000);
+const AWAY: Duration = Duration::from_millis(1_000);
+/// Time between the end of the drill and the freeze.
+const CALM: Duration = Duration::from_millis(8_000);
+const FREEZE: Duration = Duration::from_millis(5_000);
+/// Time that is observed after the freeze.
+const AFTER: Duration = Duration::from_millis(12_000);
+/// Time between two requests to one daemon.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(120);
+const ADAPTERS: u64 = 400;
+
+/// Runs the case; `trouble` is 0, 1, `drill` or `freeze`.
+pub fn run(record: &Record, trouble: &str) -> Verdict {
+    match play(record, trouble) {
+        Ok(verdict) => verdict,
+        Err(error) => Verdict::Failed(error.to_string()),
+    }
+}
+
+/// Returns the configuration: one service of model workers.
+fn configuration() -> String {
+    r#"{"Version":1,"Routes":[{"Name":"draft","Host":"h.example","Prefix":"/draft/","Type":"streaming","TimeoutMs":6000,"GoalMs":1000,"Priority":0,"Service":"llm","MaxAttempts":1,"Sticky":true,"Resumable":false,"GapGoalMs":400}],"Services":[{"Name":"llm","HealthPath":"/healthz","MaxConns":600,"Engine":{"Slots":128,"KvCapacity":150301,"WeightsMb":36000.0,"MaxAdapters":18,"LoadsPerS":3.5,"Models":[{"Name":"m0","WeightsMb":34300.0,"LoadTimeS":2.0,"Adapters":3000,"AdapterSizeMb":40.0}]}}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#
+        .to_owned()
+}
+
+fn play(record: &Record, trouble: &str) -> io::Result<Verdict> {
+    let (has_drill, has_freeze) = match trouble {
+        "0" => (false, false),
+        "drill" => (true, false),
+        "freeze" => (false, true),
+        _ => (true, true),
+    };
+    let folder = std::env::temp_dir().join(format!("jasminetack-case-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let _folder = Folder(folder.clone());
+    let net = format!("127.{}.{}", 64 + std::process::id() / 250 % 100, 1 + std::process::id() % 250);
+    let (store, store_address) = Store::start(record, &format!("{net}.1"))?;
+    store.put("op", "config", &configuration());
+    let engine = |id: &str| {
+        Worker::start(record, &store, &format!("{net}.2"), id, "llm", "a", true)
+    };
+    let mut workers = vec![engine("i-first")?];
+    let mut daemons = Vec::new();
+    for number in 1..=2 {
+        let (name, ip) = (format!("edge-a-{number}"), format!("{net}.{}", 10 + number));
+        daemons.push(Daemon::start(record, &folder, &name, &ip, "a", store_address)?);
+    }
+    if !daemon::wait_until_ready(&daemons, Duration::from_secs(15)) {
+        return Ok(Verdict::Failed(format!("no daemon is ready: {}", daemons[0].log())));
+    }
+    let is_over = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = daemons
+        .iter()
+        .enumerate()
+        .map(|(index, daemon)| {
+            let (frontend, name) = (daemon.frontend, daemon.name.clone());
+            let (is_over, record) = (Arc::clone(&is_over), record.clone());
+            thread::spawn(move || request_all_the_time(index, frontend, &name, &is_over, &record))
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(6));
+    store.take_copy();
+    let copied = Instant::now();
+    thread::sleep(Duration::from_millis(300));
+    workers.push(engine("i-second")?);
+    let second = Arc::clone(&workers[1]);
+    if !wait_for(Duration::from_secs(8), || !second.orders().is_empty()) {
+        return Ok(Verdict::Failed("the second worker got no order".to_owned()));
+    }
+    thread::sleep(COPY_AGE.saturating_sub(copied.elapsed()));
+    record.line(&format!("second worker row={:?}", store.row_version("holders", "i-second")));
+    if has_drill {
+        store.go_away();
+        thread::sleep(AWAY);
+        store.come_back();
+    }
+    record.line(&format!("second worker row={:?}", store.row_version("holders", "i-second")));
+    thread::sleep(CALM);
+    let Some(holder) = second.orders().last().map(|order| order.holder.clone()) else {
+        return Ok(Verdict::Failed("the second worker has no holder".to_owned()));
+    };
+    record.line(&format!("the second worker is held by {holder}"));
+    // A daemon that is not the holder is frozen.
+    let is_holder = |daemon: &&Daemon| holder.starts_with(&daemon.name);
+    let Some(frozen) = daemons.iter().find(|daemon| !is_holder(daemon)) else {
+        return Ok(Verdict::Failed(format!("{holder} is no daemon")));
+    };
+    if has_freeze {
+        frozen.signal(record, daemon::SIGSTOP);
+    }
+    thread::sleep(FREEZE);
+    let thawed_ms = record.now_ms();
+    if has_freeze {
+        frozen.signal(record, daemon::SIGCONT);
+    }
+    thread::sleep(AFTER);
+    is_over.store(true, Ordering::Relaxed);
+    for client in clients {
+        // A client thread ends with the case.
+        let _ = client.join();
+    }
+    let thaw = has_freeze.then_some((frozen.name.as_str(), thawed_ms));
+    let mut is_broken = false;
+    for worker in &workers {
+        is_broken |= judge(record, &worker.id, &worker.orders(), thaw);
+    }
+    if std::env::var("LOGS").is_ok() {
+        for daemon in &daemons {
+            eprintln!("== {}\n{}", daemon.name, daemon.log());
+        }
+    }
+    Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
+}
+
+/// Judges the orders to one worker in the order of their arrival.
+fn judge(record: &Record, worker: &str, orders: &[Order], thaw: Option<(&str, u64)>) -> bool {
+    let counted: Vec<_> = orders
+        .iter()
+        .filter(|order| {
+            thaw.is_none_or(|(holder, at_ms)| {
+                !order.holder.starts_with(holder) || order.at_ms < at_ms || order.at_ms >= at_ms + THAW_MS
+            })
+        })
+        .collect();
+    let mut by_holder: BTreeMap<(&str, u64), (usize, u64, u64)> = BTreeMap::new();
+    let (mut lower, mut turns, mut highest) = (0, 0, 0);
+    let mut holders_by_token: BTreeMap<u64, &str> = BTreeMap::new();
+    let mut shared = 0;
+    let mut last: Option<&&Order> = None;
+    for order in &counted {
+        let entry = by_holder.entry((&order.holder, order.token)).or_insert((0, order.at_ms, 0));
+        (entry.0, entry.2) = (entry.0 + 1, order.at_ms);
+        lower += usize::from(order.token < highest);
+        highest = highest.max(order.token);
+        let known = holders_by_token.entry(order.token).or_insert(&order.holder);
+        shared += usize::from(*known != order.holder);
+        turns += usize::from(last.is_some_and(|last| {
+            last.holder != order.holder && order.at_ms - last.at_ms < LEASE_MS
+        }));
+        last = Some(order);
+    }
+    for ((holder, token), (count, first_ms, last_ms)) in &by_holder {
+        record.line(&format!(
+            "orders worker={worker} holder={holder} token={token} count={count} first_ms={first_ms} last_ms={last_ms}"
+        ));
+    }
+    record.line(&format!(
+        "judged worker={worker} orders={} lower_token_after_higher={lower} one_token_of_two_holders={shared} changes_of_holder_within_lease={turns}",
+        counted.len()
+    ));
+    // Turns alone do not count here: one change of holder may be meant to come that early.
+    lower > 0 || shared > 0
+}
+
+/// Sends requests for rarely used adapters until the case is over.
+fn request_all_the_time(
+    index: usize,
+    frontend: std::net::SocketAddr,
+    daemon: &str,
+    is_over: &AtomicBool,
+    record: &Record,
+) {
+    let mut number = index as u64 * (ADAPTERS / 2);
+    let mut requests = Vec::new();
+    while !is_over.load(Ordering::Relaxed) {
+        number += 1;
+        let adapter = format!("a{}", 1 + number % ADAPTERS);
+        let (record, daemon) = (record.clone(), daemon.to_owned());
+        requests.push(thread::spawn(move || {
+            let attempt = client::new_attempt();
+            let answer = client::generate(frontend, &attempt, &adapter, number);
+            let status = answer.as_ref().map_or(0, |answer| answer.status());
+            let is_complete = answer.is_some_and(|answer| answer.is_complete);
+            record.line(&format!(
+                "answer daemon={daemon} attempt={attempt} adapter={adapter} status={status} complete={is_complete}"
+            ));
+        }));
+        requests.retain(|request| !request.is_finished());
+        thread::sleep(REQUEST_INTERVAL);
+    }
+    for request in requests {
+        // A request ends within its timeout.
+        let _ = request.join();
+    }
+}
+
+/// Waits until a condition holds; returns whether it does in time.
+pub fn wait_for<Condition>(limit: Duration, condition: Condition) -> bool
+where
+    Condition: Fn() -> bool,
+{
+    let end = Instant::now() + limit;
+    while !condition() {
+        if Instant::now() > end {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    true
+}
+
+/// Folder that is removed when dropped.
+pub struct Folder(pub PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // It is a folder for temporary files.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
