--- a/review/standins-4/case_configuration.rs
+++ b/review/standins-4/case_configuration.rs
@@ -20,7 +20,7 @@
 const CONTACT_MS: u64 = 4_000;
 const CONFIG_APPLY_MS: u64 = 2_500;
 /// Age of the copy when the store goes away, and the time for which it is away.
-const COPY_AGE: Duration = Duration::from_millis(7_000);
+const COPY_AGE: Duration = Duration::from_millis(8_000);
 const AWAY: Duration = Duration::from_millis(1_000);
 /// Interval at which the operator sends a change again that the store did not take.
 const OPERATOR_RETRY: Duration = Duration::from_millis(50);
