--- a/review/standins-4/case_holders.rs
+++ b/review/standins-4/case_holders.rs
@@ -64,7 +64,7 @@
     let mut daemons = Vec::new();
     for number in 1..=2 {
         let (name, ip) = (format!("edge-a-{number}"), format!("{net}.{}", 10 + number));
-        daemons.push(Daemon::start(record, &folder, &name, &ip, "a", store_address)?);
+        daemons.push(Daemon::start(record, &folder, &name, &ip, "a", store_address, &daemon::SPILLESTED)?);
     }
     if !daemon::wait_until_ready(&daemons, Duration::from_secs(15)) {
         return Ok(Verdict::Failed(format!("no daemon is ready: {}", daemons[0].log())));
--- a/review/standins-4/client.rs
+++ b/review/standins-4/client.rs
@@ -22,10 +22,10 @@
     http::call(frontend, &request, Duration::from_secs(7)).ok()
 }
 
-/// Sends an idempotent request to a path.
-pub fn get(frontend: SocketAddr, attempt: &str, path: &str) -> Option<Message> {
+/// Sends an idempotent request to a path with a key.
+pub fn get(frontend: SocketAddr, attempt: &str, path: &str, key: &str) -> Option<Message> {
     let request = format!(
-        "GET {path} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: 3000\r\nConnection: close\r\n\r\n"
+        "GET {path} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {attempt}\r\nAuthorization: Bearer {key}\r\nDeadline-Ms: 3000\r\nConnection: close\r\n\r\n"
     );
     http::call(frontend, &request, Duration::from_secs(4)).ok()
 }
