--- a/review/standins-4/case_holders.rs
+++ b/review/standins-4/case_holders.rs
@@ -30,7 +30,8 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(120);
 const ADAPTERS: u64 = 400;
 
-/// Runs the case; `trouble` is 0, 1, `drill` or `freeze`.
+/// Runs the case; `trouble` is 0, 1, `drill` or `freeze`, `planned` for the planned end of
+/// the holder, or `roll` for a drill and such an end.
 pub fn run(record: &Record, trouble: &str) -> Verdict {
     match play(record, trouble) {
         Ok(verdict) => verdict,
@@ -46,9 +47,10 @@
 
 fn play(record: &Record, trouble: &str) -> io::Result<Verdict> {
     let (has_drill, has_freeze) = match trouble {
-        "0" => (false, false),
+        "0" | "planned" => (false, false),
         "drill" => (true, false),
         "freeze" => (false, true),
+        "roll" => (true, false),
         _ => (true, true),
     };
     let folder = std::env::temp_dir().join(format!("jasminetack-case-{}", std::process::id()));
@@ -109,6 +111,11 @@
     if has_freeze {
         frozen.signal(record, daemon::SIGSTOP);
     }
+    let mut is_rolled = false;
+    if let Some(rolled) = daemons.iter().find(is_holder).filter(|_| ["planned", "roll"].contains(&trouble)) {
+        rolled.signal(record, daemon::SIGTERM);
+        is_rolled = true;
+    }
     thread::sleep(FREEZE);
     let thawed_ms = record.now_ms();
     if has_freeze {
@@ -123,7 +130,9 @@
     let thaw = has_freeze.then_some((frozen.name.as_str(), thawed_ms));
     let mut is_broken = false;
     for worker in &workers {
-        is_broken |= judge(record, &worker.id, &worker.orders(), thaw);
+        let judged = judge(record, &worker.id, &worker.orders(), thaw);
+        // One change of holder counts only where nothing but a planned end stands between.
+        is_broken |= judged.is_out_of_order || is_rolled && judged.turns > 0;
     }
     if std::env::var("LOGS").is_ok() {
         for daemon in &daemons {
@@ -133,8 +142,16 @@
     Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
 }
 
+/// What the orders to one worker show.
+struct Judged {
+    /// Whether a lower fencing token came after a higher one, or two holders had the same.
+    is_out_of_order: bool,
+    /// Orders of another holder than the last one that came within `LeaseMs` of it.
+    turns: usize,
+}
+
 /// Judges the orders to one worker in the order of their arrival.
-fn judge(record: &Record, worker: &str, orders: &[Order], thaw: Option<(&str, u64)>) -> bool {
+fn judge(record: &Record, worker: &str, orders: &[Order], thaw: Option<(&str, u64)>) -> Judged {
     let counted: Vec<_> = orders
         .iter()
         .filter(|order| {
@@ -169,8 +186,7 @@
         "judged worker={worker} orders={} lower_token_after_higher={lower} one_token_of_two_holders={shared} changes_of_holder_within_lease={turns}",
         counted.len()
     ));
-    // Turns alone do not count here: one change of holder may be meant to come that early.
-    lower > 0 || shared > 0
+    Judged { is_out_of_order: lower > 0 || shared > 0, turns }
 }
 
 /// Sends requests for rarely used adapters until the case is over.
--- a/review/standins-4/daemon.rs
+++ b/review/standins-4/daemon.rs
@@ -11,6 +11,7 @@
 use crate::record::Record;
 
 /// Signals.
+pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
