--- a/review/standins-4/case_holders.rs
+++ b/review/standins-4/case_holders.rs
@@ -1,4 +1,4 @@
-//! A drill of the store, and later a freeze of a machine that gives another worker its orders.
+//! A drill of the store, and later freezes of single machines.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -21,17 +21,19 @@
 /// Age of the copy when the store goes away, and the time for which it is away.
 const COPY_AGE: Duration = Duration::from_millis(4_000);
 const AWAY: Duration = Duration::from_millis(1_000);
-/// Time between the end of the drill and the freeze.
+/// Time between the end of the drill and the first freeze.
 const CALM: Duration = Duration::from_millis(8_000);
 const FREEZE: Duration = Duration::from_millis(5_000);
-/// Time that is observed after the freeze.
-const AFTER: Duration = Duration::from_millis(12_000);
+/// Time that is observed after each freeze.
+const AFTER: Duration = Duration::from_millis(6_000);
+/// Machines; each one is frozen once, until the rule is broken.
+const DAEMONS: usize = 4;
 /// Time between two requests to one daemon.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(120);
 const ADAPTERS: u64 = 400;
 
 /// Runs the case; `trouble` is 0, 1, `drill` or `freeze`, `planned` for the planned end of
-/// the holder, or `roll` for a drill and such an end.
+/// a holder, or `roll` for a drill and such an end.
 pub fn run(record: &Record, trouble: &str) -> Verdict {
     match play(record, trouble) {
         Ok(verdict) => verdict,
@@ -64,7 +66,7 @@
     };
     let mut workers = vec![engine("i-first")?];
     let mut daemons = Vec::new();
-    for number in 1..=2 {
+    for number in 1..=DAEMONS {
         let (name, ip) = (format!("edge-a-{number}"), format!("{net}.{}", 10 + number));
         daemons.push(Daemon::start(record, &folder, &name, &ip, "a", store_address, &daemon::SPILLESTED)?);
     }
@@ -85,52 +87,62 @@
     store.take_copy();
     let copied = Instant::now();
     thread::sleep(Duration::from_millis(300));
-    workers.push(engine("i-second")?);
+    for id in ["i-second", "i-third"] {
+        workers.push(engine(id)?);
+    }
     let second = Arc::clone(&workers[1]);
-    if !wait_for(Duration::from_secs(8), || !second.orders().is_empty()) {
-        return Ok(Verdict::Failed("the second worker got no order".to_owned()));
+    let has_orders = || workers.iter().all(|worker| !worker.orders().is_empty());
+    if !wait_for(Duration::from_secs(8), has_orders) {
+        return Ok(Verdict::Failed("an added worker got no order".to_owned()));
     }
     thread::sleep(COPY_AGE.saturating_sub(copied.elapsed()));
-    record.line(&format!("second worker row={:?}", store.row_version("holders", "i-second")));
+    for worker in &workers {
+        let row = store.row_version("holders", &worker.id);
+        record.line(&format!("holder row worker={} version={row:?}", worker.id));
+    }
     if has_drill {
         store.go_away();
         thread::sleep(AWAY);
         store.come_back();
     }
-    record.line(&format!("second worker row={:?}", store.row_version("holders", "i-second")));
-    thread::sleep(CALM);
-    let Some(holder) = second.orders().last().map(|order| order.holder.clone()) else {
-        return Ok(Verdict::Failed("the second worker has no holder".to_owned()));
-    };
-    record.line(&format!("the second worker is held by {holder}"));
-    // A daemon that is not the holder is frozen.
-    let is_holder = |daemon: &&Daemon| holder.starts_with(&daemon.name);
-    let Some(frozen) = daemons.iter().find(|daemon| !is_holder(daemon)) else {
-        return Ok(Verdict::Failed(format!("{holder} is no daemon")));
-    };
-    if has_freeze {
-        frozen.signal(record, daemon::SIGSTOP);
+    for worker in &workers {
+        let row = store.row_version("holders", &worker.id);
+        record.line(&format!("holder row worker={} version={row:?}", worker.id));
     }
+    thread::sleep(CALM);
+    let mut thaws = Vec::new();
     let mut is_rolled = false;
-    if let Some(rolled) = daemons.iter().find(is_holder).filter(|_| ["planned", "roll"].contains(&trouble)) {
+    if ["planned", "roll"].contains(&trouble) {
+        let holder = second.orders().last().map(|order| order.holder.clone()).unwrap_or_default();
+        let Some(rolled) = daemons.iter().find(|daemon| holder.starts_with(&daemon.name)) else {
+            return Ok(Verdict::Failed(format!("{holder} is no daemon")));
+        };
         rolled.signal(record, daemon::SIGTERM);
         is_rolled = true;
+        thread::sleep(FREEZE + AFTER);
     }
-    thread::sleep(FREEZE);
-    let thawed_ms = record.now_ms();
-    if has_freeze {
-        frozen.signal(record, daemon::SIGCONT);
+    for frozen in daemons.iter().filter(|_| !is_rolled) {
+        if has_freeze {
+            frozen.signal(record, daemon::SIGSTOP);
+        }
+        thread::sleep(FREEZE);
+        if has_freeze {
+            thaws.push((frozen.name.clone(), record.now_ms()));
+            frozen.signal(record, daemon::SIGCONT);
+        }
+        thread::sleep(AFTER);
+        if workers.iter().any(|worker| judge(record, worker, &thaws).is_out_of_order) {
+            break;
+        }
     }
-    thread::sleep(AFTER);
     is_over.store(true, Ordering::Relaxed);
     for client in clients {
         // A client thread ends with the case.
         let _ = client.join();
     }
-    let thaw = has_freeze.then_some((frozen.name.as_str(), thawed_ms));
     let mut is_broken = false;
     for worker in &workers {
-        let judged = judge(record, &worker.id, &worker.orders(), thaw);
+        let judged = judge(record, worker, &thaws);
         // One change of holder counts only where nothing but a planned end stands between.
         is_broken |= judged.is_out_of_order || is_rolled && judged.turns > 0;
     }
@@ -151,12 +163,15 @@
 }
 
 /// Judges the orders to one worker in the order of their arrival.
-fn judge(record: &Record, worker: &str, orders: &[Order], thaw: Option<(&str, u64)>) -> Judged {
+fn judge(record: &Record, worker: &Worker, thaws: &[(String, u64)]) -> Judged {
+    let (orders, worker) = (worker.orders(), &worker.id);
     let counted: Vec<_> = orders
         .iter()
         .filter(|order| {
-            thaw.is_none_or(|(holder, at_ms)| {
-                !order.holder.starts_with(holder) || order.at_ms < at_ms || order.at_ms >= at_ms + THAW_MS
+            thaws.iter().all(|(holder, at_ms)| {
+                !order.holder.starts_with(holder.as_str())
+                    || order.at_ms < *at_ms
+                    || order.at_ms >= at_ms + THAW_MS
             })
         })
         .collect();
