--- a/review/standins-4/case_holders.rs
+++ b/review/standins-4/case_holders.rs
@@ -27,7 +27,7 @@
 /// Time that is observed after each freeze.
 const AFTER: Duration = Duration::from_millis(6_000);
 /// Machines; each one is frozen once, until the rule is broken.
-const DAEMONS: usize = 4;
+const DAEMONS: usize = 6;
 /// Time between two requests to one daemon.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(120);
 const ADAPTERS: u64 = 400;
