--- a/review/standins-4/case_configuration.rs
+++ b/review/standins-4/case_configuration.rs
@@ -29,7 +29,7 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Daemons and workers in each zone.
-const DAEMONS: usize = 2;
+const DAEMONS: usize = 4;
 const WORKERS: usize = 4;
 /// Key that the second version of the configuration no longer has.
 const REMOVED_KEY: &str = "asnmgkcuyj8pjbvk9m68";
--- a/review/standins-4/store.rs
+++ b/review/standins-4/store.rs
@@ -110,22 +110,19 @@
     }
 
     /// Ends the drill: the store is back from the copy, and what the operator and the workers wrote since is
-    /// written again: the newest value of each row, once.
+    /// written again, in the same order.
     pub fn come_back(&self) {
         let mut state = self.lock();
         let Some(copy) = state.copy.take() else { return };
         let lost = std::mem::replace(&mut state.contents, copy);
         let restored = state.contents.version;
-        let mut outside = BTreeMap::new();
+        let mut written = 0;
         for change in lost.history.into_iter().filter(|change| change.version > restored) {
             if OUTSIDE_TABLES.contains(&change.table.as_str()) {
-                outside.insert((change.table, change.key), change.value);
+                state.contents.write(vec![(change.table, change.key, change.value)]);
+                written += 1;
             }
         }
-        let written = outside.len();
-        for ((table, key), value) in outside {
-            state.contents.write(vec![(table, key, value)]);
-        }
         state.era += 1;
         state.is_away = false;
         self.record.line(&format!(
--- a/review/standins-4/worker.rs
+++ b/review/standins-4/worker.rs
@@ -18,6 +18,8 @@
 pub const MAX_ADAPTERS: usize = 18;
 /// Interval at which a worker writes its entry.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Time after which a worker writes its entry again if the store has not taken it.
+const HEARTBEAT_RETRY: Duration = Duration::from_millis(100);
 /// Time of a load of an adapter.
 const LOAD_TIME: Duration = Duration::from_millis(250);
 /// Events of a stream, and the time between two.
@@ -93,9 +95,8 @@
         let (writing, store) = (Arc::clone(&worker), Arc::clone(store));
         thread::spawn(move || {
             while !writing.lock().is_stopped {
-                // A heartbeat that the store does not take is followed by the next one.
-                let _ = store.put("servers", &writing.id, &writing.entry(address));
-                thread::sleep(HEARTBEAT);
+                let is_written = store.put("servers", &writing.id, &writing.entry(address)).is_some();
+                thread::sleep(if is_written { HEARTBEAT } else { HEARTBEAT_RETRY });
             }
         });
         Ok(worker)
