--- a/review/standins-4/case_holders.rs
+++ b/review/standins-4/case_holders.rs
@@ -26,7 +26,9 @@
 const FREEZE: Duration = Duration::from_millis(5_000);
 /// Time that is observed after each freeze.
 const AFTER: Duration = Duration::from_millis(6_000);
-/// Machines; each one that holds no worker is frozen once, until the rule is broken.
+/// Model workers from the start; two more are added, a share of 0.29.
+const WORKERS: usize = 7;
+/// Machines; each one that holds no added worker is frozen once, until the rule is broken.
 const DAEMONS: usize = 6;
 /// Time between two requests to one daemon.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(120);
@@ -64,7 +66,10 @@
     let engine = |id: &str| {
         Worker::start(record, &store, &format!("{net}.2"), id, "llm", "a", true)
     };
-    let mut workers = vec![engine("i-first")?];
+    let mut workers = Vec::new();
+    for number in 1..=WORKERS {
+        workers.push(engine(&format!("i-first-{number}"))?);
+    }
     let mut daemons = Vec::new();
     for number in 1..=DAEMONS {
         let (name, ip) = (format!("edge-a-{number}"), format!("{net}.{}", 10 + number));
@@ -90,8 +95,9 @@
     for id in ["i-second", "i-third"] {
         workers.push(engine(id)?);
     }
-    let second = Arc::clone(&workers[1]);
-    let has_orders = || workers.iter().all(|worker| !worker.orders().is_empty());
+    let added = workers[WORKERS..].to_vec();
+    let second = Arc::clone(&added[0]);
+    let has_orders = || added.iter().all(|worker| !worker.orders().is_empty());
     if !wait_for(Duration::from_secs(8), has_orders) {
         return Ok(Verdict::Failed("an added worker got no order".to_owned()));
     }
@@ -121,9 +127,10 @@
         is_rolled = true;
         thread::sleep(FREEZE + AFTER);
     }
-    // A frozen holder loses its worker to another daemon in the usual way, so the others are frozen.
+    // A frozen holder loses its worker to another daemon in the usual way, so the daemons that hold no added
+    // worker are frozen.
     let holders: Vec<_> =
-        workers.iter().filter_map(|worker| Some(worker.orders().last()?.holder.clone())).collect();
+        added.iter().filter_map(|worker| Some(worker.orders().last()?.holder.clone())).collect();
     let holds_none =
         |daemon: &&Daemon| !holders.iter().any(|holder| holder.starts_with(&format!("{}/", daemon.name)));
     for frozen in daemons.iter().filter(holds_none).filter(|_| !is_rolled) {
