Keep one holder of a worker when the store is restored from an older copy

Cause: a claim without a known holder row was taken to be safe, since it conflicts if there is one. A restore deletes the rows of live holders, who wrote them only when they claimed. Versions, which are fencing tokens, were compared as numbers that the store assigns again after a restore.

Change: versions include the era that the store states, so no token is assigned twice and each later one is higher. In a new era holders write lost rows again with a renewal, and renewals count only after that; nobody claims a worker until all leases from before the restore have ended; claims and renewals that were decided on in another era do not count. That bounds every holder by its lease, whatever the age of the copy and whoever notices the restore. Without the header nothing changes.

--- a/crates/domain/src/order_lease/lease_row.rs
+++ b/crates/domain/src/order_lease/lease_row.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::EraStart;
 use crate::locality;
 use crate::name;
 
@@ -16,6 +17,8 @@
     pub place: locality::Locality,
     /// Store time from which the daemon sends no orders.
     pub expires_store_ms: u64,
+    /// Era of the store in which the row was written.
+    pub era_start: EraStart,
 }
 
 impl LeaseRow {
--- a/crates/domain/src/order_lease/mod.rs
+++ b/crates/domain/src/order_lease/mod.rs
@@ -6,12 +6,16 @@
 //! of its holder's lease, so orders of two holders never interleave, even if the workers do not
 //! check fencing tokens.
 
+mod era_start;
 mod holder_row;
 mod lease;
 mod lease_row;
 mod store_clock;
+mod store_era;
 
+pub use era_start::EraStart;
 pub use holder_row::HolderRow;
 pub use lease::Lease;
 pub use lease_row::LeaseRow;
 pub use store_clock::StoreClock;
+pub use store_era::{EraObservation, StoreEra};
--- a/crates/domain/tests/order_lease.rs
+++ b/crates/domain/tests/order_lease.rs
@@ -17,6 +17,7 @@
             name::FailureDomainName::from("a"),
         ),
         expires_store_ms,
+        era_start: order_lease::EraStart::default(),
     }
 }
 
--- a/crates/edge/src/control/claims.rs
+++ b/crates/edge/src/control/claims.rs
@@ -4,10 +4,7 @@
 use jasminetack_domain::locality;
 use jasminetack_domain::member;
 use jasminetack_domain::name;
-use jasminetack_domain::order_lease;
 use jasminetack_domain::upstream;
-use jasminetack_wire::fleet;
-use prost::Message;
 
 use super::lease_manager::LeaseManager;
 use super::peers::Peers;
@@ -44,7 +41,7 @@
     where
         Upstreams: Iterator<Item = &'a upstream::Upstream>,
     {
-        if !self.may_send_orders(now_ms) {
+        if !self.may_send_orders(now_ms) || !self.era.may_claim(now_ms) {
             return Vec::new();
         }
         let has_discovered_peers = now_ms.saturating_sub(self.started_ms) >= DISCOVERY_MS;
@@ -58,7 +55,7 @@
             }
             let new = UnassignedWorker { since_ms: now_ms, next_ms: now_ms, is_claiming: false };
             let mut unassigned_worker = self.unassigned.get(worker).copied().unwrap_or(new);
-            let own = self.holder(worker).is_some_and(|(host, _)| *host == self.identity.host);
+            let own = self.holders.is_own(worker);
             // A restarted daemon claims its own workers again at once.
             if !own && !has_discovered_peers {
                 continue;
@@ -69,7 +66,7 @@
             if !unassigned_worker.is_claiming && now_ms >= due_ms {
                 unassigned_worker.next_ms = now_ms + CLAIM_RETRY_DELAY_MS;
                 if let Some(job) = self.claim_job(upstream, now_ms) {
-                    unassigned_worker.is_claiming = matches!(job, StoreJob::Claim(..));
+                    unassigned_worker.is_claiming = matches!(job, StoreJob::Claim { .. });
                     jobs.push(job);
                 }
             }
@@ -79,22 +76,31 @@
         jobs
     }
 
-    /// Applies the result of a claim; if it succeeded, returns the fencing token and whether a daemon
-    /// held the worker before.
+    /// Applies the result of a claim that was decided in an era of the store; if it succeeded, returns the
+    /// fencing token and whether a daemon held the worker before.
     pub fn apply_claim(
         &mut self,
         worker: &name::WorkerName,
+        era: u64,
         result: Result<store::Outcome, store::StoreError>,
+        now_ms: u64,
     ) -> Option<(u64, bool)> {
         if let Some(unassigned_worker) = self.unassigned.get_mut(worker) {
             unassigned_worker.is_claiming = false;
         }
         match result {
+            Ok(store::Outcome::Committed { version, .. })
+                if !self.observe_version(version, now_ms) || self.era.era() != Some(era) =>
+            {
+                // The claim relied on rows from before a restore, which may have lost the row of a holder.
+                self.rows_read_ms = None;
+                spdlog::warn!("claim worker={worker} outcome=store-restored");
+                None
+            }
             Ok(store::Outcome::Committed { version, .. }) => {
                 self.unassigned.shift_remove(worker);
-                let row = order_lease::HolderRow { host: self.identity.host.clone() };
-                let former = self.holders.insert(worker.clone(), (row, version));
-                Some((version, former.is_some()))
+                let was_held = self.holders.record_written(worker, version);
+                Some((version, was_held))
             }
             Ok(store::Outcome::Conflict(_)) => {
                 self.rows_read_ms = None;
@@ -142,15 +148,13 @@
         let age_ms = self.rows_read_ms.map(|read_ms| now_ms.saturating_sub(read_ms));
         let is_fresh = age_ms.is_some_and(|age_ms| age_ms <= MAX_ROWS_AGE_MS);
         // Without a known holder, stale rows do no harm: the claim fails with a conflict.
-        if !is_fresh && self.holders.contains_key(worker) {
+        let holder = self.holders.host(worker);
+        if !is_fresh && holder.is_some() {
             return self.read_rows_job();
         }
         let mut conditions = Vec::new();
-        let held = self.holders.get(worker);
-        if let Some((holder, _)) = held
-            && holder.host != self.identity.host
-        {
-            let lease = self.leases.get(&holder.host);
+        if let Some(holder) = holder.filter(|holder| **holder != self.identity.host) {
+            let lease = self.leases.get(holder);
             let is_free = lease.is_none_or(|(row, _)| {
                 row.can_be_taken_over(self.times.guard_ms, self.rows_store_ms)
             });
@@ -159,16 +163,13 @@
             }
             conditions.push(store::Condition {
                 table: store::Table::Leases,
-                key: holder.host.to_string(),
+                key: holder.to_string(),
                 version: lease.map_or(0, |(_, version)| *version),
             });
         }
-        let (table, key) = (store::Table::Holders, worker.to_string());
-        let version = held.map_or(0, |(_, version)| *version);
-        conditions.push(store::Condition { table, key: key.clone(), version });
-        let row = order_lease::HolderRow { host: self.identity.host.clone() };
-        let value = Some(fleet::WorkerHolder::from(&row).encode_to_vec());
-        let writes = vec![store::Write { table, key, value }];
-        Some(StoreJob::Claim(worker.clone(), store::Transaction { conditions, writes }))
+        let mut transaction = store::Transaction { conditions, writes: Vec::new() };
+        self.holders.add_write(&mut transaction, worker);
+        let era = self.era.era()?;
+        Some(StoreJob::Claim { worker: worker.clone(), era, transaction })
     }
 }
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -16,7 +16,9 @@
 use super::assignments::Assignments;
 use super::catalog::{Catalog, CatalogChanges};
 use super::freshness::Freshness;
-use super::lease_manager::{Identity, LeaseManager, LeaseTimes};
+use super::identity::Identity;
+use super::lease_manager::LeaseManager;
+use super::lease_times::LeaseTimes;
 use super::outputs::Outputs;
 use super::peers::Peers;
 use super::publisher::Publisher;
@@ -24,7 +26,6 @@
 use super::removed_workers::RemovedWorkers;
 use super::slot_state::SlotState;
 use super::team_quotas::ShareOwners;
-use crate::clock;
 use crate::dialect;
 use crate::metrics;
 use crate::store;
@@ -90,6 +91,7 @@
         chooser: Arc<Mutex<dispatch::Chooser>>,
         metrics: Arc<metrics::Metrics>,
         started_unix_ms: u64,
+        now_ms: u64,
     ) -> Self {
         let team_tokens = TeamTokens::new(identity.host.clone(), started_unix_ms);
         let operator = Freshness::new(&identity.host, store::Table::Operator.as_str());
@@ -105,7 +107,7 @@
             slots: SlotState::new(&identity.host, started_unix_ms),
             quarantine_rows: QuarantineRows::default(),
             peers: Peers::default(),
-            lease_manager: LeaseManager::new(identity, times, clock::now_ms()),
+            lease_manager: LeaseManager::new(identity, times, now_ms),
             operator,
             workers,
             unreachable_tables: Vec::new(),
@@ -157,8 +159,11 @@
             self.outputs.queue_store_job(job);
         }
         self.queue_quarantine_jobs(now_ms);
-        for (worker, fencing_token) in self.removed_workers.take_due(now_ms) {
-            self.outputs.queue_store_job(self.lease_manager.removal_job(&worker, fencing_token));
+        self.drop_lost_assignments(now_ms);
+        for worker in self.removed_workers.take_due(now_ms) {
+            if let Some(job) = self.lease_manager.removal_job(&worker) {
+                self.outputs.queue_store_job(job);
+            }
         }
         if !self.is_shutting_down && now_ms >= self.next_claims_ms {
             self.next_claims_ms = now_ms + CLAIM_INTERVAL_MS;
@@ -304,8 +309,9 @@
         chooser.loads.remove_idle(worker);
         chooser.latencies.remove(worker);
         drop(chooser);
-        let Some(assignment) = self.assignments.remove(worker, "worker-left") else { return };
-        self.removed_workers.insert(worker.clone(), assignment.fencing_token, now_ms);
+        if self.assignments.remove(worker, "worker-left").is_some() {
+            self.removed_workers.insert(worker.clone(), now_ms);
+        }
     }
 
     fn claim_workers(&mut self, now_ms: u64) {
--- a/crates/edge/src/control/lease_manager.rs
+++ b/crates/edge/src/control/lease_manager.rs
@@ -1,15 +1,16 @@
 //! This daemon's lease, and a copy of the lease and holder rows in the store.
 
-use std::net::SocketAddr;
-
 use indexmap::IndexMap;
-use jasminetack_domain::locality;
 use jasminetack_domain::name;
 use jasminetack_domain::order_lease;
+use jasminetack_domain::store_version;
 use jasminetack_wire::fleet;
 use prost::Message;
 
 use super::claims::UnassignedWorker;
+use super::holder_rows::HolderRows;
+use super::identity::Identity;
+use super::lease_times::LeaseTimes;
 use super::store_job::StoreJob;
 use crate::store;
 
@@ -17,31 +18,9 @@
 const ROWS_READ_INTERVAL_MS: u64 = 60_000;
 /// Delay before a failed call is retried.
 const RETRY_DELAY_MS: u64 = 1_000;
-
-/// Key prefix of rows about unanswered orders, which earlier versions of the daemon wrote.
-const FORMER_ROWS_PREFIX: &str = "late/";
-
-/// Timing of the lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaseTimes {
-    /// Duration of the lease.
-    pub ttl_ms: u64,
-    /// Renewal interval.
-    pub renewal_ms: u64,
-    /// Time after expiry during which no other daemon may take over workers.
-    pub guard_ms: u64,
-}
-
-/// Identity of this daemon, as written to its lease row.
-#[derive(Clone, Debug)]
-pub struct Identity {
-    /// Name of the daemon.
-    pub host: name::HostName,
-    /// Address that receives datagrams from other daemons.
-    pub address: SocketAddr,
-    /// Region and failure domain.
-    pub locality: locality::Locality,
-}
+/// Holder rows that are written with one renewal. Each takes a condition and a write, and a transaction holds
+/// at most 100 of them.
+const MAX_ROWS_PER_RENEWAL: usize = 48;
 
 /// This daemon's lease, and the lease and holder rows as last read.
 #[derive(Debug)]
@@ -50,17 +29,22 @@
     pub(super) times: LeaseTimes,
     pub(super) lease: order_lease::Lease,
     pub(super) clock: order_lease::StoreClock,
+    pub(super) era: order_lease::StoreEra,
     /// Version of this daemon's lease row; `None` until the rows have been read.
     pub(super) row_version: Option<u64>,
     pub(super) is_released: bool,
     pub(super) is_renewing: bool,
+    /// Era of the rows on which the pending renewal is based.
+    renewal_era: Option<u64>,
+    /// Workers whose holder rows the pending renewal writes.
+    renewal_workers: Vec<name::WorkerName>,
     pub(super) next_renewal_ms: u64,
     /// Whether the rows must be read before orders may be sent, as at start and after an expiry.
     pub(super) must_read_rows: bool,
     /// Time at which the first renewal after start or expiry was acknowledged.
     pub(super) regained_ms: u64,
     pub(super) leases: IndexMap<name::HostName, (order_lease::LeaseRow, u64)>,
-    pub(super) holders: IndexMap<name::WorkerName, (order_lease::HolderRow, u64)>,
+    pub(super) holders: HolderRows,
     pub(super) rows_store_ms: u64,
     pub(super) rows_read_ms: Option<u64>,
     pub(super) next_read_ms: u64,
@@ -74,18 +58,21 @@
     /// Creates a manager that does not hold the lease yet.
     pub fn new(identity: Identity, times: LeaseTimes, now_ms: u64) -> Self {
         Self {
+            holders: HolderRows::new(identity.host.clone()),
             identity,
             times,
             lease: order_lease::Lease::new(times.ttl_ms),
             clock: order_lease::StoreClock::default(),
+            era: order_lease::StoreEra::new(times.ttl_ms, times.guard_ms),
             row_version: None,
             is_released: false,
             is_renewing: false,
+            renewal_era: None,
+            renewal_workers: Vec::new(),
             next_renewal_ms: now_ms,
             must_read_rows: true,
             regained_ms: 0,
             leases: IndexMap::new(),
-            holders: IndexMap::new(),
             rows_store_ms: 0,
             rows_read_ms: None,
             next_read_ms: 0,
@@ -147,11 +134,6 @@
         self.leases.values().map(|(row, _)| row)
     }
 
-    /// Returns the holder of a worker and its fencing token according to the rows.
-    pub fn holder(&self, worker: &name::WorkerName) -> Option<(&name::HostName, u64)> {
-        self.holders.get(worker).map(|(row, version)| (&row.host, *version))
-    }
-
     /// Returns the store jobs that are due: reading the rows and renewing the lease.
     pub fn due_jobs(&mut self, now_ms: u64) -> Vec<StoreJob> {
         let mut jobs = Vec::new();
@@ -161,9 +143,10 @@
         {
             jobs.extend(self.read_rows_job());
         }
-        if !self.lease.is_valid(now_ms) && self.row_version.is_some() && !self.must_read_rows {
+        if !self.lease.is_valid(now_ms) && !self.must_read_rows {
             spdlog::warn!("lease-lost outcome=no-orders");
             self.must_read_rows = true;
+            self.holders.clear_lost();
         }
         if now_ms >= self.next_renewal_ms && !self.is_renewing {
             jobs.extend(self.renewal_job(now_ms));
@@ -186,16 +169,31 @@
         Some(StoreJob::Write(self.lease_transaction(expires_store_ms, version)))
     }
 
-    /// Replaces the lease and holder rows.
+    /// Replaces the lease and holder rows; `held` are the workers of this daemon.
     ///
     /// Returns another read when this one started too early to confirm the assignments.
-    pub fn apply_rows(
+    pub fn apply_rows<'a, Held>(
         &mut self,
         leases: store::Listing,
         holders: store::Listing,
+        held: Held,
         sent_ms: u64,
-    ) -> Option<StoreJob> {
+        now_ms: u64,
+    ) -> Option<StoreJob>
+    where
+        Held: Iterator<Item = &'a name::WorkerName>,
+    {
         self.is_reading = false;
+        let versions = [leases.version, holders.version];
+        for version in versions {
+            self.observe_version(version, now_ms);
+        }
+        let era = |version| store_version::StoreVersion::from(version).era();
+        if versions.iter().any(|version| Some(era(*version)) != self.era.era()) {
+            self.read_rows_again();
+            return None;
+        }
+        let is_store_empty = leases.rows.is_empty() && holders.rows.is_empty();
         self.clock.observe(leases.store_ms, sent_ms);
         self.rows_store_ms = leases.store_ms;
         self.rows_read_ms = Some(sent_ms);
@@ -206,20 +204,28 @@
                 Ok(lease) => {
                     self.leases.insert(lease.host.clone(), (lease, row.version));
                 }
-                Err(error) => log_invalid_row("leases", &row.key, &error),
-            }
-        }
-        self.holders.clear();
-        for row in holders.rows {
-            let Some(value) = &row.value else { continue };
-            if let Err(error) = self.apply_holder_row(&row.key, value, row.version) {
-                log_invalid_row("holders", &row.key, &error);
+                Err(error) => {
+                    let key = &row.key;
+                    spdlog::warn!(
+                        "entry-refused table=leases key={key} problem=\"{error}\" outcome=ignored"
+                    );
+                }
             }
         }
+        self.holders.replace(holders);
         let own = self.leases.get(&self.identity.host).map_or(0, |(_, version)| *version);
         if !self.is_renewing {
             self.row_version = Some(own);
         }
+        let rows = self.leases.values().map(|(row, _)| row);
+        self.era.begin(rows, is_store_empty, self.rows_store_ms, now_ms);
+        if !self.era.is_confirmed() {
+            if self.may_keep_workers(now_ms) {
+                self.holders.find_lost(held);
+            }
+            self.next_renewal_ms = self.next_renewal_ms.min(now_ms);
+            return None;
+        }
         if !self.must_read_rows || self.regained_ms == 0 {
             return None;
         }
@@ -233,20 +239,6 @@
         None
     }
 
-    fn apply_holder_row(
-        &mut self,
-        key: &str,
-        value: &[u8],
-        version: u64,
-    ) -> Result<(), fleet::MessageError> {
-        if key.starts_with(FORMER_ROWS_PREFIX) {
-            return Ok(());
-        }
-        let holder = fleet::WorkerHolder::decode_row(value)?;
-        self.holders.insert(name::WorkerName::from(key), (holder, version));
-        Ok(())
-    }
-
     /// Records that the rows could not be read.
     pub fn record_read_failure(&mut self, now_ms: u64) {
         self.is_reading = false;
@@ -262,10 +254,30 @@
         now_ms: u64,
     ) -> Option<StoreJob> {
         self.is_renewing = false;
+        let (era, workers) = (self.renewal_era, std::mem::take(&mut self.renewal_workers));
+        if self.row_version.is_none() {
+            // The store was restored after the renewal had been queued.
+            self.read_rows_again();
+        }
         match result {
             Ok(store::Outcome::Committed { version, store_ms }) => {
+                let is_current = self.observe_version(version, now_ms);
+                if !is_current || self.era.era() != era {
+                    // The renewal was based on rows of an earlier era, or was lost in a restore.
+                    self.read_rows_again();
+                    return None;
+                }
                 self.clock.observe(store_ms, sent_ms);
                 self.row_version = Some(version);
+                for worker in &workers {
+                    spdlog::info!("holder-row-restored worker={worker} version={version}");
+                    self.holders.record_written(worker, version);
+                }
+                if self.holders.lost().next().is_some() {
+                    self.next_renewal_ms = now_ms;
+                    return None;
+                }
+                self.confirm_era();
                 let was_valid = self.lease.is_valid(now_ms);
                 self.lease.renewed(sent_ms);
                 if !was_valid || self.must_read_rows {
@@ -276,6 +288,13 @@
                 None
             }
             Ok(store::Outcome::Conflict(rows)) => {
+                if let Some(row) = rows.first() {
+                    self.observe_version(row.version, now_ms);
+                }
+                if !self.era.is_confirmed() {
+                    self.read_rows_again();
+                    return None;
+                }
                 // An unanswered renewal has taken effect; continue from the version that it wrote.
                 let key = self.identity.host.as_str();
                 let own = rows.iter().find(|row| row.key == key && row.value.is_some());
@@ -296,16 +315,10 @@
         started_unix_ms + now_ms.saturating_sub(self.started_ms)
     }
 
-    /// Returns the write that deletes the holder row of a worker that has left.
-    pub fn removal_job(&self, worker: &name::WorkerName, fencing_token: u64) -> StoreJob {
-        let condition = store::Condition {
-            table: store::Table::Holders,
-            key: worker.to_string(),
-            version: fencing_token,
-        };
-        let (table, key) = (store::Table::Holders, worker.to_string());
-        let writes = vec![store::Write { table, key, value: None }];
-        StoreJob::Write(store::Transaction { conditions: vec![condition], writes })
+    /// Returns the write that deletes the holder row of a worker that has left, unless another daemon has
+    /// become its holder.
+    pub fn removal_job(&mut self, worker: &name::WorkerName) -> Option<StoreJob> {
+        self.holders.removal(worker).map(StoreJob::Write)
     }
 
     pub(super) fn read_rows_job(&mut self) -> Option<StoreJob> {
@@ -319,8 +332,15 @@
         let version = self.row_version?;
         let expires_store_ms = self.clock.upper_bound_ms(now_ms)? + self.times.ttl_ms;
         self.is_renewing = true;
+        self.renewal_era = self.era.era();
         self.next_renewal_ms = now_ms + self.times.renewal_ms;
-        Some(StoreJob::Renew(self.lease_transaction(expires_store_ms, version)))
+        let mut transaction = self.lease_transaction(expires_store_ms, version);
+        let lost = self.holders.lost().take(MAX_ROWS_PER_RENEWAL);
+        self.renewal_workers = lost.cloned().collect();
+        for worker in &self.renewal_workers {
+            self.holders.add_write(&mut transaction, worker);
+        }
+        Some(StoreJob::Renew(transaction))
     }
 
     fn lease_transaction(&self, expires_store_ms: u64, version: u64) -> store::Transaction {
@@ -329,6 +349,7 @@
             address: self.identity.address,
             place: self.identity.locality.clone(),
             expires_store_ms,
+            era_start: self.era.start().unwrap_or_default(),
         };
         let (table, key) = (store::Table::Leases, self.identity.host.to_string());
         let value = Some(fleet::Lease::from(&row).encode_to_vec());
@@ -338,7 +359,3 @@
         }
     }
 }
-
-fn log_invalid_row(table: &str, key: &str, error: &fleet::MessageError) {
-    spdlog::warn!("entry-refused table={table} key={key} problem=\"{error}\" outcome=ignored");
-}
--- a/crates/edge/src/control/store_job.rs
+++ b/crates/edge/src/control/store_job.rs
@@ -13,7 +13,14 @@
     /// Renews this daemon's lease.
     Renew(store::Transaction),
     /// Claims a worker for this daemon.
-    Claim(name::WorkerName, store::Transaction),
+    Claim {
+        /// The worker.
+        worker: name::WorkerName,
+        /// Era of the store in which the claim was decided.
+        era: u64,
+        /// The write.
+        transaction: store::Transaction,
+    },
     /// Deletes the rows of a worker that left, or releases the lease.
     Write(store::Transaction),
     /// Call on quarantined segments.
@@ -34,8 +41,8 @@
     },
     /// Result of a renewal, and the time at which it was sent.
     Renewed(Result<store::Outcome, store::StoreError>, u64),
-    /// Result of the claim of a worker.
-    Claimed(name::WorkerName, Result<store::Outcome, store::StoreError>),
+    /// Result of the claim of a worker, and the era of the store in which it was decided.
+    Claimed(name::WorkerName, u64, Result<store::Outcome, store::StoreError>),
     /// Result of a write.
     Written(Result<store::Outcome, store::StoreError>),
     /// Result of a call on quarantined segments.
--- a/crates/edge/src/control/store_replies.rs
+++ b/crates/edge/src/control/store_replies.rs
@@ -15,11 +15,13 @@
     pub(super) fn handle_store_reply(&mut self, reply: StoreReply, now_ms: u64) {
         match reply {
             StoreReply::Rows { leases: Ok(leases), holders: Ok(holders), sent_ms } => {
-                if let Some(job) = self.lease_manager.apply_rows(leases, holders, sent_ms) {
+                let held = self.assignments.iter().map(|(worker, _)| worker);
+                let job = self.lease_manager.apply_rows(leases, holders, held, sent_ms, now_ms);
+                if let Some(job) = job {
                     self.outputs.queue_store_job(job);
                 }
                 self.update_peers(now_ms);
-                self.drop_lost_assignments();
+                self.drop_lost_assignments(now_ms);
                 for job in self.lease_manager.due_jobs(now_ms) {
                     self.outputs.queue_store_job(job);
                 }
@@ -29,9 +31,11 @@
                 if let Some(job) = self.lease_manager.apply_renewal(result, sent_ms, now_ms) {
                     self.outputs.queue_store_job(job);
                 }
+                self.drop_lost_assignments(now_ms);
             }
-            StoreReply::Claimed(worker, result) => {
-                let claim = self.lease_manager.apply_claim(&worker, result);
+            StoreReply::Claimed(worker, era, result) => {
+                let claim = self.lease_manager.apply_claim(&worker, era, result, now_ms);
+                self.drop_lost_assignments(now_ms);
                 let Some((fencing_token, was_held)) = claim else { return };
                 let Some(upstream) = self.catalog.directory().get(&worker) else { return };
                 self.removed_workers.remove(&worker);
@@ -75,18 +79,18 @@
         }
     }
 
-    /// Removes assignments that the holder rows contradict.
-    pub(super) fn drop_lost_assignments(&mut self) {
-        let own = self.lease_manager.host().clone();
-        let lost = self.assignments.iter().filter(|(worker, assignment)| {
-            let holder = self.lease_manager.holder(worker);
-            holder.is_some_and(|(host, fencing_token)| {
-                fencing_token > assignment.fencing_token || *host != own
-            })
-        });
+    /// Removes assignments that the holder rows contradict, and all of them if the store was restored and the
+    /// lease ended before the rows were in it.
+    pub(super) fn drop_lost_assignments(&mut self, now_ms: u64) {
+        let may_keep_workers = self.lease_manager.may_keep_workers(now_ms);
+        let lost = self
+            .assignments
+            .iter()
+            .filter(|(worker, _)| !may_keep_workers || self.lease_manager.is_taken_over(worker));
         let lost: Vec<_> = lost.map(|(worker, _)| worker.clone()).collect();
+        let reason = if may_keep_workers { "taken-over" } else { "store-restored" };
         for worker in &lost {
-            self.assignments.remove(worker, "taken-over");
+            self.assignments.remove(worker, reason);
         }
         self.changed_workers.extend(lost);
     }
--- a/crates/edge/src/control/table_reads.rs
+++ b/crates/edge/src/control/table_reads.rs
@@ -72,6 +72,9 @@
         let readers = self.region_peer_count() + 1;
         let name = table.as_str();
         let was_lost = self.unreachable_tables.contains(&table);
+        if let FeedEvent::Listed(listing) = event {
+            self.lease_manager.observe_version(listing.version, now_ms);
+        }
         let freshness = self.freshness(table);
         match event {
             FeedEvent::Listed(store::Listing { store_ms, .. })
--- a/crates/edge/src/control/writer.rs
+++ b/crates/edge/src/control/writer.rs
@@ -54,8 +54,8 @@
             StoreJob::Renew(transaction) => {
                 StoreReply::Renewed(self.store.transact(&transaction), sent_ms)
             }
-            StoreJob::Claim(worker, transaction) => {
-                StoreReply::Claimed(worker, self.store.transact(&transaction))
+            StoreJob::Claim { worker, era, transaction } => {
+                StoreReply::Claimed(worker, era, self.store.transact(&transaction))
             }
             StoreJob::Quarantine(job) => StoreReply::Quarantine(job.call(&self.store, sent_ms)),
             StoreJob::Write(transaction) => StoreReply::Written(self.store.transact(&transaction)),
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -127,6 +127,7 @@
         Arc::clone(&chooser),
         Arc::clone(&metrics),
         unix_ms(),
+        clock::now_ms(),
     )
     .with_quota_bounds(host.limits.quota);
     let team_tokens = Arc::clone(state.team_tokens());
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use hyper::http::{request, response};
 use hyper::{HeaderMap, StatusCode};
 use jasminetack_domain::{dispatch, ingress, locality, name, placement, team, upstream};
-use jasminetack_edge::{control, dialect, metrics, store, view};
+use jasminetack_edge::{clock, control, dialect, metrics, store, view};
 use jasminetack_wire::fleet;
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, watch};
@@ -21,6 +21,9 @@
 /// a configuration without. The value is the version.
 pub const CONFIGURATION_WITH_TEAMS: &str = "config-with-teams";
 
+/// Key of the operator's entry that `NameDialect` decodes as a configuration with the service of the workers.
+pub const CONFIGURATION_WITH_ENGINES: &str = "config-with-engines";
+
 const CLIENT_LIMITS: ingress::ClientLimits = ingress::ClientLimits {
     max_header_bytes: 16_384,
     max_body_bytes: 4_096,
@@ -77,7 +80,8 @@
     ) -> Result<dialect::OperatorEntry, dialect::DecodeError> {
         let teams = (key == CONFIGURATION_WITH_TEAMS).then(team::TeamDirectory::default);
         let (version, limits) = (u64::from(value[0]), CLIENT_LIMITS);
-        let ingress = ingress::Ingress::new(version, [], [], limits, teams);
+        let services = (key == CONFIGURATION_WITH_ENGINES).then(engine_service);
+        let ingress = ingress::Ingress::new(version, [], services, limits, teams);
         Ok(dialect::OperatorEntry::Ingress(ingress))
     }
 
@@ -108,49 +112,75 @@
     }
 }
 
+fn engine_service() -> ingress::ServiceProfile {
+    let engine = ingress::EngineProfile {
+        adapter_slots: 4,
+        weights_mb: 1_000.0,
+        loads_per_s: 4.0,
+        memory_capacity_tokens: None,
+        base_models: Vec::new(),
+    };
+    ingress::ServiceProfile { name: name::ServiceName::from("llm"), engine: Some(engine) }
+}
+
 pub fn locality() -> locality::Locality {
     locality::Locality::new(name::RegionName::from("r"), name::FailureDomainName::from("a"))
 }
 
-/// Control state of a daemon with its queues of outgoing datagrams; the other queues are kept open.
+/// Control state of a daemon with the queues to its other threads.
 pub struct Daemon {
     pub state: control::ControlState<NameDialect>,
     datagrams: mpsc::UnboundedReceiver<control::OutgoingDatagram>,
     store_jobs: crossbeam_channel::Receiver<control::StoreJob>,
+    worker_jobs: mpsc::UnboundedReceiver<control::WorkerJob>,
+    operator_reads: crossbeam_channel::Receiver<()>,
+    workers_reads: crossbeam_channel::Receiver<()>,
     pub view: Arc<ArcSwap<view::View>>,
     pub chooser: Arc<Mutex<dispatch::Chooser>>,
 }
 
 impl Daemon {
-    /// Creates a daemon that has read a list of workers and knows another daemon.
-    pub fn new(workers: &[&str]) -> Self {
+    /// Creates a daemon that has read nothing yet.
+    pub fn start(
+        host: &str,
+        address: std::net::SocketAddr,
+        times: control::LeaseTimes,
+        now_ms: u64,
+    ) -> Self {
         let chooser = Arc::default();
         let view = Arc::new(ArcSwap::from_pointee(view::View::default()));
-        let (worker_jobs, _) = mpsc::unbounded_channel();
+        let (worker_jobs, queued_worker_jobs) = mpsc::unbounded_channel();
+        let (operator_reads, queued_operator_reads) = crossbeam_channel::unbounded();
+        let (workers_reads, queued_workers_reads) = crossbeam_channel::unbounded();
         let (datagrams, outgoing) = mpsc::unbounded_channel();
         let (store_jobs, queued_jobs) = crossbeam_channel::unbounded();
         let state = control::ControlState::new(
             Arc::new(NameDialect),
-            control::Identity {
-                host: name::HostName::from("own"),
-                address: ([127, 0, 0, 1], 7_380).into(),
-                locality: locality(),
-            },
-            control::LeaseTimes { ttl_ms: 12_000, renewal_ms: 6_000, guard_ms: 3_000 },
+            control::Identity { host: name::HostName::from(host), address, locality: locality() },
+            times,
             control::Publisher::new(Arc::clone(&view), watch::channel(0).0),
-            control::Outputs {
-                store_jobs,
-                operator_reads: crossbeam_channel::unbounded().0,
-                workers_reads: crossbeam_channel::unbounded().0,
-                worker_jobs,
-                datagrams,
-            },
+            control::Outputs { store_jobs, operator_reads, workers_reads, worker_jobs, datagrams },
             Arc::clone(&chooser),
             Arc::new(metrics::Metrics::new()),
             1,
+            now_ms,
         );
-        let mut daemon =
-            Self { state, datagrams: outgoing, store_jobs: queued_jobs, view, chooser };
+        Self {
+            state,
+            datagrams: outgoing,
+            store_jobs: queued_jobs,
+            worker_jobs: queued_worker_jobs,
+            operator_reads: queued_operator_reads,
+            workers_reads: queued_workers_reads,
+            view,
+            chooser,
+        }
+    }
+
+    /// Creates a daemon that has read a list of workers and knows another daemon.
+    pub fn new(workers: &[&str]) -> Self {
+        let times = control::LeaseTimes { ttl_ms: 12_000, renewal_ms: 6_000, guard_ms: 3_000 };
+        let mut daemon = Self::start("own", ([127, 0, 0, 1], 7_380).into(), times, clock::now_ms());
         let row = |worker: &&str| store::Row {
             key: (*worker).to_owned(),
             value: Some(Vec::new()),
@@ -199,6 +229,18 @@
         self.store_jobs.try_iter().collect()
     }
 
+    /// Takes the calls to workers that were queued since the last call.
+    pub fn take_worker_jobs(&mut self) -> Vec<control::WorkerJob> {
+        std::iter::from_fn(|| self.worker_jobs.try_recv().ok()).collect()
+    }
+
+    /// Takes the tables that are to be read, as requested since the last call.
+    pub fn take_table_reads(&mut self) -> Vec<store::Table> {
+        let operator = self.operator_reads.try_iter().map(|()| store::Table::Operator);
+        let workers = self.workers_reads.try_iter().map(|()| store::Table::Workers);
+        operator.chain(workers).collect()
+    }
+
     /// Takes the datagrams that were sent since the last call.
     pub fn take_datagrams(&mut self) -> Vec<control::OutgoingDatagram> {
         let mut outgoing = Vec::new();
--- a/crates/edge/tests/team_quotas.rs
+++ b/crates/edge/tests/team_quotas.rs
@@ -35,6 +35,7 @@
             address: format!("127.0.1.{index}:7380").parse().expect("an address"),
             place: locality(),
             expires_store_ms: NOW_MS + LEASE_MS,
+            era_start: order_lease::EraStart::default(),
         };
         let value = Some(fleet::Lease::from(&lease).encode_to_vec());
         store::Row { key: lease.host.to_string(), value, version: 1 }
--- a/crates/edge/tests/worker_statements.rs
+++ b/crates/edge/tests/worker_statements.rs
@@ -98,6 +98,7 @@
             address: ([127, 0, 1, 1], 7_380).into(),
             place: support::locality(),
             expires_store_ms,
+            era_start: order_lease::EraStart::default(),
         };
         jasminetack_edge::store::Row {
             key: host.to_owned(),
--- a/crates/standins/src/fleet/row_store.rs
+++ b/crates/standins/src/fleet/row_store.rs
@@ -53,7 +53,7 @@
 
     /// Returns the changes of a table after a version, or `None` if they have been compacted.
     pub fn changes(&self, table: &str, after: u64) -> Option<Vec<Change>> {
-        if after < self.compacted_version {
+        if after < self.compacted_version || after > self.version {
             return None;
         }
         let changes = self.history.iter();
@@ -61,6 +61,19 @@
         Some(changes.cloned().collect())
     }
 
+    /// Replaces the rows by an older copy, then repeats the writes since that copy to the given tables.
+    ///
+    /// The versions after that of the copy are assigned again.
+    pub fn restore(&mut self, copy: Self, repeated_tables: &[&str]) {
+        let lost = std::mem::replace(self, copy);
+        let version = self.version;
+        for change in lost.history.into_iter().filter(|change| change.version > version) {
+            if repeated_tables.contains(&change.table.as_str()) {
+                self.write(vec![(change.table, change.key, change.value)]);
+            }
+        }
+    }
+
     /// Discards the change history.
     pub fn compact_history(&mut self) {
         self.compacted_version = self.version;
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -4,12 +4,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -22,10 +24,19 @@
 /// Exceeds the response timeout of every test.
 const UNRESPONSIVE_DURATION: Duration = Duration::from_secs(600);
 
+/// Header with the era of the store.
+const ERA_HEADER: &str = "store-era";
+/// Tables that only the operator and the workers write; they repeat what a restore loses.
+const REPEATED_TABLES: [&str; 2] = ["op", "servers"];
+
 /// Stand-in for the platform's row store.
 #[derive(Debug)]
 pub struct Store {
     rows: Mutex<RowStore>,
+    /// Copy from which the store is restored.
+    copy: Mutex<Option<RowStore>>,
+    /// Era as stated in responses; 0 if they state none.
+    era: AtomicU64,
     faults: Mutex<StoreFaults>,
     /// Number of reads of the change feed, by table.
     feed_reads: Mutex<BTreeMap<String, usize>>,
@@ -41,6 +52,8 @@
     pub fn start() -> io::Result<(Arc<Self>, SocketAddr)> {
         let store = Arc::new(Self {
             rows: Mutex::default(),
+            copy: Mutex::default(),
+            era: AtomicU64::new(0),
             faults: Mutex::default(),
             feed_reads: Mutex::default(),
             started: Instant::now(),
@@ -54,6 +67,24 @@
         *self.faults.lock() = faults;
     }
 
+    /// Has responses state an era from now on.
+    pub fn state_era(&self) {
+        self.era.store(1, Ordering::Relaxed);
+    }
+
+    /// Takes the copy from which the next restore starts.
+    pub fn take_copy(&self) {
+        *self.copy.lock() = Some(self.rows.lock().clone());
+    }
+
+    /// Restores the store from the copy, if one was taken. The operator and the workers repeat what they wrote
+    /// since the copy.
+    pub fn restore(&self) {
+        let Some(copy) = self.copy.lock().take() else { return };
+        self.rows.lock().restore(copy, &REPEATED_TABLES);
+        self.era.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Writes a JSON row, as the operator or a worker would.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         let value = Some(value.to_string().into_bytes());
@@ -177,7 +208,8 @@
         let (head, body) = request.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
         let query = head.uri.query().unwrap_or("");
-        Some(match head.uri.path() {
+        let era = self.era.load(Ordering::Relaxed);
+        let mut response = match head.uri.path() {
             "/v1/rows-get" => self.list(query),
             "/v1/rows-feed" => self.feed(query),
             "/v1/rows-tx" => {
@@ -188,7 +220,11 @@
                 response
             }
             _ => http_server::response(StatusCode::NOT_FOUND, ""),
-        })
+        };
+        if era > 0 {
+            response.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
+        }
+        Some(response)
     }
 }
 
--- a/crates/wire/src/fleet/rows.rs
+++ b/crates/wire/src/fleet/rows.rs
@@ -22,6 +22,12 @@
     /// Store clock time at which the lease expires.
     #[prost(uint64, tag = "4")]
     pub expires_store_ms: u64,
+    /// Era of the store; 0 if it reports none.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
+    /// Store clock time by which the era had begun; 0 if no restore preceded it.
+    #[prost(uint64, tag = "6")]
+    pub era_by_store_ms: u64,
 }
 
 /// The daemon that controls a worker; the key of the row is the worker name.
@@ -39,6 +45,8 @@
             region: row.place.region().to_string(),
             failure_domain: row.place.failure_domain().to_string(),
             expires_store_ms: row.expires_store_ms,
+            era: row.era_start.era,
+            era_by_store_ms: row.era_start.by_store_ms,
         }
     }
 }
@@ -56,6 +64,7 @@
             address: parse_address(&row.address)?,
             place: new_locality(&row.region, &row.failure_domain),
             expires_store_ms: row.expires_store_ms,
+            era_start: order_lease::EraStart { era: row.era, by_store_ms: row.era_by_store_ms },
         })
     }
 }
