Read changes of a restored store within one era only

Cause: a daemon asked for the changes after the version that it had read before the restore. Once the store had assigned versions up to there again, the answer was complete but for the ones below, which the daemon never saw, and its copy counted as current.

The freshness of a copy compares the era before the clock, which a restore may set back, and the clock begins anew in each era without a gap. Equal digests confirm copies across a restore, so that a region's daemons do not all list the tables.

The tests of the freshness are the same with times of era 0; two more cover restores.

--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod route;
 pub mod service;
 pub mod slot_credit;
+pub mod store_time;
 pub mod store_version;
 pub mod table;
 pub mod team;
--- a/crates/edge/src/control/control_state.rs
+++ b/crates/edge/src/control/control_state.rs
@@ -146,11 +146,11 @@
 
     /// Starts store calls, claims and orders that have become due.
     pub fn tick(&mut self, now_ms: u64) {
-        let store_ms = self.lease_manager.store_clock().upper_bound_ms(now_ms);
-        if self.operator.begin_read(store_ms, now_ms) {
+        let store_now = self.lease_manager.store_now(now_ms);
+        if self.operator.begin_read(store_now, now_ms) {
             self.outputs.request_operator_read();
         }
-        if self.workers.begin_read(store_ms, now_ms) {
+        if self.workers.begin_read(store_now, now_ms) {
             self.outputs.request_workers_read();
         }
         let changes = self.catalog.expire(now_ms);
--- a/crates/edge/src/control/datagrams.rs
+++ b/crates/edge/src/control/datagrams.rs
@@ -67,14 +67,15 @@
         }
         if let Some(known) = state.operator {
             let is_same = known.digest == self.catalog.operator_digest();
-            self.operator.apply_peer_state(is_same, known.as_of_store_ms, now_ms);
+            self.operator.apply_peer_state(is_same, known.as_of(), now_ms);
         }
         if let Some(known) = state.workers {
-            if let Some(series) = known.read_series() {
+            let is_same_era = known.era == self.workers.read_era();
+            if let Some(series) = known.read_series().filter(|_| is_same_era) {
                 self.catalog.observe_workers_reads(series);
             }
             let is_same = known.digest == self.catalog.directory().digest();
-            self.workers.apply_peer_state(is_same, known.as_of_store_ms, now_ms);
+            self.workers.apply_peer_state(is_same, known.as_of(), now_ms);
         }
         self.changed_workers.extend(changed);
     }
--- a/crates/edge/src/control/freshness.rs
+++ b/crates/edge/src/control/freshness.rs
@@ -2,6 +2,7 @@
 
 use jasminetack_domain::member;
 use jasminetack_domain::name;
+use jasminetack_domain::store_time::StoreTime;
 use jasminetack_domain::upstream;
 
 /// Age at which the first daemon of a region reads a table again.
@@ -39,14 +40,16 @@
 pub struct Freshness {
     /// Delay of reads after those daemons of the region that rank before this one.
     delay_ms: u64,
-    as_of_store_ms: Option<u64>,
-    /// Own reads since the last failed one.
+    as_of: Option<StoreTime>,
+    /// Era of the own reads.
+    series_era: u64,
+    /// Own reads since the last failed one and since the last restore of the store.
     series: Option<upstream::ReadSeries>,
     is_reading: bool,
     failed_ms: u64,
     /// Change known to another daemon only: the store time of that daemon's copy, and the time at
     /// which to read the table unless another daemon of the region has done so.
-    pending_change: Option<(u64, u64)>,
+    pending_change: Option<(StoreTime, u64)>,
     next_read_ms: u64,
     jitter_ms: u64,
     /// Backoff after the last read; `None` if it succeeded.
@@ -59,7 +62,8 @@
         let jitter_ms = member::rendezvous::score(host.as_str(), table) % MAX_JITTER_MS;
         Self {
             delay_ms: 0,
-            as_of_store_ms: None,
+            as_of: None,
+            series_era: 0,
             series: None,
             is_reading: false,
             failed_ms: 0,
@@ -78,10 +82,10 @@
 
     /// Returns whether the table must be read now, and if so records that a read has started.
     ///
-    /// `store_ms` is an upper bound of the store's clock.
-    pub fn begin_read(&mut self, store_ms: Option<u64>, now_ms: u64) -> bool {
-        let age_ms = self.as_of_store_ms.zip(store_ms);
-        let age_ms = age_ms.map(|(as_of_ms, store_ms)| store_ms.saturating_sub(as_of_ms));
+    /// `store_now` is an upper bound of the store's clock. A copy from before a restore is old.
+    pub fn begin_read(&mut self, store_now: Option<StoreTime>, now_ms: u64) -> bool {
+        let age_ms = self.as_of.zip(store_now);
+        let age_ms = age_ms.and_then(|(as_of, store_now)| as_of.age_ms(store_now));
         let is_old = age_ms.is_none_or(|age_ms| age_ms >= MAX_AGE_MS + self.delay_ms);
         let is_change_due = self.pending_change.is_some_and(|(_, due_ms)| due_ms <= now_ms);
         if self.is_reading || !is_old && !is_change_due || now_ms < self.next_read_ms {
@@ -94,12 +98,14 @@
     }
 
     /// Records a successful read.
-    pub fn record_read(&mut self, as_of_store_ms: u64) {
+    pub fn record_read(&mut self, as_of: StoreTime) {
         self.is_reading = false;
         self.backoff_ms = None;
-        let series = self.series.get_or_insert(upstream::ReadSeries::new(as_of_store_ms));
-        series.extend(as_of_store_ms);
-        self.confirm(as_of_store_ms);
+        self.series = self.series.filter(|_| self.series_era == as_of.era);
+        self.series_era = as_of.era;
+        let series = self.series.get_or_insert(upstream::ReadSeries::new(as_of.store_ms));
+        series.extend(as_of.store_ms);
+        self.confirm(as_of);
     }
 
     /// Records a failed read; `readers` is the number of daemons in the region.
@@ -120,35 +126,41 @@
     }
 
     /// Applies the state of another daemon's copy.
-    pub fn apply_peer_state(&mut self, is_same: bool, as_of_store_ms: u64, now_ms: u64) {
-        let Some(own_ms) = self.as_of_store_ms else { return };
+    pub fn apply_peer_state(&mut self, is_same: bool, as_of: StoreTime, now_ms: u64) {
+        let Some(own) = self.as_of else { return };
         if is_same {
-            self.confirm(as_of_store_ms);
+            self.confirm(as_of);
             return;
         }
         // The daemon with the older copy has missed a change.
-        if as_of_store_ms > own_ms {
+        if as_of > own {
             if self.backoff_ms.is_some() {
                 let retry_ms = now_ms.max(self.failed_ms + CUT_OFF_BACKOFF_MS);
                 self.next_read_ms = self.next_read_ms.min(retry_ms);
             }
-            self.pending_change.get_or_insert((as_of_store_ms, now_ms + self.delay_ms));
+            self.pending_change.get_or_insert((as_of, now_ms + self.delay_ms));
         }
     }
 
     /// Returns the uninterrupted series of own reads if the last of them made the copy current.
     pub fn current_series(&self) -> Option<upstream::ReadSeries> {
-        self.series.filter(|series| Some(series.until_store_ms) == self.as_of_store_ms)
+        let until =
+            |series: &upstream::ReadSeries| StoreTime::new(self.series_era, series.until_store_ms);
+        self.series.filter(|series| Some(until(series)) == self.as_of)
     }
 
     /// Returns the store time at which this daemon's copy was current.
-    pub fn as_of_store_ms(&self) -> Option<u64> {
-        self.as_of_store_ms
+    pub fn as_of(&self) -> Option<StoreTime> {
+        self.as_of
     }
 
-    fn confirm(&mut self, store_ms: u64) {
-        self.as_of_store_ms =
-            Some(self.as_of_store_ms.map_or(store_ms, |known| known.max(store_ms)));
-        self.pending_change = self.pending_change.filter(|(known_ms, _)| *known_ms > store_ms);
+    /// Returns the era of this daemon's reads of the table.
+    pub fn read_era(&self) -> u64 {
+        self.series_era
+    }
+
+    fn confirm(&mut self, as_of: StoreTime) {
+        self.as_of = Some(self.as_of.map_or(as_of, |known| known.max(as_of)));
+        self.pending_change = self.pending_change.filter(|(known, _)| *known > as_of);
     }
 }
--- a/crates/edge/src/control/lease_manager.rs
+++ b/crates/edge/src/control/lease_manager.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 use jasminetack_domain::name;
 use jasminetack_domain::order_lease;
+use jasminetack_domain::store_time;
 use jasminetack_domain::store_version;
 use jasminetack_wire::fleet;
 use prost::Message;
@@ -29,6 +30,8 @@
     pub(super) times: LeaseTimes,
     pub(super) lease: order_lease::Lease,
     pub(super) clock: order_lease::StoreClock,
+    /// Era of the readings of the clock.
+    clock_era: Option<u64>,
     pub(super) era: order_lease::StoreEra,
     /// Version of this daemon's lease row; `None` until the rows have been read.
     pub(super) row_version: Option<u64>,
@@ -63,6 +66,7 @@
             times,
             lease: order_lease::Lease::new(times.ttl_ms),
             clock: order_lease::StoreClock::default(),
+            clock_era: None,
             era: order_lease::StoreEra::new(times.ttl_ms, times.guard_ms),
             row_version: None,
             is_released: false,
@@ -92,10 +96,28 @@
         &self.clock
     }
 
-    /// Records the store time returned by a call that was sent at `sent_ms`.
-    pub fn observe_clock(&mut self, store_ms: u64, sent_ms: u64, now_ms: u64) {
-        self.clock.observe(store_ms, sent_ms);
-        self.clock.observe_receipt(store_ms, now_ms);
+    /// Returns an upper bound of the store's time.
+    pub fn store_now(&self, now_ms: u64) -> Option<store_time::StoreTime> {
+        let store_ms = self.clock.upper_bound_ms(now_ms)?;
+        Some(store_time::StoreTime::new(self.era.era()?, store_ms))
+    }
+
+    /// Records the store time returned by a call that was sent at `sent_ms`, unless the store has been restored
+    /// since.
+    pub fn observe_clock(&mut self, as_of: store_time::StoreTime, sent_ms: u64, now_ms: u64) {
+        if self.era.era() == Some(as_of.era) {
+            self.clock_of_era().observe(as_of.store_ms, sent_ms);
+            self.clock.observe_receipt(as_of.store_ms, now_ms);
+        }
+    }
+
+    /// Returns the clock, which begins anew in each era: that of a restored store may be behind.
+    fn clock_of_era(&mut self) -> &mut order_lease::StoreClock {
+        if self.clock_era != self.era.era() {
+            self.clock_era = self.era.era();
+            self.clock = order_lease::StoreClock::default();
+        }
+        &mut self.clock
     }
 
     /// Returns the identity of this daemon.
@@ -194,7 +216,7 @@
             return None;
         }
         let is_store_empty = leases.rows.is_empty() && holders.rows.is_empty();
-        self.clock.observe(leases.store_ms, sent_ms);
+        self.clock_of_era().observe(leases.store_ms, sent_ms);
         self.rows_store_ms = leases.store_ms;
         self.rows_read_ms = Some(sent_ms);
         self.leases.clear();
@@ -267,7 +289,7 @@
                     self.read_rows_again();
                     return None;
                 }
-                self.clock.observe(store_ms, sent_ms);
+                self.clock_of_era().observe(store_ms, sent_ms);
                 self.row_version = Some(version);
                 for worker in &workers {
                     spdlog::info!("holder-row-restored worker={worker} version={version}");
--- a/crates/edge/src/control/quarantine_rows.rs
+++ b/crates/edge/src/control/quarantine_rows.rs
@@ -5,6 +5,8 @@
 use jasminetack_domain::member;
 use jasminetack_domain::name;
 use jasminetack_domain::quarantine;
+use jasminetack_domain::store_time;
+use jasminetack_domain::store_version;
 use jasminetack_wire::fleet;
 use prost::Message;
 
@@ -101,7 +103,9 @@
     pub(super) fn handle_quarantine_reply(&mut self, reply: QuarantineReply, now_ms: u64) {
         match reply {
             QuarantineReply::Rows(Ok(listing), sent_ms) => {
-                self.lease_manager.observe_clock(listing.store_ms, sent_ms, now_ms);
+                let era = store_version::StoreVersion::from(listing.version).era();
+                let as_of = store_time::StoreTime::new(era, listing.store_ms);
+                self.lease_manager.observe_clock(as_of, sent_ms, now_ms);
                 self.apply_quarantine_rows(listing, now_ms);
             }
             QuarantineReply::Rows(Err(error), _) => {
--- a/crates/edge/src/control/reports.rs
+++ b/crates/edge/src/control/reports.rs
@@ -192,7 +192,12 @@
 }
 
 fn table_state(freshness: &Freshness, digest: u64) -> Option<fleet::TableState> {
-    let as_of_store_ms = freshness.as_of_store_ms()?;
+    let as_of = freshness.as_of()?;
     let read_since_store_ms = freshness.current_series().map(|series| series.since_store_ms);
-    Some(fleet::TableState { digest, as_of_store_ms, read_since_store_ms })
+    Some(fleet::TableState {
+        digest,
+        as_of_store_ms: as_of.store_ms,
+        read_since_store_ms,
+        era: as_of.era,
+    })
 }
--- a/crates/edge/src/control/store_restores.rs
+++ b/crates/edge/src/control/store_restores.rs
@@ -21,8 +21,6 @@
             order_lease::EraObservation::Restored { previous } => {
                 let has_lease = self.may_send_orders(now_ms);
                 spdlog::warn!("store-restored era={era} previous={previous} has_lease={has_lease}");
-                // The restored clock may be behind.
-                self.clock = order_lease::StoreClock::default();
                 self.row_version = None;
                 self.holders.clear_lost();
                 self.read_rows_again();
--- a/crates/edge/src/control/table_reads.rs
+++ b/crates/edge/src/control/table_reads.rs
@@ -2,6 +2,8 @@
 
 use jasminetack_domain::member;
 use jasminetack_domain::name;
+use jasminetack_domain::store_time;
+use jasminetack_domain::store_version;
 use jasminetack_wire::fleet;
 
 use super::FeedEvent;
@@ -26,7 +28,7 @@
         now_ms: u64,
     ) {
         // Rows of the first read are not shared: only this daemon lacks them.
-        let is_first = self.freshness(table).as_of_store_ms().is_none();
+        let is_first = self.freshness(table).as_of().is_none();
         let was_read = self.record_read(table, &event, started_ms, now_ms);
         let mut changes = match table {
             store::Table::Operator => self.catalog.apply_operator_read(event, &*self.dialect),
@@ -72,15 +74,21 @@
         let readers = self.region_peer_count() + 1;
         let name = table.as_str();
         let was_lost = self.unreachable_tables.contains(&table);
-        if let FeedEvent::Listed(listing) = event {
-            self.lease_manager.observe_version(listing.version, now_ms);
-        }
+        // Changes are of the era in which the table was last listed.
+        let era = match event {
+            FeedEvent::Listed(listing) => {
+                self.lease_manager.observe_version(listing.version, now_ms);
+                store_version::StoreVersion::from(listing.version).era()
+            }
+            _ => self.freshness(table).read_era(),
+        };
         let freshness = self.freshness(table);
         match event {
             FeedEvent::Listed(store::Listing { store_ms, .. })
             | FeedEvent::Changed(_, store_ms) => {
-                freshness.record_read(*store_ms);
-                self.lease_manager.observe_clock(*store_ms, started_ms, now_ms);
+                let as_of = store_time::StoreTime::new(era, *store_ms);
+                freshness.record_read(as_of);
+                self.lease_manager.observe_clock(as_of, started_ms, now_ms);
                 if was_lost {
                     self.unreachable_tables.retain(|lost| *lost != table);
                     spdlog::info!("dependency-regained name=store table={name}");
--- a/crates/edge/tests/freshness.rs
+++ b/crates/edge/tests/freshness.rs
@@ -2,12 +2,18 @@
 
 use jasminetack_domain::locality;
 use jasminetack_domain::name;
+use jasminetack_domain::store_time::StoreTime;
 use jasminetack_domain::upstream;
 use jasminetack_edge::control::Freshness;
 
 /// Time within which a reported change is read in a region of three daemons.
 const SMALL_REGION_DELAY_MS: u64 = 150;
 
+/// Returns a time of a store that reports no era.
+fn at(store_ms: u64) -> StoreTime {
+    StoreTime::new(0, store_ms)
+}
+
 fn freshness(host: &str) -> Freshness {
     Freshness::new(&name::HostName::from(host), "operator")
 }
@@ -19,34 +25,37 @@
     // read.
     let mut one = freshness("one");
     let mut other = freshness("other");
-    one.record_read(1_000);
-    other.record_read(1_000);
+    one.record_read(at(1_000));
+    other.record_read(at(1_000));
     for now_ms in (1_000..6_000).step_by(50) {
-        let known = one.as_of_store_ms().expect("a read");
+        let known = one.as_of().expect("a read");
         other.apply_peer_state(true, known, now_ms);
-        one.apply_peer_state(true, other.as_of_store_ms().unwrap(), now_ms);
-        assert_eq!(one.as_of_store_ms(), Some(1_000), "at {now_ms}");
+        one.apply_peer_state(true, other.as_of().unwrap(), now_ms);
+        assert_eq!(one.as_of(), Some(at(1_000)), "at {now_ms}");
     }
-    assert!(one.begin_read(Some(2_800), 2_800));
+    assert!(one.begin_read(Some(at(2_800)), 2_800));
 }
 
 #[test]
 fn a_read_by_another_daemon_replaces_an_own_read() {
     let mut own = freshness("own");
-    own.record_read(1_000);
-    own.apply_peer_state(true, 2_500, 2_500);
-    assert!(!own.begin_read(Some(3_000), 3_000));
+    own.record_read(at(1_000));
+    own.apply_peer_state(true, at(2_500), 2_500);
+    assert!(!own.begin_read(Some(at(3_000)), 3_000));
 }
 
 #[test]
 fn a_change_known_to_another_daemon_is_read_before_the_table_expires() {
     let mut own = freshness("own");
-    own.record_read(1_000);
-    own.apply_peer_state(false, 900, 5_000);
-    assert!(!own.begin_read(Some(1_100), 5_000 + SMALL_REGION_DELAY_MS));
-    own.apply_peer_state(false, 1_050, 5_000);
-    assert!(own.begin_read(Some(1_100), 5_000 + SMALL_REGION_DELAY_MS));
-    assert!(!own.begin_read(Some(1_100), 5_000 + SMALL_REGION_DELAY_MS), "a read is in progress");
+    own.record_read(at(1_000));
+    own.apply_peer_state(false, at(900), 5_000);
+    assert!(!own.begin_read(Some(at(1_100)), 5_000 + SMALL_REGION_DELAY_MS));
+    own.apply_peer_state(false, at(1_050), 5_000);
+    assert!(own.begin_read(Some(at(1_100)), 5_000 + SMALL_REGION_DELAY_MS));
+    assert!(
+        !own.begin_read(Some(at(1_100)), 5_000 + SMALL_REGION_DELAY_MS),
+        "a read is in progress"
+    );
 }
 
 /// Region of daemons whose reads take `READ_MS` and reach the others `DATAGRAM_MS` later; each checks
@@ -67,7 +76,7 @@
         let mut daemons: Vec<_> =
             (0..size).map(|index| freshness(&format!("daemon-{index}"))).collect();
         for (rank, daemon) in daemons.iter_mut().enumerate() {
-            daemon.record_read(read_ms);
+            daemon.record_read(at(read_ms));
             daemon.set_rank(rank);
         }
         Self { reading_since_ms: vec![None; size], daemons, reads_ms: Vec::new() }
@@ -83,18 +92,18 @@
                 if started_ms.is_some_and(|at_ms| at_ms + Self::READ_MS <= now_ms) {
                     let as_of_ms = now_ms - Self::READ_MS / 2;
                     self.reading_since_ms[index] = None;
-                    self.daemons[index].record_read(as_of_ms);
+                    self.daemons[index].record_read(at(as_of_ms));
                     let others = self.daemons.iter_mut().enumerate();
                     for (_, other) in others.filter(|(other, _)| *other != index) {
-                        other.apply_peer_state(true, as_of_ms, now_ms + Self::DATAGRAM_MS);
+                        other.apply_peer_state(true, at(as_of_ms), now_ms + Self::DATAGRAM_MS);
                     }
                 }
                 let is_tick = (now_ms + index as u64 * 35) % Self::TICK_MS < 5;
-                if is_tick && self.daemons[index].begin_read(Some(now_ms), now_ms) {
+                if is_tick && self.daemons[index].begin_read(Some(at(now_ms)), now_ms) {
                     self.reading_since_ms[index] = Some(now_ms);
                     self.reads_ms.push(now_ms);
                 }
-                let as_of_ms = self.daemons[index].as_of_store_ms().expect("a read");
+                let as_of_ms = self.daemons[index].as_of().expect("a read").store_ms;
                 oldest_ms = oldest_ms.max(now_ms.saturating_sub(as_of_ms));
             }
         }
@@ -127,7 +136,7 @@
 fn a_change_is_read_once_in_a_region() {
     let mut region = Region::new(30, 5_000);
     for daemon in &mut region.daemons {
-        daemon.apply_peer_state(false, 5_050, 5_100);
+        daemon.apply_peer_state(false, at(5_050), 5_100);
     }
     region.play(5_100, 5_700, 0);
     assert!((1..=3).contains(&region.reads_ms.len()), "{:?}", region.reads_ms);
@@ -164,7 +173,7 @@
     const REPORT_INTERVAL_MS: u64 = 1_000;
     for host in ["one", "two", "three", "four", "five", "six"] {
         let mut own = freshness(host);
-        own.record_read(1_000);
+        own.record_read(at(1_000));
         let mut call_started_ms = None;
         let mut read_ms = None;
         let mut calls = 0;
@@ -172,10 +181,10 @@
             let is_cut = now_ms < CUT_MS;
             // During the cut, no datagram arrives either.
             if !is_cut && now_ms % REPORT_INTERVAL_MS == 0 {
-                own.apply_peer_state(false, now_ms - 500, now_ms);
+                own.apply_peer_state(false, at(now_ms - 500), now_ms);
             }
             match call_started_ms {
-                None if own.begin_read(Some(now_ms), now_ms) => {
+                None if own.begin_read(Some(at(now_ms)), now_ms) => {
                     calls += 1;
                     call_started_ms = Some((now_ms, is_cut));
                 }
@@ -200,11 +209,11 @@
 fn a_daemon_cut_off_from_the_store_alone_does_not_call_it_without_pause() {
     const READERS: usize = 30;
     let mut own = freshness("own");
-    own.record_read(1_000);
+    own.record_read(at(1_000));
     let mut calls = 0;
     for now_ms in (3_000..13_000).step_by(10) {
-        own.apply_peer_state(false, now_ms - 100, now_ms);
-        if own.begin_read(Some(now_ms), now_ms) {
+        own.apply_peer_state(false, at(now_ms - 100), now_ms);
+        if own.begin_read(Some(at(now_ms)), now_ms) {
             calls += 1;
             own.record_failure(READERS, now_ms);
         }
@@ -246,7 +255,7 @@
                 adapters: Vec::new(),
             });
         }
-        self.freshness.record_read(now_ms);
+        self.freshness.record_read(at(now_ms));
     }
 
     fn has_worker(&self) -> bool {
@@ -265,20 +274,20 @@
     other.read(true, 1_000);
     // The daemon that reads for the region has just started.
     reader.read(true, 60_000);
-    other.freshness.apply_peer_state(true, 60_000, 60_000);
+    other.freshness.apply_peer_state(true, at(60_000), 60_000);
     for now_ms in (60_000..).step_by(20) {
         let is_listed = now_ms < LEAVES_MS;
         let mut has_read = false;
         for copy in [&mut reader, &mut other] {
             copy.directory.remove_expired(now_ms);
-            if copy.freshness.begin_read(Some(now_ms), now_ms) {
+            if copy.freshness.begin_read(Some(at(now_ms)), now_ms) {
                 copy.read(is_listed, now_ms);
                 has_read = true;
             }
         }
         if has_read || now_ms % REPORT_INTERVAL_MS == 0 {
             let is_same = reader.directory.digest() == other.directory.digest();
-            let states = [&reader, &other].map(|copy| copy.freshness.as_of_store_ms());
+            let states = [&reader, &other].map(|copy| copy.freshness.as_of());
             let [of_reader, of_other] = states.map(|as_of_ms| as_of_ms.expect("a read"));
             other.freshness.apply_peer_state(is_same, of_reader, now_ms);
             reader.freshness.apply_peer_state(is_same, of_other, now_ms);
@@ -289,3 +298,30 @@
         }
     }
 }
+
+/// Guards against a copy from before a restore that counts as current because the clock of the store went back.
+#[test]
+fn a_copy_from_before_a_restore_is_read_again_whatever_the_clock_of_the_store_shows() {
+    let mut own = freshness("own");
+    own.record_read(StoreTime::new(1, 9_000));
+    assert!(own.begin_read(Some(StoreTime::new(2, 4_000)), 100));
+    own.record_read(StoreTime::new(2, 4_050));
+    assert_eq!(own.as_of(), Some(StoreTime::new(2, 4_050)));
+    // A late response from before the restore changes nothing.
+    own.record_read(StoreTime::new(1, 9_100));
+    assert_eq!(own.as_of(), Some(StoreTime::new(2, 4_050)));
+    assert!(own.current_series().is_none());
+}
+
+/// Guards against a wave of reads after a restore, and against a change that is missed because of the clock.
+#[test]
+fn another_daemon_confirms_or_contradicts_a_copy_across_a_restore() {
+    let mut own = freshness("own");
+    own.record_read(StoreTime::new(1, 9_000));
+    own.apply_peer_state(false, StoreTime::new(2, 4_000), 100);
+    assert!(own.begin_read(Some(StoreTime::new(1, 9_010)), 100), "a change is missed");
+    let mut same = freshness("same");
+    same.record_read(StoreTime::new(1, 9_000));
+    same.apply_peer_state(true, StoreTime::new(2, 4_000), 100);
+    assert!(!same.begin_read(Some(StoreTime::new(2, 4_100)), 100), "the same contents are read");
+}
--- a/crates/wire/src/fleet/table_state.rs
+++ b/crates/wire/src/fleet/table_state.rs
@@ -1,5 +1,6 @@
 //! State of a daemon's copy of a table.
 
+use jasminetack_domain::store_time;
 use jasminetack_domain::upstream;
 use prost::Message;
 
@@ -16,9 +17,18 @@
     /// `as_of_store_ms`; absent if another daemon confirmed the copy at that time.
     #[prost(uint64, optional, tag = "3")]
     pub read_since_store_ms: Option<u64>,
+    /// Era of the store in which the copy was current; 0 if it reports none.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 
 impl TableState {
+    /// Returns the store time at which the copy was current.
+    #[must_use]
+    pub fn as_of(&self) -> store_time::StoreTime {
+        store_time::StoreTime::new(self.era, self.as_of_store_ms)
+    }
+
     /// Returns the sender's series of reads that ends at the time of its copy.
     #[must_use]
     pub fn read_series(&self) -> Option<upstream::ReadSeries> {
