Keep workers that are missing in a restored list until they registered again

Requests to a live worker stopped, and its holder gave it up, when the store came back from a copy that lacked its entry, if the daemon had noticed no outage before.

Cause: only a read that failed began the time in which workers may register again. A restore that falls between two reads loses entries without one.

Evidence: a list of era 2 without the worker, a minute after the last one, logs worker-left at once.

Change: the first list of a later era counts as the end of an outage, and reads of other daemons from before it do not shorten that time.

--- a/crates/domain/src/upstream/directory.rs
+++ b/crates/domain/src/upstream/directory.rs
@@ -90,6 +90,14 @@
         self.is_reachable = false;
     }
 
+    /// Records that the list was restored from an older copy, which may lack entries of live workers.
+    ///
+    /// Workers repeat their entries as after an outage.
+    pub fn mark_restored(&mut self) {
+        self.is_reachable = false;
+        self.peer_series = None;
+    }
+
     /// Records that the list was read; the store's clock showed `store_ms`.
     pub fn mark_reachable(&mut self, store_ms: u64, now_ms: u64) {
         if !self.is_reachable {
--- a/crates/edge/src/control/catalog.rs
+++ b/crates/edge/src/control/catalog.rs
@@ -6,6 +6,7 @@
 use jasminetack_domain::adapter;
 use jasminetack_domain::ingress;
 use jasminetack_domain::name;
+use jasminetack_domain::store_version;
 use jasminetack_domain::upstream;
 use rustc_hash::FxHashMap;
 
@@ -40,6 +41,8 @@
     /// each change increases the sum.
     version_sum: u64,
     directory: upstream::Directory,
+    /// Era of the store in which the workers were last listed.
+    workers_era: Option<u64>,
     /// Versions of the workers' rows, which arrive from both the store and other daemons.
     row_versions: FxHashMap<String, u64>,
 }
@@ -144,6 +147,10 @@
                 self.apply_workers_rows(rows, dialect, now_ms)
             }
             FeedEvent::Listed(listing) => {
+                let era = store_version::StoreVersion::from(listing.version).era();
+                if self.workers_era.replace(era).is_some_and(|known| known < era) {
+                    self.directory.mark_restored();
+                }
                 self.directory.mark_reachable(listing.store_ms, now_ms);
                 let unlisted = self.unlisted_workers(&listing);
                 let mut changes = self.apply_workers_rows(listing.rows, dialect, now_ms);
