Keep draining workers unused when a restored list calls them ready

A worker that had reported that it was draining got new requests again after the store came back from a copy from before that report, until the worker had repeated it.

Cause: the entry of the restored list is newer than the known one by its era, but describes an earlier moment.

Evidence: an entry that is ready, of the same process, in a list after a restore makes the worker ready in the directory.

Change: at a restore the draining processes are remembered as those that stated in a response that they leave: whatever their entries say, they get no requests, and other processes of the name do.

Result: a_draining_process_stays_unused_though_a_restored_list_calls_it_ready failed before and passes.

--- a/crates/domain/src/upstream/directory.rs
+++ b/crates/domain/src/upstream/directory.rs
@@ -92,10 +92,20 @@
 
     /// Records that the list was restored from an older copy, which may lack entries of live workers.
     ///
-    /// Workers repeat their entries as after an outage.
-    pub fn mark_restored(&mut self) {
+    /// Workers repeat their entries as after an outage. A process that was draining stays so, whatever the copy
+    /// says of it; one without a known start cannot be told from its successor.
+    pub fn mark_restored(&mut self, now_ms: u64) {
         self.is_reachable = false;
         self.peer_series = None;
+        let draining: Vec<_> = self
+            .upstreams
+            .values()
+            .filter(|known| known.is_draining && known.started_unix_ms > 0)
+            .map(Arc::clone)
+            .collect();
+        for known in draining {
+            self.remember_leaving(&known.name, known.started_unix_ms, now_ms);
+        }
     }
 
     /// Records that the list was read; the store's clock showed `store_ms`.
@@ -187,11 +197,7 @@
         started_unix_ms: u64,
         now_ms: u64,
     ) -> Option<Change> {
-        let new = LeavingProcess { started_unix_ms, recorded_ms: now_ms };
-        let process = self.leaving.entry(worker.clone()).or_insert(new);
-        if process.started_unix_ms < started_unix_ms {
-            *process = new;
-        }
+        self.remember_leaving(worker, started_unix_ms, now_ms);
         let known = Arc::clone(self.upstreams.get(worker)?);
         if known.is_draining || !self.states_leaving(&known) {
             return None;
@@ -201,6 +207,14 @@
         Some(Change::Updated(upstream))
     }
 
+    fn remember_leaving(&mut self, worker: &name::WorkerName, started_unix_ms: u64, now_ms: u64) {
+        let new = LeavingProcess { started_unix_ms, recorded_ms: now_ms };
+        let process = self.leaving.entry(worker.clone()).or_insert(new);
+        if process.started_unix_ms < started_unix_ms {
+            *process = new;
+        }
+    }
+
     /// Iterates over the processes that stated lately that they are leaving, with their start times.
     pub fn recently_leaving(&self, now_ms: u64) -> impl Iterator<Item = (&name::WorkerName, u64)> {
         let recent = self.leaving.iter().filter(move |(_, process)| {
--- a/crates/domain/tests/upstream.rs
+++ b/crates/domain/tests/upstream.rs
@@ -234,3 +234,18 @@
     assert_eq!(directory.record_leaving(&name::WorkerName::from("w"), 1, 7_000), None);
     assert!(!is_unused(&directory));
 }
+
+/// Guards against new requests to a leaving worker because the store was restored to the time before it said so.
+#[test]
+fn a_draining_process_stays_unused_though_a_restored_list_calls_it_ready() {
+    let mut directory = upstream::Directory::default();
+    directory.mark_reachable(1_000, 1_000);
+    directory.upsert(worker("w", 7, true));
+    directory.mark_restored(2_000);
+    directory.mark_reachable(2_000, 2_000);
+    directory.upsert(worker("w", 7, false));
+    assert!(directory.get(&name::WorkerName::from("w")).is_some_and(|known| known.is_draining));
+    // Its successor is used.
+    directory.upsert(worker("w", 8, false));
+    assert!(directory.get(&name::WorkerName::from("w")).is_some_and(|known| !known.is_draining));
+}
--- a/crates/edge/src/control/catalog.rs
+++ b/crates/edge/src/control/catalog.rs
@@ -149,7 +149,7 @@
             FeedEvent::Listed(listing) => {
                 let era = store_version::StoreVersion::from(listing.version).era();
                 if self.workers_era.replace(era).is_some_and(|known| known < era) {
-                    self.directory.mark_restored();
+                    self.directory.mark_restored(now_ms);
                 }
                 self.directory.mark_reachable(listing.store_ms, now_ms);
                 let unlisted = self.unlisted_workers(&listing);
