Expect late orders on a worker whose holder row a restore may have lost

A worker that is claimed after a restore could be ordered to hold more adapters than it has room for, if its former holder died with orders unanswered and its row was lost.

Cause: a worker without a holder row counted as one that had never got orders, so that no room was kept for orders that it may still execute.

Evidence: StoreEra::may_have_been_held fails its test if it goes by the row alone. No run of daemons showed the fault.

Change: until 13 s after the leases from before a restore have ended, a worker without a row is treated as one that had a holder.

Result: a_worker_without_a_row_may_have_late_orders_for_some_time_after_a_restore fails by the row alone and passes. Without a restore nothing changes.

--- a/crates/domain/src/order_lease/store_era.rs
+++ b/crates/domain/src/order_lease/store_era.rs
@@ -33,7 +33,8 @@
     /// Whether this daemon has seen an earlier era.
     has_seen_restore: bool,
     start: Option<EraStart>,
-    claims_from_ms: u64,
+    /// Time at which the leases from before the restore have ended; `None` if no restore is known.
+    claims_from_ms: Option<u64>,
     is_confirmed: bool,
 }
 
@@ -50,7 +51,7 @@
             era: None,
             has_seen_restore: false,
             start: None,
-            claims_from_ms: 0,
+            claims_from_ms: None,
             is_confirmed: false,
         }
     }
@@ -111,13 +112,9 @@
             None => store_ms.max(1),
         };
         self.start = Some(EraStart { era, by_store_ms });
-        self.claims_from_ms = match by_store_ms {
-            0 => 0,
-            _ => {
-                let leases_end_store_ms = by_store_ms + self.ttl_ms + self.guard_ms;
-                now_ms + leases_end_store_ms.saturating_sub(store_ms)
-            }
-        };
+        let leases_end_store_ms = by_store_ms + self.ttl_ms + self.guard_ms;
+        let leases_end_ms = (now_ms + leases_end_store_ms).saturating_sub(store_ms);
+        self.claims_from_ms = (by_store_ms > 0).then_some(leases_end_ms);
     }
 
     /// Records that the holder rows of all workers of this daemon are in the store in this era.
@@ -134,12 +131,29 @@
     /// Returns whether workers without a live holder in the store may be claimed.
     #[must_use]
     pub fn may_claim(&self, now_ms: u64) -> bool {
-        self.is_confirmed && self.start.is_some() && now_ms >= self.claims_from_ms
+        let have_leases_ended = self.claims_from_ms.is_none_or(|from_ms| now_ms >= from_ms);
+        self.is_confirmed && self.start.is_some() && have_leases_ended
+    }
+
+    /// Returns whether a worker that is claimed now may have got orders from an earlier holder that it may still
+    /// execute.
+    ///
+    /// `has_row` tells whether it had a holder row. A restore may have lost that of a holder that sent orders until
+    /// its lease ended; `late_order_window_ms` later, all of them have been executed.
+    #[must_use]
+    pub fn may_have_been_held(
+        &self,
+        has_row: bool,
+        late_order_window_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        has_row
+            || self.claims_from_ms.is_some_and(|from_ms| now_ms < from_ms + late_order_window_ms)
     }
 
-    /// Returns the time from which workers may be claimed, unless the rows have yet to be read.
+    /// Returns the time from which workers may be claimed; `None` if no restore is known.
     #[must_use]
     pub fn claims_from_ms(&self) -> Option<u64> {
-        self.start.map(|_| self.claims_from_ms)
+        self.claims_from_ms
     }
 }
--- a/crates/domain/tests/store_era.rs
+++ b/crates/domain/tests/store_era.rs
@@ -91,3 +91,17 @@
     assert!(!state.may_claim(104_000 + WAIT_MS - 1));
     assert!(state.may_claim(104_000 + WAIT_MS));
 }
+
+/// Guards against filling a worker up that still executes the orders of a holder whose row the restore lost.
+#[test]
+fn a_worker_without_a_row_may_have_late_orders_for_some_time_after_a_restore() {
+    const LATE_MS: u64 = 13_000;
+    let restored = begun(&[1, 2], &[], 5_000, 100_000);
+    assert!(restored.may_have_been_held(false, LATE_MS, 100_000 + WAIT_MS + LATE_MS - 1));
+    assert!(!restored.may_have_been_held(false, LATE_MS, 100_000 + WAIT_MS + LATE_MS));
+    let long_ago = begun(&[2], &[lease(2, 400_000)], 500_000, 200_000);
+    assert!(!long_ago.may_have_been_held(false, LATE_MS, 200_000));
+    let never = begun(&[0], &[], 5_000, 100);
+    assert!(!never.may_have_been_held(false, LATE_MS, 100));
+    assert!(never.may_have_been_held(true, LATE_MS, 100));
+}
--- a/crates/edge/src/control/claims.rs
+++ b/crates/edge/src/control/claims.rs
@@ -4,6 +4,7 @@
 use jasminetack_domain::locality;
 use jasminetack_domain::member;
 use jasminetack_domain::name;
+use jasminetack_domain::placement;
 use jasminetack_domain::upstream;
 
 use super::lease_manager::LeaseManager;
@@ -77,7 +78,7 @@
     }
 
     /// Applies the result of a claim that was decided in an era of the store; if it succeeded, returns the
-    /// fencing token and whether a daemon held the worker before.
+    /// fencing token and whether a daemon may have held the worker before.
     pub fn apply_claim(
         &mut self,
         worker: &name::WorkerName,
@@ -99,8 +100,9 @@
             }
             Ok(store::Outcome::Committed { version, .. }) => {
                 self.unassigned.shift_remove(worker);
-                let was_held = self.holders.record_written(worker, version);
-                Some((version, was_held))
+                let has_row = self.holders.record_written(worker, version);
+                let late_ms = placement::LATE_ORDER_WINDOW_MS;
+                Some((version, self.era.may_have_been_held(has_row, late_ms, now_ms)))
             }
             Ok(store::Outcome::Conflict(_)) => {
                 self.rows_read_ms = None;
--- a/crates/edge/src/control/store_restores.rs
+++ b/crates/edge/src/control/store_restores.rs
@@ -55,10 +55,9 @@
             return;
         }
         self.era.confirm();
-        let start = self.era.start().unwrap_or_default();
-        let (era, by_store_ms) = (start.era, start.by_store_ms);
-        if by_store_ms > 0 {
-            let claims_from_ms = self.era.claims_from_ms().unwrap_or(0);
+        if let Some(claims_from_ms) = self.era.claims_from_ms() {
+            let start = self.era.start().unwrap_or_default();
+            let (era, by_store_ms) = (start.era, start.by_store_ms);
             spdlog::info!(
                 "era-confirmed era={era} began_by_store_ms={by_store_ms} claims_from_ms={claims_from_ms}"
             );
