Replace a lost configuration by another one with the same version

If a restore lost an acknowledged configuration and the operator wrote another one under its version, daemons that had read the first stayed on it until the next version, and disagreed with daemons that started later.

Cause: a configuration was identified by its version alone, in the copy, in the digest that daemons exchange and for the limits of teams.

Evidence: after lists of era 1 with version 3 and of era 2 with another version 3, the first one is in force.

Change: in a later era, a different content of the same version replaces the known one; an older version still does not. The digest includes the content if the store states its era, and otherwise is as before.

Result: a_configuration_that_was_lost_is_replaced_by_another_with_its_version fails without the replacement and passes with it.

--- a/crates/edge/src/control/catalog.rs
+++ b/crates/edge/src/control/catalog.rs
@@ -9,6 +9,7 @@
 use jasminetack_domain::store_version;
 use jasminetack_domain::upstream;
 use rustc_hash::FxHashMap;
+use xxhash_rust::xxh3;
 
 use super::FeedEvent;
 use crate::dialect;
@@ -30,10 +31,19 @@
     pub has_changed: bool,
 }
 
+/// What tells two configurations with the same version apart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ConfigurationRow {
+    /// Era of the store in which the configuration was read.
+    era: u64,
+    content_hash: u64,
+}
+
 /// Configuration, adapter versions and workers; no entry is replaced by an older one.
 #[derive(Debug, Default)]
 pub struct Catalog {
     ingress: Option<Arc<ingress::Ingress>>,
+    ingress_row: ConfigurationRow,
     adapter_versions: Arc<IndexMap<name::AdapterName, u32>>,
     /// Sum of all adapter versions.
     ///
@@ -58,10 +68,20 @@
         &self.adapter_versions
     }
 
-    /// Returns a digest of the configuration version and the adapter versions.
+    /// Returns a digest of the configuration and the adapter versions.
     pub fn operator_digest(&self) -> u64 {
-        let configuration = self.ingress.as_ref().map_or(0, |ingress| ingress.version());
-        configuration.wrapping_mul(DIGEST_FACTOR).wrapping_add(self.version_sum)
+        self.configuration_digest().wrapping_add(self.version_sum)
+    }
+
+    /// Returns a digest of the configuration.
+    ///
+    /// Its version is enough as long as the store cannot be restored. A store that states its era may lose a
+    /// configuration, and get another one with the same version.
+    pub fn configuration_digest(&self) -> u64 {
+        let version = self.ingress.as_ref().map_or(0, |ingress| ingress.version());
+        let ConfigurationRow { era, content_hash } = self.ingress_row;
+        let content = if era > 0 { content_hash } else { 0 };
+        version.wrapping_mul(DIGEST_FACTOR).wrapping_add(content)
     }
 
     /// Returns the workers.
@@ -101,7 +121,10 @@
             let has_changed = match dialect.decode_operator_entry(&row.key, value) {
                 Ok(dialect::OperatorEntry::Ingress(ingress)) => {
                     let has_keys = ingress.teams().is_some();
-                    let has_changed = self.update_ingress(ingress);
+                    let era = store_version::StoreVersion::from(row.version).era();
+                    let content_hash = xxh3::xxh3_64(value);
+                    let ingress_row = ConfigurationRow { era, content_hash };
+                    let has_changed = self.update_ingress(ingress, ingress_row);
                     changes.has_changed |= has_changed;
                     // Keys are not sent to other daemons; each reads them from the store.
                     has_changed && !has_keys
@@ -243,12 +266,19 @@
         CatalogChanges { has_changed: !workers.is_empty(), workers, ..CatalogChanges::default() }
     }
 
-    fn update_ingress(&mut self, ingress: ingress::Ingress) -> bool {
+    fn update_ingress(&mut self, ingress: ingress::Ingress, row: ConfigurationRow) -> bool {
         let known = self.ingress.as_ref().map_or(0, |known| known.version());
         let (version, routes) = (ingress.version(), ingress.route_count());
-        if self.ingress.is_some() && version <= known {
+        let is_later_era = row.era > self.ingress_row.era;
+        let is_replaced =
+            version == known && is_later_era && row.content_hash != self.ingress_row.content_hash;
+        if self.ingress.is_some() && version <= known && !is_replaced {
+            if version == known && is_later_era {
+                self.ingress_row = row;
+            }
             return false;
         }
+        self.ingress_row = row;
         let teams = ingress.teams().map_or(0, |directory| directory.teams().count());
         let keys = ingress.teams().map_or(0, |directory| directory.key_count());
         spdlog::info!(
--- a/crates/edge/src/control/team_quotas.rs
+++ b/crates/edge/src/control/team_quotas.rs
@@ -37,8 +37,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ShareOwners {
     bounds: team_quota::QuotaBounds,
-    /// Version of the configuration whose limits apply.
-    limits_version: Option<u64>,
+    /// Digest of the configuration whose limits apply.
+    limits_digest: Option<u64>,
     /// Time at which the lease rows had first been read.
     first_read_ms: Option<u64>,
     /// Time at which this daemon last held its lease.
@@ -51,7 +51,7 @@
     fn default() -> Self {
         Self {
             bounds: DEFAULT_BOUNDS,
-            limits_version: None,
+            limits_digest: None,
             first_read_ms: None,
             last_lease_ms: 0,
             has_announced: false,
@@ -78,10 +78,10 @@
     /// Applies the limits of a new configuration; called before it is published.
     pub(super) fn update_team_limits(&mut self, now_ms: u64) {
         let Some(ingress) = self.catalog.ingress() else { return };
-        if self.share_owners.limits_version == Some(ingress.version()) {
+        let digest = self.catalog.configuration_digest();
+        if self.share_owners.limits_digest.replace(digest) == Some(digest) {
             return;
         }
-        self.share_owners.limits_version = Some(ingress.version());
         let bounds = self.share_owners.bounds;
         let teams = ingress.teams().into_iter().flat_map(|directory| directory.teams());
         let limits = teams.filter_map(|team| Some((team.name.clone(), limit(team, bounds)?)));
--- a/crates/edge/tests/restored_tables.rs
+++ b/crates/edge/tests/restored_tables.rs
@@ -5,7 +5,7 @@
 use jasminetack_domain::store_version::StoreVersion;
 use jasminetack_domain::upstream;
 use jasminetack_edge::{control, store};
-use support::{Daemon, NOW_MS};
+use support::{CONFIGURATION_WITH_TEAMS, Daemon, NOW_MS};
 
 /// Key, value and number of the transaction that wrote a row.
 type Entry<'a> = (&'a str, &'a [u8], u64);
@@ -66,3 +66,25 @@
     daemon.state.tick(restored_ms + upstream::REREGISTRATION_GRACE_MS);
     assert_eq!(workers(&daemon), ["old"]);
 }
+
+/// Guards against staying on a configuration that a restore lost when the operator writes another one with the
+/// same version, and against going back to an older version that the copy shows.
+#[test]
+fn a_configuration_that_was_lost_is_replaced_by_another_with_its_version() {
+    let mut daemon = Daemon::new(&[]);
+    let table = store::Table::Operator;
+    let in_force = |daemon: &Daemon| {
+        let view = daemon.view.load();
+        view.ingress.as_ref().map(|ingress| (ingress.version(), ingress.teams().is_some()))
+    };
+    list(&mut daemon, table, 1, 20, &[("config", &[3], 20)], NOW_MS);
+    list(&mut daemon, table, 1, 21, &[(CONFIGURATION_WITH_TEAMS, &[3, 1], 21)], NOW_MS + 1_000);
+    assert_eq!(in_force(&daemon), Some((3, false)), "without a restore, a version has one content");
+    list(&mut daemon, table, 2, 10, &[("config", &[2], 10)], NOW_MS + 2_000);
+    assert_eq!(in_force(&daemon), Some((3, false)), "an older version took effect");
+    list(&mut daemon, table, 2, 15, &[(CONFIGURATION_WITH_TEAMS, &[3, 1], 15)], NOW_MS + 3_000);
+    assert_eq!(in_force(&daemon), Some((3, true)));
+    // The lost content does not come back with a late response.
+    list(&mut daemon, table, 1, 22, &[("config", &[3], 20)], NOW_MS + 4_000);
+    assert_eq!(in_force(&daemon), Some((3, true)));
+}
