Keep leases that a restored store shows as expired too early

Limits that workers state could be overrun after a restore: a daemon that was silent for another one, but alive, lost its part of the permits, and likewise its shares in the rates of teams.

Cause: the leases read from a restored store are those of the copy, which end earlier than the ones that were acknowledged.

Change: at the first read of a later era, the later one of both expiries counts, also for rows that are missing.

--- a/crates/edge/src/control/lease_manager.rs
+++ b/crates/edge/src/control/lease_manager.rs
@@ -223,7 +223,7 @@
         self.clock_of_era().observe(leases.store_ms, sent_ms);
         self.rows_store_ms = leases.store_ms;
         self.rows_read_ms = Some(sent_ms);
-        self.leases.clear();
+        let known = std::mem::take(&mut self.leases);
         for row in leases.rows {
             let Some(value) = &row.value else { continue };
             match fleet::Lease::decode_row(&row.key, value) {
@@ -243,6 +243,9 @@
         if !self.is_renewing {
             self.row_version = Some(own);
         }
+        if self.era.start().is_none() {
+            self.keep_later_expiries(known);
+        }
         let rows = self.leases.values().map(|(row, _)| row);
         self.era.begin(rows, is_store_empty, self.rows_store_ms, now_ms);
         if !self.era.is_confirmed() {
--- a/crates/edge/src/control/store_restores.rs
+++ b/crates/edge/src/control/store_restores.rs
@@ -1,5 +1,6 @@
 //! What a restore of the store means for the lease.
 
+use indexmap::IndexMap;
 use jasminetack_domain::name;
 use jasminetack_domain::order_lease;
 use jasminetack_domain::store_version;
@@ -43,6 +44,18 @@
         self.era.is_confirmed() && self.holders.is_foreign(worker)
     }
 
+    /// Keeps the leases that were known before a restore as long as they last: the restored rows are older.
+    pub(super) fn keep_later_expiries(
+        &mut self,
+        known: IndexMap<name::HostName, (order_lease::LeaseRow, u64)>,
+    ) {
+        for (host, (known, _)) in known {
+            // Version 0 stands for a row that does not exist.
+            let (row, _) = self.leases.entry(host).or_insert_with(|| (known.clone(), 0));
+            row.expires_store_ms = row.expires_store_ms.max(known.expires_store_ms);
+        }
+    }
+
     /// Has the rows read at once.
     pub(super) fn read_rows_again(&mut self) {
         self.rows_read_ms = None;
--- a/crates/edge/tests/worker_statements.rs
+++ b/crates/edge/tests/worker_statements.rs
@@ -2,8 +2,9 @@
 
 mod support;
 
+use jasminetack_domain::store_version::StoreVersion;
 use jasminetack_domain::{name, order_lease, request_limit};
-use jasminetack_edge::control;
+use jasminetack_edge::{control, store};
 use jasminetack_wire::fleet;
 use prost::Message;
 use support::{Daemon, NOW_MS};
@@ -89,49 +90,60 @@
     assert_eq!(draining, ["w2"]);
 }
 
-#[test]
-fn a_daemon_that_is_silent_keeps_its_part_until_the_store_shows_its_lease_expired() {
-    let mut daemon = daemon_with_peers();
-    let lease = |host: &str, expires_store_ms| {
+/// Has a daemon read the leases of the others, which end `remaining_ms` after `NOW_MS`, in an era of the store.
+fn read_leases(daemon: &mut Daemon, era: u64, remaining_ms: u64, at_ms: u64) {
+    let version = StoreVersion::new(era, 1).as_u64();
+    let lease = |index: u8| {
         let row = order_lease::LeaseRow {
-            host: name::HostName::from(host),
+            host: name::HostName::from(format!("other-{index}")),
             address: ([127, 0, 1, 1], 7_380).into(),
             place: support::locality(),
-            expires_store_ms,
+            expires_store_ms: NOW_MS + remaining_ms,
             era_start: order_lease::EraStart::default(),
         };
-        jasminetack_edge::store::Row {
-            key: host.to_owned(),
-            value: Some(fleet::Lease::from(&row).encode_to_vec()),
-            version: 1,
-        }
-    };
-    let read = |daemon: &mut Daemon, store_ms: u64, at_ms: u64| {
-        let listing = |rows| Ok(jasminetack_edge::store::Listing { rows, version: 1, store_ms });
-        let rows = (1..=PEERS).map(|index| lease(&format!("other-{index}"), NOW_MS + 20_000));
-        let reply = control::StoreReply::Rows {
-            leases: listing(rows.collect()),
-            holders: listing(Vec::new()),
-            sent_ms: at_ms,
-        };
-        daemon.state.receive(vec![control::Message::StoreReply(reply)], at_ms);
-        daemon.state.tick(at_ms);
+        let value = Some(fleet::Lease::from(&row).encode_to_vec());
+        store::Row { key: row.host.to_string(), value, version }
     };
-    // Counts the permits of this daemon in 30 s.
-    let permits = |daemon: &mut Daemon, from_ms: u64| {
-        state_limit(daemon, Some(20.0), from_ms, from_ms);
-        let mut chooser = daemon.chooser.lock();
-        let worker = name::WorkerName::from("w1");
-        let steps = (from_ms..from_ms + 30_000).step_by(20);
-        steps.filter(|now_ms| chooser.limits.take(&worker, *now_ms).is_some()).count()
+    let listing = |rows| Ok(store::Listing { rows, version, store_ms: at_ms });
+    let reply = control::StoreReply::Rows {
+        leases: listing((1..=PEERS).map(lease).collect()),
+        holders: listing(Vec::new()),
+        sent_ms: at_ms,
     };
-    read(&mut daemon, NOW_MS, NOW_MS);
+    daemon.state.receive(vec![control::Message::StoreReply(reply)], at_ms);
+    daemon.state.tick(at_ms);
+}
+
+/// Counts the permits of a daemon in 30 s.
+fn count_permits(daemon: &mut Daemon, from_ms: u64) -> usize {
+    state_limit(daemon, Some(20.0), from_ms, from_ms);
+    let mut chooser = daemon.chooser.lock();
+    let worker = name::WorkerName::from("w1");
+    let steps = (from_ms..from_ms + 30_000).step_by(20);
+    steps.filter(|now_ms| chooser.limits.take(&worker, *now_ms).is_some()).count()
+}
+
+#[test]
+fn a_daemon_that_is_silent_keeps_its_part_until_the_store_shows_its_lease_expired() {
+    let mut daemon = daemon_with_peers();
+    read_leases(&mut daemon, 0, 20_000, NOW_MS);
     let silent_ms = NOW_MS + 15_000;
-    read(&mut daemon, silent_ms, silent_ms);
-    let with_others = permits(&mut daemon, silent_ms);
+    read_leases(&mut daemon, 0, 20_000, silent_ms);
+    let with_others = count_permits(&mut daemon, silent_ms);
     assert!((60..=140).contains(&with_others), "a sixth of 600: {with_others}");
     let expired_ms = NOW_MS + 60_000;
-    read(&mut daemon, expired_ms, expired_ms);
-    let alone = permits(&mut daemon, expired_ms);
+    read_leases(&mut daemon, 0, 20_000, expired_ms);
+    let alone = count_permits(&mut daemon, expired_ms);
     assert!(alone >= 550, "{alone}");
 }
+
+/// Guards against a limit that is overrun because the leases in a restored store are older than the live ones.
+#[test]
+fn a_daemon_that_is_silent_keeps_its_part_though_a_restored_store_shows_an_older_lease() {
+    let mut daemon = daemon_with_peers();
+    read_leases(&mut daemon, 1, 20_000, NOW_MS);
+    let restored_ms = NOW_MS + 15_000;
+    read_leases(&mut daemon, 2, 12_000, restored_ms);
+    let with_others = count_permits(&mut daemon, restored_ms);
+    assert!((60..=140).contains(&with_others), "a sixth of 600: {with_others}");
+}
