Leave holder rows from before a restore when their workers are gone

The row of a worker's holder could be deleted by the former one, and the worker be claimed again beside its holder.

Cause: the row of a worker that left is deleted 13 s later if it still has the number with which it was written. A restored store may have assigned that number to the row of another holder.

Change: a row that was written in an earlier era is not deleted.

--- a/crates/edge/src/control/holder_rows.rs
+++ b/crates/edge/src/control/holder_rows.rs
@@ -3,6 +3,7 @@
 use indexmap::{IndexMap, IndexSet};
 use jasminetack_domain::name;
 use jasminetack_domain::order_lease;
+use jasminetack_domain::store_version;
 use jasminetack_wire::fleet;
 use prost::Message;
 
@@ -89,8 +90,13 @@
     }
 
     /// Returns the write that deletes the row of a worker, if this process was the last to write it.
-    pub fn removal(&mut self, worker: &name::WorkerName) -> Option<store::Transaction> {
+    ///
+    /// A row from before a restore is left: its number may be that of another row now.
+    pub fn removal(&mut self, worker: &name::WorkerName, era: u64) -> Option<store::Transaction> {
         let version = self.own_versions.swap_remove(worker)?;
+        if store_version::StoreVersion::from(version).era() != era {
+            return None;
+        }
         let (table, key) = (store::Table::Holders, worker.to_string());
         let conditions = vec![store::Condition { table, key: key.clone(), version }];
         Some(store::Transaction {
--- a/crates/edge/src/control/lease_manager.rs
+++ b/crates/edge/src/control/lease_manager.rs
@@ -347,7 +347,7 @@
     /// Returns the write that deletes the holder row of a worker that has left, unless another daemon has
     /// become its holder.
     pub fn removal_job(&mut self, worker: &name::WorkerName) -> Option<StoreJob> {
-        self.holders.removal(worker).map(StoreJob::Write)
+        self.holders.removal(worker, self.era.era()?).map(StoreJob::Write)
     }
 
     pub(super) fn read_rows_job(&mut self) -> Option<StoreJob> {
--- a/crates/edge/tests/restores/simulation.rs
+++ b/crates/edge/tests/restores/simulation.rs
@@ -334,32 +334,17 @@
     fn execute(&mut self, call: Call, leases: Option<store::Listing>) {
         let now_ms = self.now_ms;
         let delay_ms = self.random.random_range(1..25);
-        let reply = match &call.job {
-            control::StoreJob::ReadRows => {
-                let Some(leases) = leases else {
-                    let leases = Some(self.store.list(store::Table::Leases, now_ms));
-                    return self.schedule(delay_ms, Event::Execute { call, leases });
-                };
-                let holders = Ok(self.store.list(store::Table::Holders, now_ms));
-                control::StoreReply::Rows { leases: Ok(leases), holders, sent_ms: call.sent_ms }
-            }
-            control::StoreJob::Renew(transaction) => {
-                let outcome = self.store.transact(transaction, now_ms);
-                control::StoreReply::Renewed(Ok(outcome), call.sent_ms)
-            }
-            control::StoreJob::Claim { worker, era, transaction } => {
-                let outcome = self.store.transact(transaction, now_ms);
-                control::StoreReply::Claimed(worker.clone(), *era, Ok(outcome))
-            }
-            control::StoreJob::Write(transaction) => {
-                control::StoreReply::Written(Ok(self.store.transact(transaction, now_ms)))
-            }
-            control::StoreJob::Quarantine(_) => {
-                let listing = self.store.list(store::Table::Quarantine, now_ms);
-                let reply = control::QuarantineReply::Rows(Ok(listing), call.sent_ms);
-                control::StoreReply::Quarantine(reply)
-            }
-        };
+        let is_read = matches!(call.job, control::StoreJob::ReadRows);
+        if is_read && leases.is_none() {
+            let leases = Some(self.store.list(store::Table::Leases, now_ms));
+            return self.schedule(delay_ms, Event::Execute { call, leases });
+        }
+        let mut reply = self.store.execute(&call.job, call.sent_ms, now_ms);
+        // The leases are read first, and something may happen before the holders are.
+        if let (control::StoreReply::Rows { leases: read, .. }, Some(leases)) = (&mut reply, leases)
+        {
+            *read = Ok(leases);
+        }
         if call.is_answered {
             let (host, process) = (call.host, call.process);
             let message = control::Message::StoreReply(reply);
--- a/crates/edge/tests/restores/store.rs
+++ b/crates/edge/tests/restores/store.rs
@@ -1,9 +1,11 @@
 //! Store that is restored from older copies of itself.
 
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 
 use jasminetack_domain::store_version::StoreVersion;
-use jasminetack_edge::store;
+use jasminetack_edge::{control, store};
 
 /// Age up to which copies are kept.
 const MAX_COPY_AGE_MS: u64 = 15_000;
@@ -95,6 +97,42 @@
         store::Outcome::Committed { version, store_ms }
     }
 
+    /// Executes a job of the writer.
+    pub fn execute(
+        &mut self,
+        job: &control::StoreJob,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> control::StoreReply {
+        match job {
+            control::StoreJob::ReadRows => control::StoreReply::Rows {
+                leases: Ok(self.list(store::Table::Leases, now_ms)),
+                holders: Ok(self.list(store::Table::Holders, now_ms)),
+                sent_ms,
+            },
+            control::StoreJob::Renew(transaction) => {
+                control::StoreReply::Renewed(Ok(self.transact(transaction, now_ms)), sent_ms)
+            }
+            control::StoreJob::Claim { worker, era, transaction } => {
+                let outcome = self.transact(transaction, now_ms);
+                control::StoreReply::Claimed(worker.clone(), *era, Ok(outcome))
+            }
+            control::StoreJob::Write(transaction) => {
+                control::StoreReply::Written(Ok(self.transact(transaction, now_ms)))
+            }
+            control::StoreJob::Quarantine(_) => {
+                let listing = self.list(store::Table::Quarantine, now_ms);
+                let reply = control::QuarantineReply::Rows(Ok(listing), sent_ms);
+                control::StoreReply::Quarantine(reply)
+            }
+        }
+    }
+
+    /// Returns the number of the last transaction.
+    pub fn number(&self) -> u64 {
+        self.contents.number
+    }
+
     pub fn version(&self, number: u64) -> u64 {
         StoreVersion::new(self.era, number).as_u64()
     }
