Pause between renewals that conflict in a restored store

A daemon whose holder row cannot be written in a restored store, since a row that it cannot read has its place, read the rows and renewed its lease without a pause until the lease ended.

Cause: after a restore, a conflict and the read that follows made the next renewal due at once. A read of an era that has ended was repeated at once as well.

Evidence: 100 renewals in 2 s of simulated time, one for each answer of the store.

Change: a renewal that conflicted before its rows are restored is repeated after 250 ms, an outdated read after 1 s, as after a failure; without lost rows, a conflict continues from the version that it shows, as ever. The first renewal in a new era is still due at once.

--- a/crates/edge/src/control/lease_manager.rs
+++ b/crates/edge/src/control/lease_manager.rs
@@ -19,6 +19,8 @@
 const ROWS_READ_INTERVAL_MS: u64 = 60_000;
 /// Delay before a failed call is retried.
 const RETRY_DELAY_MS: u64 = 1_000;
+/// Delay before a renewal that conflicted in a restored store is repeated with the rows read anew.
+const CONFLICT_DELAY_MS: u64 = 250;
 /// Holder rows that are written with one renewal. Each takes a condition and a write, and a transaction holds
 /// at most 100 of them.
 const MAX_ROWS_PER_RENEWAL: usize = 48;
@@ -211,12 +213,10 @@
     {
         self.is_reading = false;
         let versions = [leases.version, holders.version];
-        for version in versions {
-            self.observe_version(version, now_ms);
-        }
-        let era = |version| store_version::StoreVersion::from(version).era();
-        if versions.iter().any(|version| Some(era(*version)) != self.era.era()) {
-            self.read_rows_again();
+        let are_current = versions.map(|version| self.observe_version(version, now_ms));
+        let eras = versions.map(|version| store_version::StoreVersion::from(version).era());
+        if are_current.contains(&false) || eras[0] != eras[1] {
+            self.record_read_failure(now_ms);
             return None;
         }
         let is_store_empty = leases.rows.is_empty() && holders.rows.is_empty();
@@ -245,6 +245,7 @@
         }
         if self.era.start().is_none() {
             self.keep_later_expiries(known);
+            self.next_renewal_ms = self.next_renewal_ms.min(now_ms);
         }
         let rows = self.leases.values().map(|(row, _)| row);
         self.era.begin(rows, is_store_empty, self.rows_store_ms, now_ms);
@@ -252,7 +253,6 @@
             if self.may_keep_workers(now_ms) {
                 self.holders.find_lost(held);
             }
-            self.next_renewal_ms = self.next_renewal_ms.min(now_ms);
             return None;
         }
         if !self.must_read_rows || self.regained_ms == 0 {
@@ -320,7 +320,8 @@
                 if let Some(row) = rows.first() {
                     self.observe_version(row.version, now_ms);
                 }
-                if !self.era.is_confirmed() {
+                if self.era.start().is_none() || self.holders.lost().next().is_some() {
+                    self.next_renewal_ms = now_ms + CONFLICT_DELAY_MS;
                     self.read_rows_again();
                     return None;
                 }
--- a/crates/edge/tests/restored_rows.rs
+++ b/crates/edge/tests/restored_rows.rs
@@ -17,6 +17,7 @@
     daemon: Daemon,
     store: Store,
     now_ms: u64,
+    renewals: usize,
 }
 
 impl Pair {
@@ -24,7 +25,7 @@
     fn start() -> Self {
         let address = ([127, 0, 1, 1], 7_380).into();
         let daemon = Daemon::start("h0", address, TIMES, START_MS, START_MS);
-        let mut pair = Self { daemon, store: Store::new(1), now_ms: START_MS };
+        let mut pair = Self { daemon, store: Store::new(1), now_ms: START_MS, renewals: 0 };
         pair.list(store::Table::Operator, &[(CONFIGURATION_WITH_ENGINES, vec![1])]);
         pair.list(store::Table::Workers, &[("w1", Vec::new())]);
         pair.run(1_000);
@@ -56,6 +57,7 @@
             self.now_ms += 10;
             self.daemon.state.tick(self.now_ms);
             for job in self.daemon.take_store_jobs() {
+                self.renewals += usize::from(matches!(job, control::StoreJob::Renew(_)));
                 let reply = self.store.execute(&job, self.now_ms, self.now_ms);
                 let message = control::Message::StoreReply(reply);
                 self.daemon.state.receive(vec![message], self.now_ms);
@@ -91,3 +93,15 @@
     pair.run(20_000);
     assert!(pair.holder_rows().iter().any(|row| row.key == "w1"));
 }
+
+/// Guards against renewals without a pause while a row that cannot be read prevents them in a restored store.
+#[test]
+fn renewals_that_conflict_in_a_restored_store_are_not_repeated_without_a_pause() {
+    let mut pair = Pair::start();
+    pair.store.restore(1_000, 0, pair.now_ms);
+    pair.write_holder("w1", &[0xff]);
+    pair.list(store::Table::Operator, &[(CONFIGURATION_WITH_ENGINES, vec![1])]);
+    pair.renewals = 0;
+    pair.run(2_000);
+    assert!((1..=10).contains(&pair.renewals), "{} renewals in 2 s", pair.renewals);
+}
